--- a/decide/api.go
+++ b/decide/api.go
@@ -229,8 +229,11 @@
 		Final   bool
 		Load    *Load
 	}
-	// Gone tells that the client left.
-	Gone struct{ ID uint64 }
+	// Gone tells that the client left; where it is Owed the final answer is due, as its time is up.
+	Gone struct {
+		ID   uint64
+		Owed bool
+	}
 	// Note tells how an attempt goes.
 	Note struct {
 		ID      uint64
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -115,7 +115,9 @@
 			d.heard(a.engine)
 		}
 	case Gone:
-		if q := d.queries[ev.ID]; q != nil {
+		if q := d.queries[ev.ID]; q != nil && ev.Owed && !q.answered {
+			d.end(q)
+		} else if q != nil {
 			d.close(q)
 		}
 	case PeerSaid:
@@ -245,8 +247,7 @@
 		d.engines = append(d.engines, e)
 	}
 	restarted := en.Started > 0 && en.Started != e.Started
-	e.Entry = en
-	e.gone = en.State != Serving
+	e.Entry, e.gone = en, en.State != Serving
 	for _, k := range d.cfg.Kinds {
 		if k.Name == en.Kind {
 			e.cores, e.memory = float64(k.Cores), k.MemoryMB
@@ -873,8 +874,7 @@
 	}
 	for _, e := range d.engines {
 		if e.cold && d.now >= e.coldFrom+d.cfg.Rules.Cold {
-			e.cold = false
-			e.sentCold = window{}
+			e.cold, e.sentCold = false, window{}
 		}
 		if d.now-e.slowAt > Second {
 			e.slow = 1 + (e.slow-1)*math.Exp2(-float64(sweepEvery)/float64(slowFade))
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,367 @@
+// Package gateway is the core of the front end. It owns the open requests, their attempts and all timers
+// of the decisions; it turns calls, which are of no protocol, into events of the decision module, and the
+// module's actions into commands to its adapters. It sees to it that each request gets one final answer.
+// It does no input or output and reads no clock.
+package gateway
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"indigoshunt/decide"
+	"indigoshunt/internal/counters"
+	"indigoshunt/internal/settings"
+)
+
+// Micros is a time or a span in microseconds.
+type Micros = decide.Micros
+
+const (
+	// margin is how long before the client gives up its final answer is due, for the loop and the wire.
+	margin = 30 * decide.Second / 1000
+	// mostHeld bounds the bytes of the statements of all open requests.
+	mostHeld = 48 << 20
+	// busyAfter is when a client turned away for want of room may come back.
+	busyAfter = decide.Second / 2
+)
+
+// Call is a request as the core sees it. ID, Once and Statement go to engines byte for byte.
+type Call struct {
+	ID, Class, Tenant, Key, Once string
+	TTL                          Micros // how long the client waits, from the request's last byte
+	Cost                         Micros // 0: not told
+	MemoryMB                     float64
+	Group                        int
+	Statement                    []byte
+}
+
+// Caller waits for the final answer to one request; one of the three is called, once.
+type Caller interface {
+	Served(rows []byte)
+	Refused(after Micros)
+	Failed()
+}
+
+// Engines carries out attempts. Each Start and Probe is answered by Ended and Probed, which may come
+// from within the call.
+type Engines interface {
+	Start(a *Attempt)
+	// GiveUp ends an attempt early: Ended follows once it is known not to run any more.
+	GiveUp(a *Attempt)
+	Probe(engine string)
+}
+
+// Request is an open request.
+type Request struct {
+	*Call
+	id       uint64
+	caller   Caller
+	deadline Micros // when its final answer is due
+	answered bool
+	grantMB  float64
+	attempts []*Attempt
+	out      int // attempts that have not ended
+}
+
+// Attempt is one send of a request to an engine.
+type Attempt struct {
+	*Request
+	Engine  string
+	Wait    Micros // how long the front end will wait
+	GrantMB float64
+
+	number  int
+	at      Micros
+	reason  decide.Result // of giving it up; Done while it is not
+	dropped bool
+	ended   bool
+}
+
+// Core is one front end.
+type Core struct {
+	settings *settings.Settings
+	module   *decide.Dispatcher
+	engines  Engines
+	count    *counters.Set
+
+	now       Micros
+	seed      uint64
+	lastID    uint64
+	lastTimer uint64
+	events    []decide.Event
+	open      map[uint64]*Request
+	ids       map[string]bool // the clients' ids of open requests
+	held      int             // bytes of their statements
+	out       int             // attempts that have not ended
+	timers    timers
+}
+
+// New builds a front end's core.
+func New(s *settings.Settings, seed uint64, engines Engines, count *counters.Set) (*Core, error) {
+	module, err := decide.New(s.Config, seed)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
+	return &Core{settings: s, module: module, engines: engines, count: count, seed: seed,
+		open: map[uint64]*Request{}, ids: map[string]bool{}}, nil
+}
+
+// Errors of Take.
+var (
+	ErrClass  = errors.New("unknown class")
+	ErrTenant = errors.New("unknown tenant")
+	ErrTTL    = errors.New("no time left")
+	ErrTwice  = errors.New("a request with that id is open")
+)
+
+// Take takes a request in whose last byte came now. The answer goes to caller, which is not called if
+// there is an error.
+func (c *Core) Take(now Micros, call *Call, caller Caller) (*Request, error) {
+	class, ok := c.settings.ClassOf[call.Class]
+	if !ok {
+		return nil, ErrClass
+	}
+	tenant := -1
+	if call.Tenant != "" {
+		if tenant, ok = c.settings.TenantOf[call.Tenant]; !ok {
+			return nil, ErrTenant
+		}
+	}
+	if call.TTL <= 0 {
+		return nil, ErrTTL
+	}
+	if c.ids[call.ID] {
+		return nil, ErrTwice
+	}
+	c.count.Taken++
+	r := &Request{Call: call, id: c.newID(), caller: caller, deadline: now + call.TTL - margin}
+	if len(c.open) >= c.settings.MaxOpen || c.held+len(call.Statement) > mostHeld {
+		r.refuse(c, busyAfter)
+		return r, nil
+	}
+	c.open[r.id] = r
+	c.ids[call.ID] = true
+	c.held += len(call.Statement)
+	c.events = append(c.events, decide.Request{ID: r.id, Class: class, Tenant: tenant, Key: call.Key,
+		Deadline: r.deadline, Cost: call.Cost, MemoryMB: call.MemoryMB, Group: call.Group})
+	c.after(r.deadline, func() { c.expire(r) })
+	return r, nil
+}
+
+// newID is the next of a sequence without repeats that differs from start to start.
+func (c *Core) newID() uint64 {
+	c.lastID++
+	return c.seed ^ c.lastID*0x9e3779b97f4a7c15 // an odd multiplier: no repeats
+}
+
+// Cancel frees a request whose client no longer waits: it gets no answer, and its attempt is given up.
+func (c *Core) Cancel(r *Request) {
+	if r.answered {
+		return
+	}
+	r.answered = true
+	c.count.Cancelled++
+	c.events = append(c.events, decide.Gone{ID: r.id})
+	c.giveUp(r, decide.Canceled)
+	c.forget(r)
+}
+
+// expire sees to the final answer of a request whose time is up.
+func (c *Core) expire(r *Request) {
+	if r.answered {
+		return
+	}
+	c.count.Expired++
+	c.events = append(c.events, decide.Gone{ID: r.id, Owed: true})
+	c.giveUp(r, decide.TimedOut)
+}
+
+// ExpireAll ends all that is open, as at its deadline.
+func (c *Core) ExpireAll() {
+	for _, r := range c.open {
+		c.expire(r)
+	}
+}
+
+func (c *Core) giveUp(r *Request, reason decide.Result) {
+	for _, a := range r.attempts {
+		c.drop(a, reason)
+	}
+}
+
+func (c *Core) drop(a *Attempt, reason decide.Result) {
+	if a.ended || a.dropped {
+		return
+	}
+	a.dropped, a.reason = true, reason
+	c.engines.GiveUp(a)
+}
+
+// Ended tells how an attempt ended. A time-out is not its end: it is out until the engine is known to
+// have been told. What had ended well before that is still served.
+func (c *Core) Ended(now Micros, a *Attempt, result decide.Result, rows []byte, load *decide.Load) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	c.out--
+	a.out--
+	if a.dropped && result != decide.Done && !neverRan(result) {
+		result = a.reason
+	}
+	c.tally(result)
+	if result == decide.Done && !a.answered {
+		a.answered = true
+		c.count.Served++
+		a.caller.Served(rows)
+	}
+	c.events = append(c.events, decide.Outcome{ID: a.id, Attempt: a.number, Engine: a.Engine, Result: result,
+		Elapsed: now - a.at, Final: a.answered, Load: load})
+	c.forget(a.Request)
+}
+
+func neverRan(r decide.Result) bool {
+	return r == decide.Full || r == decide.NoConnection || r == decide.NotSent
+}
+
+// Probed answers a probe.
+func (c *Core) Probed(engine string, result decide.Result, elapsed Micros, load *decide.Load) {
+	c.events = append(c.events, decide.Probed{Engine: engine, Result: result, Elapsed: elapsed, Load: load})
+}
+
+// Listed brings news of the list of engines.
+func (c *Core) Listed(kind decide.ListKind, entries []decide.Entry) {
+	c.events = append(c.events, decide.List{Kind: kind, Entries: entries})
+}
+
+// Idle says whether no request is open and no attempt is out.
+func (c *Core) Idle() bool { return len(c.open) == 0 && c.out == 0 }
+
+// Step lets the timers that are due fire, hands the module all that has happened and carries out what it
+// decides.
+func (c *Core) Step(now Micros) {
+	c.now = now
+	for len(c.timers) > 0 && c.timers[0].at <= now {
+		heap.Pop(&c.timers).(timer).fire()
+	}
+	for len(c.events) > 0 {
+		events := c.events
+		c.events = nil
+		for _, action := range c.module.Step(now, events) {
+			c.act(action)
+		}
+	}
+}
+
+// Next is when the next timer is due; false where none is set.
+func (c *Core) Next() (Micros, bool) {
+	if len(c.timers) == 0 {
+		return 0, false
+	}
+	return c.timers[0].at, true
+}
+
+func (c *Core) act(action decide.Action) {
+	switch a := action.(type) {
+	case decide.Send:
+		c.send(a)
+	case decide.Terms:
+		if r := c.open[a.ID]; r != nil {
+			r.grantMB = a.GrantMB
+		}
+	case decide.Cancel:
+		if r := c.open[a.ID]; r != nil && a.Attempt < len(r.attempts) {
+			c.drop(r.attempts[a.Attempt], decide.Canceled)
+		}
+	case decide.Refuse:
+		if r := c.open[a.ID]; r != nil && !r.answered {
+			r.refuse(c, a.After)
+			c.forget(r)
+		}
+	case decide.Fail:
+		if r := c.open[a.ID]; r != nil && !r.answered {
+			r.answered = true
+			c.count.Failed++
+			r.caller.Failed()
+			c.forget(r)
+		}
+	case decide.Probe:
+		c.count.Probes++
+		c.engines.Probe(a.Engine)
+	case decide.SetTimer:
+		c.after(a.At, func() { c.events = append(c.events, decide.Timer{Token: a.Token}) })
+	case decide.Log:
+		slog.Info(a.Text)
+	}
+}
+
+func (r *Request) refuse(c *Core, after Micros) {
+	r.answered = true
+	c.count.Refused++
+	r.caller.Refused(after)
+}
+
+func (c *Core) send(s decide.Send) {
+	r := c.open[s.ID]
+	if r == nil {
+		return
+	}
+	a := &Attempt{Request: r, Engine: s.Engine, GrantMB: r.grantMB, number: len(r.attempts), at: c.now}
+	a.Wait = r.deadline - c.now
+	if s.Timeout > 0 && s.Timeout < a.Wait {
+		a.Wait = s.Timeout
+		c.after(c.now+a.Wait, func() { c.drop(a, decide.TimedOut) })
+	}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	c.out++
+	c.count.Sent++
+	c.engines.Start(a)
+}
+
+// forget lets go of a request that is answered and has nothing out.
+func (c *Core) forget(r *Request) {
+	if r.answered && r.out == 0 && c.open[r.id] == r {
+		delete(c.open, r.id)
+		delete(c.ids, r.ID)
+		c.held -= len(r.Statement)
+		r.Statement = nil // its deadline's timer still holds the request
+	}
+}
+
+func (c *Core) tally(r decide.Result) {
+	n := c.count
+	*[...]*int{decide.Done: &n.Done, decide.Errored: &n.Errored, decide.Full: &n.Full, decide.TimedOut: &n.TimedOut,
+		decide.NoConnection: &n.NoConnection, decide.Reset: &n.Reset, decide.Canceled: &n.Dropped,
+		decide.NotSent: &n.NotSent}[r]++
+}
+
+// timer is a call at a time.
+type timer struct {
+	at   Micros
+	n    uint64 // those of one time fire in the order in which they were set
+	fire func()
+}
+
+func (c *Core) after(at Micros, fire func()) {
+	c.lastTimer++
+	heap.Push(&c.timers, timer{at, c.lastTimer, fire})
+}
+
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].n < t[j].n
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	last := len(*t) - 1
+	x := (*t)[last]
+	(*t)[last] = timer{}
+	*t = (*t)[:last]
+	return x
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,121 @@
+// Package config is the one place where the front end's configuration is read, checked and given defaults.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"indigoshunt/decide"
+	"indigoshunt/internal/journal"
+	"indigoshunt/internal/settings"
+)
+
+// Defaults for what a configuration leaves out.
+const (
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastSockets    = 64
+	defaultIdle     = 30 * decide.Second
+	defaultDial     = decide.Second / 4
+	defaultOpen     = 20000
+)
+
+// Config is all that a front end is told.
+type Config struct {
+	Name     string
+	Listen   netip.AddrPort
+	Journal  netip.AddrPort
+	Seed     uint64
+	MemoryMB int
+	Sockets  int
+	Settings *settings.Settings
+	Known    []journal.Event
+	LastPos  uint64
+}
+
+// Load reads the configuration that the environment names.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("config: NODE_CONFIG is not set")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: NODE_CONFIG: %w", err)
+	}
+	return Parse(text, getenv("NODE_NAME"), getenv("NODE_LISTEN"))
+}
+
+// Parse reads a configuration; name and listen, where given, stand before its own.
+func Parse(text []byte, name, listen string) (*Config, error) {
+	var file struct {
+		Name   string `json:"name"`
+		Listen string `json:"listen"`
+		Seed   string `json:"seed"`
+		Limits struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  float64 `json:"sockets"`
+		} `json:"limits"`
+		Journal  string          `json:"journal"`
+		Known    journal.Known   `json:"known"`
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &file); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	if name == "" {
+		name = file.Name
+	}
+	if listen == "" {
+		listen = file.Listen
+	}
+	c := &Config{Name: name, MemoryMB: int(file.Limits.MemoryMB), Sockets: int(file.Limits.Sockets), LastPos: file.Known.Pos}
+	var err error
+	if c.Listen, err = address("listen", listen); err != nil {
+		return nil, err
+	}
+	if c.Journal, err = address("journal", file.Journal); err != nil {
+		return nil, err
+	}
+	if c.Seed, err = strconv.ParseUint(file.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("config: seed: %q is not 16 hex digits", file.Seed)
+	}
+	if file.Limits.MemoryMB < 0 || file.Limits.Sockets < 0 {
+		return nil, fmt.Errorf("config: limits: memory_mb and sockets may not be negative")
+	}
+	defaults(&c.MemoryMB, defaultMemoryMB)
+	defaults(&c.Sockets, defaultSockets)
+	if c.Sockets < leastSockets {
+		return nil, fmt.Errorf("config: limits.sockets: %d is below %d", c.Sockets, leastSockets)
+	}
+	if len(file.Settings) == 0 {
+		return nil, fmt.Errorf("config: settings: missing")
+	}
+	if c.Settings, err = settings.Parse(file.Settings); err != nil {
+		return nil, fmt.Errorf("config: settings: %w", err)
+	}
+	defaults(&c.Settings.ConnIdle, defaultIdle)
+	defaults(&c.Settings.DialTimeout, defaultDial)
+	defaults(&c.Settings.MaxOpen, defaultOpen)
+	if c.Known, err = file.Known.Events(); err != nil {
+		return nil, fmt.Errorf("config: known.%w", err)
+	}
+	return c, nil
+}
+
+func address(key, text string) (netip.AddrPort, error) {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || !a.Addr().Is4() {
+		return a, fmt.Errorf("config: %s: %q is no IPv4 address with a port", key, text)
+	}
+	return a, nil
+}
+
+func defaults[T int | decide.Micros](v *T, otherwise T) {
+	if *v <= 0 {
+		*v = otherwise
+	}
+}
--- /dev/null
+++ b/internal/counters/counters.go
@@ -0,0 +1,47 @@
+// Package counters counts what the front end takes in, sends and answers.
+package counters
+
+import (
+	"fmt"
+	"io"
+	"reflect"
+)
+
+// Set is all counters of one front end; it belongs to the one loop.
+type Set struct {
+	Taken     int `name:"requests taken"`
+	Unusable  int `name:"requests unusable"`
+	Served    int `name:"answers served"`
+	Refused   int `name:"answers refused"`
+	Failed    int `name:"answers failed"`
+	Cancelled int `name:"requests cancelled by clients"`
+	Expired   int `name:"requests at their deadline"`
+
+	Sent         int `name:"attempts sent"`
+	Done         int `name:"attempts done"`
+	Errored      int `name:"attempts errored"`
+	Full         int `name:"attempts refused by a full engine"`
+	TimedOut     int `name:"attempts timed out"`
+	NoConnection int `name:"attempts without a connection"`
+	Reset        int `name:"attempts reset"`
+	Dropped      int `name:"attempts given up for clients"`
+	NotSent      int `name:"attempts never run"`
+	Probes       int `name:"probes sent"`
+
+	Calls       int `name:"calls to engines"`
+	Dialled     int `name:"connections to engines"`
+	Accepted    int `name:"connections from clients"`
+	Malformed   int `name:"connections closed for malformed input"`
+	Frames      int `name:"frames from the journal"`
+	Reconnected int `name:"connections to the journal"`
+
+	LongestTurn int `name:"longest turn of the loop in microseconds"`
+}
+
+// Print writes a line for each counter.
+func (s *Set) Print(w io.Writer) {
+	v := reflect.ValueOf(*s)
+	for i := range v.NumField() {
+		fmt.Fprintf(w, "%-45s %d\n", v.Type().Field(i).Tag.Get("name"), v.Field(i).Int())
+	}
+}
--- /dev/null
+++ b/internal/epoll/engines.go
@@ -0,0 +1,403 @@
+package epoll
+
+import (
+	"log/slog"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"indigoshunt/decide"
+	"indigoshunt/gateway"
+	"indigoshunt/internal/journal"
+	"indigoshunt/internal/rest"
+)
+
+const (
+	silentAfter  = 1500 * ms // an engine answers each call within 250 ms, and stands still for 600 at most
+	unaskedAfter = 2100 * ms // an engine gives up what nobody has asked for in 2 s
+	mostResumes  = 2         // connections on which one query is asked after again
+	probeWait    = 250 * ms
+	maxCall      = 512 << 10 // bytes of one call: a client's frame and its headers
+)
+
+// pool is the connections to all engines and the queries that go over them.
+type pool struct {
+	s       *Server
+	engines map[string]*engine
+	conns   map[*conn]struct{}
+	jobs    map[*job]struct{}
+	byTry   map[*gateway.Attempt]*job
+	most    int // connections
+}
+
+// engine is one engine, by its id: another may come to have its address.
+type engine struct {
+	name string
+	addr netip.AddrPort
+	idle []*conn // the last used one last
+}
+
+// job is a query's way through its calls, over one connection after another.
+type job struct {
+	attempt *gateway.Attempt // nil for a probe
+	engine  *engine
+	query   *rest.Query
+	conn    *conn
+	begun   Micros
+	asked   Micros // when the engine was last asked, if ever
+	posted  bool   // some of the POST may have reached the engine
+	giveUp  bool   // to be dropped once the POST is answered
+	resumes int
+}
+
+// conn is a connection to an engine; it carries one call at a time.
+type conn struct {
+	stream
+	p          *pool
+	engine     *engine
+	job        *job // whose call is out; nil also while an answer that nobody waits for is to come
+	busy       bool // a call is out
+	connecting bool
+	since      Micros // of the call, the dial or the last use
+	size       int    // bytes of the call
+}
+
+func newPool(s *Server, most int) *pool {
+	return &pool{s: s, engines: map[string]*engine{}, conns: map[*conn]struct{}{}, jobs: map[*job]struct{}{},
+		byTry: map[*gateway.Attempt]*job{}, most: most}
+}
+
+// listed takes over the addresses of engines; connections to an old one are of no more use.
+func (p *pool) listed(engines []journal.Engine) {
+	for _, en := range engines {
+		e := p.engines[en.Engine]
+		if e == nil {
+			e = &engine{name: en.Engine}
+			p.engines[en.Engine] = e
+		}
+		if e.addr != en.Addr || en.State == decide.Removed {
+			for len(e.idle) > 0 {
+				e.idle[0].end()
+			}
+		}
+		e.addr = en.Addr
+	}
+}
+
+// Start sends an attempt to its engine.
+func (p *pool) Start(a *gateway.Attempt) {
+	e := p.engines[a.Engine]
+	if e == nil {
+		p.s.core.Ended(p.s.now, a, decide.NotSent, nil, nil)
+		return
+	}
+	j := &job{attempt: a, engine: e, begun: p.s.now, query: rest.NewQuery(e.addr.String(), rest.Start{ID: a.ID,
+		Class: a.Class, Once: a.Once, Statement: a.Statement, Wait: a.Wait, GrantMB: a.GrantMB})}
+	p.byTry[a] = j
+	p.jobs[j] = struct{}{}
+	p.carry(j)
+}
+
+// Probe asks an engine for its load.
+func (p *pool) Probe(name string) {
+	e := p.engines[name]
+	if e == nil {
+		p.s.core.Probed(name, decide.NoConnection, 0, nil)
+		return
+	}
+	j := &job{engine: e, begun: p.s.now, query: rest.NewProbe(e.addr.String())}
+	p.jobs[j] = struct{}{}
+	p.carry(j)
+}
+
+// GiveUp ends an attempt early. A start that has not been answered is waited for first, since a DELETE
+// that overtook it would find nothing to give up and leave it running. Else the DELETE goes at once over
+// another connection than the one on which the news is awaited.
+func (p *pool) GiveUp(a *gateway.Attempt) {
+	j := p.byTry[a]
+	switch {
+	case j == nil:
+	case !j.posted:
+		p.finish(j, decide.NotSent)
+	case j.query.Posting():
+		j.giveUp = true
+	default:
+		p.drop(j)
+	}
+}
+
+// drop turns a job to its DELETE, on a connection that is free.
+func (p *pool) drop(j *job) {
+	if c := j.conn; c != nil {
+		c.job, j.conn = nil, nil
+		if c.connecting {
+			c.end()
+		}
+	}
+	j.query.Drop()
+	p.carry(j)
+}
+
+// carry gives a job's next call a connection.
+func (p *pool) carry(j *job) {
+	e := j.engine
+	if n := len(e.idle); n > 0 {
+		c := e.idle[n-1]
+		e.idle = e.idle[:n-1]
+		c.job, j.conn = j, c
+		c.call()
+		return
+	}
+	if len(p.conns) >= p.most && !p.evict() {
+		slog.Warn("no descriptor left for a connection", "engine", e.name)
+		if !j.posted {
+			p.finish(j, decide.NotSent)
+		}
+		return
+	}
+	fd, err := dial(e.addr)
+	if err != nil {
+		p.lost(j, err == unix.ECONNREFUSED)
+		return
+	}
+	p.s.count.Dialled++
+	c := &conn{stream: newStream(p.s.loop, fd, rest.MaxResponse, maxCall), p: p, engine: e, job: j,
+		connecting: true, since: p.s.now}
+	j.conn = c
+	c.want = unix.EPOLLOUT
+	p.conns[c] = struct{}{}
+	if err := p.s.loop.add(fd, c.want, c); err != nil {
+		c.end()
+		p.lost(j, false)
+	}
+}
+
+// evict closes the connection that has been idle longest.
+func (p *pool) evict() bool {
+	var oldest *conn
+	for _, e := range p.engines {
+		if len(e.idle) > 0 && (oldest == nil || e.idle[0].since < oldest.since) {
+			oldest = e.idle[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	oldest.end()
+	return true
+}
+
+// lost settles a job that has no connection. What was never posted never ran. Where the engine's process
+// is gone nothing runs any more; a silent one is left until it has given up by itself.
+func (p *pool) lost(j *job, refused bool) {
+	j.conn = nil
+	switch {
+	case !j.posted:
+		p.finish(j, decide.NoConnection)
+	case refused:
+		p.finish(j, decide.Reset)
+	}
+}
+
+// broken settles a job whose connection ended under its call. No connection owns a query, so a query
+// that is known to have started is asked after on another connection.
+func (p *pool) broken(j *job) {
+	j.conn = nil
+	if j.attempt == nil {
+		p.finish(j, decide.Reset)
+		return
+	}
+	if j.resumes++; j.resumes > mostResumes {
+		return // the engine gives it up unasked
+	}
+	if j.query.Posting() {
+		j.query.Drop()
+	}
+	p.carry(j)
+}
+
+func (p *pool) finish(j *job, result decide.Result) {
+	if c := j.conn; c != nil {
+		c.job, j.conn = nil, nil
+		if c.connecting {
+			c.end()
+		}
+	}
+	delete(p.jobs, j)
+	if j.attempt == nil {
+		p.s.core.Probed(j.engine.name, result, p.s.now-j.begun, j.query.Load())
+		return
+	}
+	delete(p.byTry, j.attempt)
+	p.s.core.Ended(p.s.now, j.attempt, result, j.query.Rows(), j.query.Load())
+}
+
+// tick sees to what time alone brings: dials and calls that took too long, queries that engines have
+// given up by now, and idle connections, which are closed well before the engine closes them so that no
+// POST meets a closing one.
+func (p *pool) tick() {
+	now, s := p.s.now, p.s.cfg.Settings
+	for c := range p.conns {
+		age := now - c.since
+		switch j := c.job; {
+		case c.connecting && age >= s.DialTimeout:
+			c.end()
+			if j != nil {
+				p.lost(j, false)
+			}
+		case c.busy && age >= silentAfter:
+			c.end()
+			if j != nil {
+				j.conn = nil
+			}
+		case !c.busy && !c.connecting && age >= s.ConnIdle/2:
+			c.end()
+		}
+	}
+	for j := range p.jobs {
+		switch {
+		case j.attempt == nil && now-j.begun >= probeWait:
+			p.finish(j, decide.TimedOut)
+		case j.posted && (j.conn == nil || j.giveUp || j.query.Dropping()) && now-j.asked >= unaskedAfter:
+			if j.conn != nil {
+				j.conn.end()
+				j.conn = nil
+			}
+			p.finish(j, decide.Reset)
+		}
+	}
+}
+
+// call writes the next call of the connection's job.
+func (c *conn) call() {
+	j := c.job
+	b := j.query.Call()
+	c.busy, c.since, c.size = true, c.p.s.now, len(b)
+	if !j.query.Dropping() {
+		j.asked = c.since
+	}
+	c.p.s.count.Calls++
+	_, err := c.out.Write(b)
+	if err == nil {
+		err = c.flush()
+	}
+	if c.out.Len() < c.size {
+		j.posted = true
+	}
+	if err != nil {
+		c.fail()
+		return
+	}
+	c.watch(true)
+}
+
+func (c *conn) ready(events uint32) {
+	if c.connecting {
+		if err := dialled(c.fd); err != nil {
+			j := c.job
+			c.end()
+			if j != nil {
+				c.p.lost(j, err == unix.ECONNREFUSED)
+			}
+			return
+		}
+		c.connecting = false
+		c.call()
+		return
+	}
+	if events&unix.EPOLLOUT != 0 {
+		err := c.flush()
+		if c.job != nil && c.out.Len() < c.size {
+			c.job.posted = true
+		}
+		if err != nil {
+			c.fail()
+			return
+		}
+		c.watch(true)
+	}
+	if events&^unix.EPOLLOUT == 0 {
+		return
+	}
+	more := c.fill()
+	for !c.closed && c.in.Len() > 0 {
+		r, ok, err := rest.NextResponse(c.in)
+		if err != nil || ok && !c.busy {
+			slog.Warn("engine", "engine", c.engine.name, "error", err)
+			c.p.s.count.Malformed++
+			c.fail()
+			return
+		}
+		if !ok {
+			break
+		}
+		c.answer(r, more)
+	}
+	if !more && !c.closed {
+		c.fail()
+	}
+}
+
+// answer takes a whole answer; what follows goes out at once over the same connection.
+func (c *conn) answer(r rest.Response, more bool) {
+	j := c.job
+	c.busy, c.job, c.since = false, nil, c.p.s.now
+	usable := more && !r.Close && c.in.Len() == 0 && c.out.Len() == 0
+	if j == nil {
+		c.release(usable)
+		return
+	}
+	j.conn = nil
+	result, ended := j.query.Take(r)
+	if !ended && j.giveUp {
+		j.query.Drop()
+	}
+	switch {
+	case ended:
+		c.release(usable)
+		c.p.finish(j, result)
+	case usable:
+		c.job, j.conn = j, c
+		c.call()
+	default:
+		c.end()
+		c.p.carry(j)
+	}
+}
+
+// release keeps a connection for the next call.
+func (c *conn) release(usable bool) {
+	if !usable {
+		c.end()
+		return
+	}
+	c.engine.idle = append(c.engine.idle, c)
+	c.watch(true)
+}
+
+// fail ends a broken connection and settles its job.
+func (c *conn) fail() {
+	j := c.job
+	c.end()
+	if j == nil {
+		return
+	}
+	if !j.posted && j.attempt != nil {
+		c.p.lost(j, false)
+		return
+	}
+	c.p.broken(j)
+}
+
+// end closes the connection and takes it out of the pool; its job, if any, is its caller's to settle.
+func (c *conn) end() {
+	c.close()
+	c.job = nil
+	delete(c.p.conns, c)
+	for i, other := range c.engine.idle {
+		if other == c {
+			c.engine.idle = append(c.engine.idle[:i], c.engine.idle[i+1:]...)
+			break
+		}
+	}
+}
--- /dev/null
+++ b/internal/epoll/server.go
@@ -0,0 +1,158 @@
+package epoll
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"indigoshunt/gateway"
+	"indigoshunt/internal/config"
+	"indigoshunt/internal/counters"
+)
+
+const (
+	tickEvery = 25 * ms
+	spare     = 48 // descriptors for the loop, the journal, the log and what the runtime holds
+)
+
+// Server is the front end on its sockets.
+type Server struct {
+	cfg      *config.Config
+	clock    clock
+	now      Micros
+	loop     *loop
+	core     *gateway.Core
+	life     gateway.Life
+	listener *listener
+	pool     *pool
+	feed     *feed
+	count    counters.Set
+	wake     *waker
+	nextTick Micros
+	log      io.Writer
+}
+
+// New builds a front end; it does not listen yet. Counters are printed to log.
+func New(cfg *config.Config, log io.Writer) (*Server, error) {
+	l, err := newLoop()
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, clock: clock{time.Now()}, loop: l, log: log}
+	s.now = s.clock.now()
+	clients := cfg.Sockets * 2 / 5
+	s.pool = newPool(s, cfg.Sockets-clients-spare)
+	if s.core, err = gateway.New(cfg.Settings, cfg.Seed, s.pool, &s.count); err != nil {
+		return nil, err
+	}
+	s.feed = newFeed(s)
+	if s.wake, err = newWaker(s); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Run serves until a planned end is over.
+func (s *Server) Run() error {
+	for _, e := range s.cfg.Known {
+		s.listed(e)
+	}
+	s.core.Step(s.now)
+	if err := s.listen(); err != nil {
+		return err
+	}
+	s.feed.connect()
+	s.life.Serve()
+	slog.Info("serving", "name", s.cfg.Name, "listen", s.cfg.Listen.String())
+	for {
+		if err := s.turn(); err != nil {
+			return err
+		}
+		phase := s.life.Phase()
+		if now := s.life.Advance(s.now, s.core.Idle() && !s.listener.unwritten()); now != phase {
+			slog.Info("phase", "phase", now.String())
+			if phase < gateway.Closing && now >= gateway.Closing {
+				s.listener.close()
+			}
+		}
+		if s.life.Phase() == gateway.Stopped {
+			s.count.Print(s.log)
+			return nil
+		}
+	}
+}
+
+// turn waits, reads all that is ready, and lets the core take one step.
+func (s *Server) turn() error {
+	until := s.nextTick
+	if at, ok := s.core.Next(); ok {
+		until = min(until, at)
+	}
+	n, err := s.loop.wait(until - s.clock.now())
+	if err != nil {
+		return err
+	}
+	s.now = s.clock.now()
+	s.loop.dispatch(n)
+	if s.now >= s.nextTick {
+		s.nextTick = s.now + tickEvery
+		s.pool.tick()
+		s.feed.tick()
+		if s.life.Expired(s.now) {
+			s.core.ExpireAll()
+		}
+	}
+	s.core.Step(s.now)
+	s.count.LongestTurn = max(s.count.LongestTurn, int(s.clock.now()-s.now))
+	return nil
+}
+
+// Drain begins a planned end. It may be called from any goroutine.
+func (s *Server) Drain() { s.wake.send(wakeDrain) }
+
+// PrintCounters prints the counters. It may be called from any goroutine.
+func (s *Server) PrintCounters() { s.wake.send(wakePrint) }
+
+// What the loop is woken for; the values of an eventfd add up.
+const (
+	wakeDrain = 1 << 32
+	wakePrint = 1
+)
+
+// waker lets other goroutines reach the loop.
+type waker struct {
+	s  *Server
+	fd int
+}
+
+func newWaker(s *Server) (*waker, error) {
+	fd, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
+	if err != nil {
+		return nil, fmt.Errorf("eventfd: %w", err)
+	}
+	w := &waker{s, fd}
+	return w, s.loop.add(fd, unix.EPOLLIN, w)
+}
+
+func (w *waker) send(n uint64) {
+	// It fails only where billions of signals are unread.
+	_, _ = unix.Write(w.fd, binary.NativeEndian.AppendUint64(nil, n))
+}
+
+func (w *waker) ready(uint32) {
+	var b [8]byte
+	if n, err := unix.Read(w.fd, b[:]); n != 8 || err != nil {
+		return
+	}
+	told := binary.NativeEndian.Uint64(b[:])
+	if told%wakeDrain != 0 {
+		w.s.count.Print(w.s.log)
+	}
+	if told >= wakeDrain {
+		w.s.life.Drain(w.s.now)
+	}
+}
--- /dev/null
+++ b/internal/rest/response.go
@@ -0,0 +1,107 @@
+// Package rest speaks to engines: HTTP/1.1 calls that start a query, ask for its news, fetch its pages
+// and give it up. It is fed bytes and knows no socket.
+package rest
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"indigoshunt/internal/ring"
+)
+
+const (
+	maxHead = 16 << 10
+	maxBody = 64 << 10 // of one page; engines send 6,000 bytes at most
+	// MaxResponse bounds what one answer may take up.
+	MaxResponse = maxHead + maxBody
+)
+
+// ErrResponse says that the stream holds no answer of ours: the connection has to end.
+var ErrResponse = errors.New("rest: unreadable answer")
+
+// Response is one whole answer of an engine.
+type Response struct {
+	Status   int
+	NeverRan bool
+	Pages    int    // X-Batches, 0 without
+	Page     int    // X-Batch, -1 without
+	Load     string // Load-Report
+	Close    bool   // the engine closes the connection after it
+	Body     []byte // valid until the buffer is fed again
+}
+
+// NextResponse takes the next whole answer from what has come; ok is false until there is one.
+func NextResponse(in *ring.Buffer) (r Response, ok bool, err error) {
+	data := in.Bytes()
+	end := bytes.Index(data, []byte("\r\n\r\n"))
+	if end < 0 {
+		if len(data) > maxHead {
+			return r, false, fmt.Errorf("%w: head too long", ErrResponse)
+		}
+		return r, false, nil
+	}
+	r, length, err := parseHead(string(data[:end]))
+	if err != nil {
+		return r, false, err
+	}
+	whole := end + 4 + length
+	if len(data) < whole {
+		return r, false, nil
+	}
+	r.Body = data[end+4 : whole]
+	in.Discard(whole)
+	return r, true, nil
+}
+
+func parseHead(head string) (r Response, length int, err error) {
+	line, rest, _ := strings.Cut(head, "\r\n")
+	r.Page, length = -1, -1
+	if !strings.HasPrefix(line, "HTTP/1.") || len(line) < 12 || line[8] != ' ' {
+		return r, 0, fmt.Errorf("%w: status line %.40q", ErrResponse, line)
+	}
+	if r.Status, err = strconv.Atoi(line[9:12]); err != nil || r.Status < 200 {
+		return r, 0, fmt.Errorf("%w: status line %.40q", ErrResponse, line)
+	}
+	r.Close = line[7] == '0'
+	for rest != "" {
+		line, rest, _ = strings.Cut(rest, "\r\n")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok {
+			return r, 0, fmt.Errorf("%w: header %.40q", ErrResponse, line)
+		}
+		value = strings.TrimSpace(value)
+		switch strings.ToLower(name) {
+		case "content-length":
+			n, err := strconv.Atoi(value)
+			if err != nil || n < 0 || n > maxBody || length >= 0 && n != length {
+				return r, 0, fmt.Errorf("%w: Content-Length %.40q", ErrResponse, value)
+			}
+			length = n
+		case "transfer-encoding":
+			return r, 0, fmt.Errorf("%w: Transfer-Encoding %.40q", ErrResponse, value)
+		case "connection":
+			r.Close = strings.EqualFold(value, "close")
+		case "never-ran":
+			r.NeverRan = value == "1"
+		case "x-batches":
+			r.Pages, err = strconv.Atoi(value)
+		case "x-batch":
+			r.Page, err = strconv.Atoi(value)
+		case "load-report":
+			r.Load = value
+		}
+		if err != nil {
+			return r, 0, fmt.Errorf("%w: %s %.40q", ErrResponse, name, value)
+		}
+	}
+	if r.Status == 204 || r.Status == 304 {
+		length = 0
+	}
+	if length < 0 {
+		return r, 0, fmt.Errorf("%w: no Content-Length", ErrResponse)
+	}
+	return r, length, nil
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,13 +1,17 @@
-package wire
+// Package settings reads the settings object that an instance is told, in the simulator's first message
+// or in its configuration, into the decision module's terms.
+package settings
 
 import (
+	"encoding/json"
 	"fmt"
+	"math"
 
 	"indigoshunt/decide"
 )
 
-// settings mirrors the keys of the first message that the module is told.
-type settings struct {
+// object mirrors the keys of the settings that are used here.
+type object struct {
 	Balancers int     `json:"balancers"`
 	Rank      int     `json:"rank"`
 	Zone      string  `json:"zone"`
@@ -39,8 +43,9 @@
 		WritesTables  []bool    `json:"writes_tables"`
 		YieldsToLoads []bool    `json:"yields_to_loads"`
 	} `json:"domain"`
-	HostTypes []string `json:"host_types"`
-	Limits    struct {
+	HostTypes      []string `json:"host_types"`
+	FailureDomains []string `json:"failure_domains"`
+	Limits         struct {
 		Cancel        bool    `json:"cancel"`
 		Probes        bool    `json:"probes"`
 		Peers         bool    `json:"peers"`
@@ -48,6 +53,9 @@
 		RetryAfter    bool    `json:"retry_after"`
 		MaxAttempts   int     `json:"max_attempts"`
 		MaxRetryAfter float64 `json:"max_retry_after"`
+		ConnIdle      float64 `json:"conn_idle"`
+		DialTimeout   float64 `json:"dial_timeout"`
+		MaxOpen       int     `json:"max_open"`
 	} `json:"limits"`
 	Report struct {
 		How string `json:"how"`
@@ -82,28 +90,41 @@
 var scopes = map[string]decide.Scope{"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone,
 	"cell": decide.ScopeCell}
 
-func readStart(f *fields) (*Start, names, error) {
-	var s settings
-	seed := f.id(2)
-	f.read(3, &s)
-	n := names{classes: map[string]int{}, tenants: map[string]int{}}
-	if f.err != nil {
-		return nil, n, f.err
+// Settings is what the settings object says.
+type Settings struct {
+	decide.Config
+	ClassOf, TenantOf map[string]int // places by name
+
+	Zones       []string
+	ConnIdle    decide.Micros // engines close idle connections after this
+	DialTimeout decide.Micros
+	MaxOpen     int // requests that may be open at once
+}
+
+// Parse reads a settings object; an error names the faulty key.
+func Parse(text []byte) (*Settings, error) {
+	var o object
+	if err := json.Unmarshal(text, &o); err != nil {
+		return nil, err
 	}
-	cfg, err := s.config()
+	cfg, err := o.config()
 	if err != nil {
-		return nil, n, fmt.Errorf("attach: %w", err)
+		return nil, err
 	}
+	s := &Settings{Config: cfg, ClassOf: map[string]int{}, TenantOf: map[string]int{}, Zones: o.FailureDomains,
+		ConnIdle: micros(o.Limits.ConnIdle), DialTimeout: micros(o.Limits.DialTimeout), MaxOpen: o.Limits.MaxOpen}
 	for i, c := range cfg.Classes {
-		n.classes[c.Name] = i
+		s.ClassOf[c.Name] = i
 	}
 	for i, t := range cfg.Tenants {
-		n.tenants[t.Name] = i
+		s.TenantOf[t.Name] = i
 	}
-	return &Start{Seed: seed, Config: cfg}, n, nil
+	return s, nil
 }
 
-func (s *settings) config() (decide.Config, error) {
+func micros(s float64) decide.Micros { return decide.Micros(math.Round(s * 1e6)) }
+
+func (s *object) config() (decide.Config, error) {
 	l, r, dom := s.Limits, s.Rules, s.Domain
 	cfg := decide.Config{Gateways: s.Balancers, Rank: s.Rank, Zone: s.Zone, AskList: s.Discovery == "ask",
 		Grants: dom.Grants, Priorities: dom.LanesCount, MostGrant: dom.MostGrant, NotePeriod: micros(dom.NotePeriod),
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"indigoshunt/decide"
+	"indigoshunt/internal/settings"
 )
 
 // Item is one thing a batch says to one instance: a start, a stop or an event.
@@ -29,14 +30,12 @@
 // Decoder reads batches; it remembers the numbered lists and each instance's names.
 type Decoder struct {
 	lists map[int][]decide.Entry
-	names map[int]names
+	names map[int]*settings.Settings
 }
 
-type names struct{ classes, tenants map[string]int }
-
 // NewDecoder returns a decoder that has seen nothing.
 func NewDecoder() *Decoder {
-	return &Decoder{lists: map[int][]decide.Entry{}, names: map[int]names{}}
+	return &Decoder{lists: map[int][]decide.Entry{}, names: map[int]*settings.Settings{}}
 }
 
 // Batch reads one line.
@@ -102,6 +101,20 @@
 	return item, ev != nil, err
 }
 
+func readStart(f *fields) (*Start, *settings.Settings, error) {
+	var text json.RawMessage
+	seed := f.id(2)
+	f.read(3, &text)
+	if f.err != nil {
+		return nil, nil, f.err
+	}
+	s, err := settings.Parse(text)
+	if err != nil {
+		return nil, nil, fmt.Errorf("attach: %w", err)
+	}
+	return &Start{Seed: seed, Config: s.Config}, s, nil
+}
+
 var listKinds = map[string]decide.ListKind{"Partial": decide.ListChanges, "Complete": decide.ListComplete,
 	"Persisted": decide.ListSaved, "Error": decide.ListFailed}
 
@@ -109,7 +122,7 @@
 	"overdue": decide.TimedOut, "refused_conn": decide.NoConnection, "severed": decide.Reset,
 	"recalled": decide.Canceled, "superseded": decide.NotSent}
 
-func (d *Decoder) event(f *fields, n names) (decide.Event, error) {
+func (d *Decoder) event(f *fields, n *settings.Settings) (decide.Event, error) {
 	switch f.name {
 	case "endpoints":
 		return d.endpoints(f)
@@ -157,16 +170,16 @@
 // Bits of a request.
 const costValid = 1
 
-func request(f *fields, n names) (decide.Event, error) {
+func request(f *fields, n *settings.Settings) (decide.Event, error) {
 	r := decide.Request{ID: f.id(2), Tenant: -1, Key: f.optText(5), Deadline: f.time(6), MemoryMB: f.optNumber(8),
 		Group: int(f.optNumber(9))}
-	class, ok := n.classes[f.text(3)]
+	class, ok := n.ClassOf[f.text(3)]
 	if !ok && f.err == nil {
 		return nil, fmt.Errorf("new_request: unknown class %q", f.text(3))
 	}
 	r.Class = class
 	if t := f.optText(4); t != "" {
-		if r.Tenant, ok = n.tenants[t]; !ok {
+		if r.Tenant, ok = n.TenantOf[t]; !ok {
 			return nil, fmt.Errorf("new_request: unknown tenant %q", t)
 		}
 	}
