Share an engine's connections in turn where descriptors run out

At fault: pool.carry in internal/epoll/engines.go left a started query without a connection and never came back to it.

Now a job waits in its engine's line, and a connection that got a 202 goes to the first in it.

--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -32,9 +32,11 @@
 
 // engine is one engine, by its id: another may come to have its address.
 type engine struct {
-	name string
-	addr netip.AddrPort
-	idle []*conn // the last used one last
+	name    string
+	addr    netip.AddrPort
+	idle    []*conn // the last used one last
+	conns   int
+	waiting []*job // for a connection, where no descriptor is left: in turn
 }
 
 // job is a query's way through its calls, over one connection after another.
@@ -48,6 +50,8 @@
 	posted  bool   // some of the POST may have reached the engine
 	giveUp  bool   // to be dropped once the POST is answered
 	resumes int
+	queued  bool // in its engine's line for a connection
+	done    bool
 }
 
 // conn is a connection to an engine; it carries one call at a time.
@@ -141,6 +145,9 @@
 // carry gives a job's next call a connection.
 func (p *pool) carry(j *job) {
 	e := j.engine
+	if j.queued {
+		return
+	}
 	if n := len(e.idle); n > 0 {
 		c := e.idle[n-1]
 		e.idle = e.idle[:n-1]
@@ -148,11 +155,10 @@
 		c.call()
 		return
 	}
-	if len(p.conns) >= p.most && !p.evict() {
-		slog.Warn("no descriptor left for a connection", "engine", e.name)
-		if !j.posted {
-			p.finish(j, decide.NotSent)
-		}
+	// Where all descriptors are taken, those that an engine has are shared out in turn: a query that went
+	// unasked for want of one would be given up by its engine. An engine without any always gets one.
+	if len(p.conns) >= p.most && e.conns > 0 && !p.evict() {
+		e.wait(j)
 		return
 	}
 	fd, err := dial(e.addr)
@@ -166,6 +172,7 @@
 	j.conn = c
 	c.want = unix.EPOLLOUT
 	p.conns[c] = struct{}{}
+	e.conns++
 	if err := p.s.loop.add(fd, c.want, c); err != nil {
 		c.end()
 		p.lost(j, false)
@@ -224,6 +231,7 @@
 		}
 	}
 	delete(p.jobs, j)
+	j.done = true
 	if j.attempt == nil {
 		p.s.core.Probed(j.engine.name, result, p.s.now-j.begun, j.query.Load())
 		return
@@ -356,6 +364,9 @@
 	case ended:
 		c.release(usable)
 		c.p.finish(j, result)
+	case usable && len(c.engine.waiting) > 0:
+		c.engine.wait(j)
+		c.release(true)
 	case usable:
 		c.job, j.conn = j, c
 		c.call()
@@ -365,16 +376,42 @@
 	}
 }
 
-// release keeps a connection for the next call.
+// release gives a connection to the next job that waits for one, or keeps it.
 func (c *conn) release(usable bool) {
 	if !usable {
 		c.end()
 		return
 	}
+	if j := c.engine.next(); j != nil {
+		c.job, j.conn = j, c
+		c.call()
+		return
+	}
 	c.engine.idle = append(c.engine.idle, c)
 	c.watch(true)
 }
 
+// wait puts a job at the end of the line for a connection.
+func (e *engine) wait(j *job) {
+	if !j.queued {
+		j.queued = true
+		e.waiting = append(e.waiting, j)
+	}
+}
+
+// next takes the first job that waits for a connection.
+func (e *engine) next() *job {
+	for len(e.waiting) > 0 {
+		j := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		j.queued = false
+		if !j.done {
+			return j
+		}
+	}
+	return nil
+}
+
 // fail ends a broken connection and settles its job.
 func (c *conn) fail() {
 	j := c.job
@@ -393,7 +430,16 @@
 func (c *conn) end() {
 	c.close()
 	c.job = nil
+	if _, ok := c.p.conns[c]; !ok {
+		return
+	}
 	delete(c.p.conns, c)
+	c.engine.conns--
+	defer func() {
+		if j := c.engine.next(); j != nil {
+			c.p.carry(j)
+		}
+	}()
 	for i, other := range c.engine.idle {
 		if other == c {
 			c.engine.idle = append(c.engine.idle[:i], c.engine.idle[i+1:]...)
