--- a/cmd/chutechute/main.go
+++ b/cmd/chutechute/main.go
@@ -11,8 +11,8 @@
 	"runtime/debug"
 	"syscall"
 
-	"indigoshunt/internal/config"
-	"indigoshunt/internal/epoll"
+	"chutechute/internal/config"
+	"chutechute/internal/epoll"
 )
 
 func main() {
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"indigoshunt/decide"
-	"indigoshunt/internal/wire"
+	"chutechute/decide"
+	"chutechute/internal/wire"
 )
 
 func main() {
--- a/decide/example_test.go
+++ b/decide/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"indigoshunt/decide"
+	"chutechute/decide"
 )
 
 // A gateway is told of one engine and sends it the first query.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,9 +10,9 @@
 	"fmt"
 	"log/slog"
 
-	"indigoshunt/decide"
-	"indigoshunt/internal/counters"
-	"indigoshunt/internal/settings"
+	"chutechute/decide"
+	"chutechute/internal/counters"
+	"chutechute/internal/settings"
 )
 
 // Micros is a time or a span in microseconds.
--- a/gateway/phase.go
+++ b/gateway/phase.go
@@ -1,6 +1,6 @@
 package gateway
 
-import "indigoshunt/decide"
+import "chutechute/decide"
 
 // Phase is a state of a front end between its start and its exit.
 type Phase int
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,9 +8,9 @@
 	"os"
 	"strconv"
 
-	"indigoshunt/decide"
-	"indigoshunt/internal/journal"
-	"indigoshunt/internal/settings"
+	"chutechute/decide"
+	"chutechute/internal/journal"
+	"chutechute/internal/settings"
 )
 
 // Defaults for what a configuration leaves out.
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -8,9 +8,9 @@
 
 	"golang.org/x/sys/unix"
 
-	"indigoshunt/gateway"
-	"indigoshunt/internal/sqltext"
-	"indigoshunt/internal/thrift"
+	"chutechute/gateway"
+	"chutechute/internal/sqltext"
+	"chutechute/internal/thrift"
 )
 
 const (
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -6,10 +6,10 @@
 
 	"golang.org/x/sys/unix"
 
-	"indigoshunt/decide"
-	"indigoshunt/gateway"
-	"indigoshunt/internal/journal"
-	"indigoshunt/internal/rest"
+	"chutechute/decide"
+	"chutechute/gateway"
+	"chutechute/internal/journal"
+	"chutechute/internal/rest"
 )
 
 const (
--- a/internal/epoll/feed.go
+++ b/internal/epoll/feed.go
@@ -5,8 +5,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"indigoshunt/decide"
-	"indigoshunt/internal/journal"
+	"chutechute/decide"
+	"chutechute/internal/journal"
 )
 
 const (
--- a/internal/epoll/loop.go
+++ b/internal/epoll/loop.go
@@ -9,8 +9,8 @@
 
 	"golang.org/x/sys/unix"
 
-	"indigoshunt/decide"
-	"indigoshunt/internal/ring"
+	"chutechute/decide"
+	"chutechute/internal/ring"
 )
 
 // Micros is a time or a span in microseconds.
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -9,9 +9,9 @@
 
 	"golang.org/x/sys/unix"
 
-	"indigoshunt/gateway"
-	"indigoshunt/internal/config"
-	"indigoshunt/internal/counters"
+	"chutechute/gateway"
+	"chutechute/internal/config"
+	"chutechute/internal/counters"
 )
 
 const (
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -8,8 +8,8 @@
 	"fmt"
 	"net/netip"
 
-	"indigoshunt/decide"
-	"indigoshunt/internal/ring"
+	"chutechute/decide"
+	"chutechute/internal/ring"
 )
 
 const (
--- a/internal/rest/query.go
+++ b/internal/rest/query.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"strings"
 
-	"indigoshunt/decide"
+	"chutechute/decide"
 )
 
 const (
--- a/internal/rest/response.go
+++ b/internal/rest/response.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"indigoshunt/internal/ring"
+	"chutechute/internal/ring"
 )
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"math"
 
-	"indigoshunt/decide"
+	"chutechute/decide"
 )
 
 // object mirrors the keys of the settings that are used here.
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -7,7 +7,7 @@
 	"errors"
 	"fmt"
 
-	"indigoshunt/internal/ring"
+	"chutechute/internal/ring"
 )
 
 // MaxFrame is the longest frame that is taken.
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -9,8 +9,8 @@
 	"math"
 	"strconv"
 
-	"indigoshunt/decide"
-	"indigoshunt/internal/settings"
+	"chutechute/decide"
+	"chutechute/internal/settings"
 )
 
 // Item is one thing a batch says to one instance: a start, a stop or an event.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"strconv"
 
-	"indigoshunt/decide"
+	"chutechute/decide"
 )
 
 // Reply builds the answer to one batch.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"indigoshunt/decide"
+	"chutechute/decide"
 )
 
 const attach = `["attach",3,42,{"balancers":2,"rank":1,"unknown_key":{"x":1},` +
--- a/structure_test.go
+++ b/structure_test.go
@@ -1,5 +1,5 @@
-// Package indigoshunt holds checks of the repository's own limits.
-package indigoshunt
+// Package chutechute holds checks of the repository's own limits.
+package chutechute
 
 import (
 	"os"
