--- /dev/null
+++ b/cmd/chutechute/main_test.go
@@ -0,0 +1,350 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// What a client sent goes to the engine byte for byte, and all pages come back in order and unchanged.
+func TestServesAllPagesUnchanged(t *testing.T) {
+	r := start(t, 1, store(2, "a\tb\tc\n", "d\te\tf\n", "g\th\ti\n"))
+	c := r.client()
+	require.True(t, c.healthy())
+	statement := "INSERT INTO s_7.t -- \u00e9\nVALUES ('x''y')"
+	c.ask(statement, "call", "9b1f03aa5c7e2d41", "op", "load", "ttl", "9000", "org", "t", "dedupe", "5c0f", "row", "k")
+	p := c.read()
+	assert.Equal(t, "answer", p.what)
+	assert.Equal(t, "a\tb\tc\nd\te\tf\ng\th\ti\n", p.body())
+	post := r.got("POST", "/v1/store")
+	require.Len(t, post, 1)
+	h := post[0].header
+	assert.Equal(t, []string{"9b1f03aa5c7e2d41", "load", "5c0f", ""},
+		[]string{h.Get("Request-Id"), h.Get("Kind"), h.Get("Once-Key"), h.Get("X-Reserve")})
+	assert.Equal(t, statement, post[0].body)
+}
+
+// streams_per_conn is about engines: a client may have 32 requests open whatever it says.
+func TestClientsMayHave32Open(t *testing.T) {
+	r := start(t, 1, store(4, "x\n"))
+	c := r.client()
+	seen := map[int32]bool{}
+	for i := range 32 {
+		c.lookup(i, "5000")
+	}
+	for range 32 {
+		p := c.read()
+		assert.Equal(t, "answer", p.what)
+		seen[p.seq] = true
+	}
+	assert.Len(t, seen, 32)
+}
+
+// With far more queries running than descriptors, each is still asked after in turn: engines give up
+// what is not asked for in 2 s. All must end by the 200 of their engine, at the first attempt.
+func TestScarceDescriptors(t *testing.T) {
+	r := start(t, 1, store(3, "x\n"), func(r *rig) { r.sockets = 64 })
+	a, b := r.client(), r.client()
+	for i := range 30 {
+		a.load2(i)
+		b.load2(100 + i)
+	}
+	for range 30 {
+		assert.Equal(t, "answer", a.read().what)
+		assert.Equal(t, "answer", b.read().what)
+	}
+	assert.Len(t, r.got("POST", "/"), 60)
+	assert.Empty(t, r.got("DELETE", "/"))
+}
+
+// load2 asks for a load without a key, which no attempt's time-out cuts short.
+func (c *client) load2(n int) int32 {
+	return c.ask("INSERT INTO s_1.t", "call", id(n), "op", "load", "ttl", "15000", "dedupe", fmt.Sprint(n), "work", "10.0")
+}
+
+// A time-out is not the end of an attempt: the next is sent only once the DELETE is known to have arrived.
+func TestResendsOnlyAfterTheDelete(t *testing.T) {
+	var deleted atomic.Int64
+	r := start(t, 1, func(r *rig, w http.ResponseWriter, c call) {
+		switch {
+		case c.method == "DELETE":
+			time.Sleep(300 * time.Millisecond)
+			deleted.CompareAndSwap(0, time.Now().UnixNano())
+			w.WriteHeader(204)
+		case deleted.Load() != 0 && c.method == "POST":
+			fmt.Fprint(w, "x\n")
+		default:
+			time.Sleep(20 * time.Millisecond)
+			w.WriteHeader(202)
+		}
+	})
+	c := r.client()
+	c.lookup(1, "5000")
+	assert.Equal(t, "answer", c.read().what)
+	posts := r.got("POST", "/")
+	require.Len(t, posts, 2)
+	assert.Greater(t, posts[1].at.UnixNano(), deleted.Load())
+}
+
+// At its deadline a request is answered though its attempt is still out, and the next of its key waits
+// until that has been given up.
+func TestDeadlineAnswersWhileTheKeyWaits(t *testing.T) {
+	var deleted atomic.Int64
+	r := start(t, 1, func(r *rig, w http.ResponseWriter, c call) {
+		switch {
+		case c.method == "DELETE":
+			time.Sleep(400 * time.Millisecond)
+			deleted.Store(time.Now().UnixNano())
+			w.WriteHeader(204)
+		case c.header.Get("Request-Id") == id(2):
+			fmt.Fprint(w, "x\n")
+		default:
+			time.Sleep(20 * time.Millisecond)
+			w.WriteHeader(202)
+		}
+	})
+	c := r.client()
+	sent := time.Now()
+	first := c.load(1, "1000")
+	time.Sleep(60 * time.Millisecond)
+	c.load(2, "9000")
+	p := c.read()
+	assert.Equal(t, first, p.seq)
+	assert.Equal(t, "shed", p.what)
+	assert.Contains(t, p.raw, "pushback")
+	assert.GreaterOrEqual(t, time.Since(sent), 900*time.Millisecond, "held back or given up early")
+	assert.Zero(t, deleted.Load(), "the answer waited for the engine")
+	assert.Equal(t, "answer", c.read().what)
+	assert.Greater(t, r.got("POST", "/")[1].at.UnixNano(), deleted.Load())
+}
+
+// An engine that says nothing is left alone until it has given up by itself, and the answer is in time.
+func TestSilentEngine(t *testing.T) {
+	silence, err := net.Listen("tcp4", "127.0.0.1:0") // accepts and never reads
+	require.NoError(t, err)
+	defer silence.Close()
+	r := start(t, 1, store(0, "x\n"), func(r *rig) { r.engines[0].addr = silence.Addr().(*net.TCPAddr) })
+	c := r.client()
+	c.lookup(1, "1500")
+	assert.Equal(t, "shed", c.read().what)
+	r.signal(syscall.SIGUSR1)
+	r.awaitLog("answers refused                               1")
+}
+
+// Cancel frees a request: no answer, and its attempt is given up.
+func TestCancel(t *testing.T) {
+	r := start(t, 1, store(1000, "x\n"))
+	c := r.client()
+	seq := c.load2(1)
+	r.await(1, "GET", "/v1/store/"+id(1)+"/0")
+	c.send(4, "cancel", []byte{8, 0, 1, 0, 0, 0, byte(seq)})
+	r.await(1, "DELETE", "/v1/store/"+id(1))
+	assert.True(t, c.healthy(), "the next message is the answer to health")
+}
+
+// A client that goes away leaves nothing running.
+func TestClientGone(t *testing.T) {
+	r := start(t, 1, store(1000, "x\n"))
+	c := r.client()
+	c.load2(1)
+	r.await(1, "GET", "/v1/store/"+id(1)+"/0")
+	c.conn.Close()
+	r.await(1, "DELETE", "/v1/store/"+id(1))
+}
+
+// What never ran is sent again; a page that is lost fails the attempt; nothing is served in part.
+func TestOutcomes(t *testing.T) {
+	for name, first := range map[string]answer{
+		"full":      func(r *rig, w http.ResponseWriter, c call) { w.Header().Set("Never-Ran", "1"); w.WriteHeader(503) },
+		"over":      func(r *rig, w http.ResponseWriter, c call) { w.Header().Set("Never-Ran", "1"); w.WriteHeader(504) },
+		"error":     func(r *rig, w http.ResponseWriter, c call) { w.WriteHeader(500) },
+		"unknown":   func(r *rig, w http.ResponseWriter, c call) { w.WriteHeader(418) },
+		"lost page": func(r *rig, w http.ResponseWriter, c call) { w.Header().Set("X-Batches", "2"); fmt.Fprint(w, "part\n") },
+		"reset":     func(r *rig, w http.ResponseWriter, c call) { panic(http.ErrAbortHandler) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			var posts atomic.Int32
+			r := start(t, 2, func(r *rig, w http.ResponseWriter, c call) {
+				switch {
+				case c.method == "DELETE":
+					w.WriteHeader(204)
+				case c.method == "GET":
+					w.WriteHeader(500)
+				case posts.Add(1) == 1:
+					first(r, w, c)
+				default:
+					fmt.Fprint(w, "whole\n")
+				}
+			})
+			c := r.client()
+			c.lookup(1, "5000")
+			p := c.read()
+			assert.Equal(t, "answer", p.what)
+			assert.Equal(t, "whole\n", p.body())
+		})
+	}
+}
+
+// No connection owns a query: one that has started is asked after on another connection, not started again.
+func TestBrokenPollGoesOn(t *testing.T) {
+	var gets atomic.Int32
+	r := start(t, 1, func(r *rig, w http.ResponseWriter, c call) {
+		switch {
+		case c.method == "POST":
+			w.WriteHeader(202)
+		case gets.Add(1) == 1:
+			panic(http.ErrAbortHandler)
+		default:
+			fmt.Fprint(w, "x\n")
+		}
+	})
+	c := r.client()
+	c.lookup(1, "5000")
+	assert.Equal(t, "answer", c.read().what)
+	assert.Len(t, r.got("POST", "/"), 1)
+}
+
+// The first query of a table group goes to the same engine of twelve, whatever strings, comments, aliases
+// and the schema staging say beside it.
+func TestGroups(t *testing.T) {
+	home := ""
+	for i, statement := range []string{
+		"SELECT * FROM sales_17.orders",
+		"select 'from x_3.y' from /* s_4.t /* s_5.t */ */ \"sales_17\".\"orders\" -- s_9.t",
+		"INSERT INTO staging.t SELECT a_2.x FROM sales_17.orders a_2",
+		"SELECT * FROM staging.x, sales_17.t",
+		"UPDATE Sales_17.t SET x = $q$ from s_6.t $q$",
+	} {
+		r := start(t, 12, store(0, "x\n"))
+		c := r.client()
+		c.ask(statement, "call", id(i), "op", "lookup", "ttl", "5000", "work", "10.0")
+		require.Equal(t, "answer", c.read().what)
+		if i == 0 {
+			home = r.got("POST", "/")[0].engine
+		}
+		assert.Equal(t, home, r.got("POST", "/")[0].engine, statement)
+	}
+}
+
+// The journal is followed from the last event known, over broken and silent connections; an engine that
+// drains gets nothing new.
+func TestJournal(t *testing.T) {
+	r := start(t, 2, store(0, "x\n"))
+	conn, last := r.accept()
+	require.EqualValues(t, 41, last)
+	_, err := conn.Write(append(frame(41, 0), frame(42, 2, r.engines[0].record(1))...))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool {
+		r.signal(syscall.SIGUSR1)
+		return strings.Contains(r.log.String(), "frames from the journal                       2")
+	}, patience, 10*time.Millisecond)
+	c := r.client()
+	for i := range 8 {
+		c.ask(fmt.Sprintf("SELECT * FROM s_%d.t", i), "call", id(i), "op", "lookup", "ttl", "5000")
+		require.Equal(t, "answer", c.read().what)
+	}
+	for _, p := range r.got("POST", "/") {
+		assert.Equal(t, r.engines[1].name, p.engine)
+	}
+	conn.Close()
+	conn, last = r.accept() // which stays silent from here
+	assert.EqualValues(t, 42, last)
+	_, last = r.accept()
+	assert.EqualValues(t, 42, last)
+	conn.Close()
+}
+
+// Malformed input costs its sender the connection, or an exception where the frame is whole, and nobody else.
+func TestMalformedInput(t *testing.T) {
+	r := start(t, 1, store(0, "x\n"))
+	for _, junk := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x0cabcdefghijkl", "\xff\xff\xff\xff", "\x00\x00\x00\x00"} {
+		c := r.client()
+		_, err := c.conn.Write([]byte(junk))
+		require.NoError(t, err)
+		_, err = c.conn.Read(make([]byte, 1))
+		assert.Error(t, err, "%q", junk)
+	}
+	c := r.client()
+	c.send(1, "nonsense")
+	assert.Equal(t, "exception", c.read().what)
+	c.send(1, "call", []byte{13, 0, 1, 11, 11, 0x7f, 0, 0, 0}, []byte{11, 0, 2, 0x7f, 0xff, 0xff, 0xff})
+	assert.Equal(t, "exception", c.read().what)
+	for _, fields := range [][]string{
+		{"op", "lookup", "ttl", "5000"},
+		{"call", "a/../b", "op", "lookup", "ttl", "5000"},
+		{"call", id(1), "op", "nothing", "ttl", "5000"},
+		{"call", id(1), "op", "lookup", "ttl", "NaN"},
+		{"call", id(1), "op", "lookup", "ttl", "5000", "org", "nobody"},
+		{"call", id(1), "op", "lookup", "ttl", "5000", "dedupe", "a\r\nb"},
+	} {
+		c.ask("SELECT 1", fields...)
+		assert.Equal(t, "exception", c.read().what, "%q", fields)
+	}
+	c.lookup(1, "5000")
+	assert.Equal(t, "answer", c.read().what)
+	assert.Len(t, r.got("POST", "/"), 1)
+}
+
+// At a planned restart health turns bad, newcomers and open requests are served, and the exit is clean.
+func TestPlannedRestart(t *testing.T) {
+	var release atomic.Bool
+	r := start(t, 1, func(r *rig, w http.ResponseWriter, c call) {
+		if !release.Load() {
+			time.Sleep(20 * time.Millisecond)
+			w.WriteHeader(202)
+			return
+		}
+		fmt.Fprint(w, "x\n")
+	})
+	old := r.client()
+	old.load2(1)
+	r.await(1, "POST", "/")
+	r.signal(syscall.SIGTERM)
+	var c *client // a newcomer
+	require.Eventually(t, func() bool { c = r.client(); return !c.healthy() }, patience, time.Millisecond)
+	c.load2(2)
+	r.await(2, "POST", "/")
+	release.Store(true)
+	assert.Equal(t, "answer", c.read().what)
+	assert.Equal(t, "answer", old.read().what)
+	assert.NoError(t, <-r.exited)
+	assert.Contains(t, r.log.String(), "answers served                                2")
+}
+
+// What can't end before the process may be killed is answered all the same.
+func TestPlannedRestartAnswersWhatCannotEnd(t *testing.T) {
+	r := start(t, 1, store(1000, "x\n"))
+	c := r.client()
+	c.load2(1)
+	r.await(1, "POST", "/")
+	r.signal(syscall.SIGTERM)
+	assert.Equal(t, "shed", c.read().what)
+	assert.NoError(t, <-r.exited)
+}
+
+// A configuration that can't be used is refused by the name of the faulty key.
+func TestConfigurationErrorsNameTheKey(t *testing.T) {
+	for key, config := range map[string]map[string]any{
+		"listen":  {"listen": "nowhere"},
+		"journal": {"listen": "127.0.0.1:0", "journal": "x"},
+		"seed":    {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "?"},
+		"limits.sockets": {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1",
+			"limits": map[string]any{"sockets": 3}},
+		"settings": {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1"},
+		`class "c": unknown repeat "odd"`: {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1",
+			"settings": map[string]any{"classes": []any{map[string]any{"name": "c", "repeat": "odd"}}}},
+	} {
+		r := &rig{t: t, log: &lockedBuffer{}, exited: make(chan error, 1)}
+		r.run(config)
+		assert.Error(t, <-r.exited)
+		assert.Regexp(t, "config: .*"+key, r.log.String())
+	}
+}
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"strconv"
 
 	"golang.org/x/sys/unix"
@@ -28,6 +29,7 @@
 	fd      int
 	clients map[*client]struct{}
 	most    int
+	addr    netip.AddrPort
 }
 
 func (s *Server) listen() error {
@@ -44,7 +46,14 @@
 	if err := unix.Listen(fd, backlog); err != nil {
 		return fmt.Errorf("listen: %s: %w", s.cfg.Listen, err)
 	}
-	s.listener = &listener{s: s, fd: fd, clients: map[*client]struct{}{}, most: s.cfg.Sockets * 2 / 5}
+	bound, err := unix.Getsockname(fd)
+	if err != nil {
+		return fmt.Errorf("listen: %s: %w", s.cfg.Listen, err)
+	}
+	s.listener = &listener{s: s, fd: fd, clients: map[*client]struct{}{}, most: s.clientsMost(), addr: s.cfg.Listen}
+	if in, ok := bound.(*unix.SockaddrInet4); ok { // port 0 has taken a free one
+		s.listener.addr = netip.AddrPortFrom(s.cfg.Listen.Addr(), uint16(in.Port))
+	}
 	return s.loop.add(fd, unix.EPOLLIN, s.listener)
 }
 
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -16,7 +16,7 @@
 
 const (
 	tickEvery = 25 * ms
-	spare     = 48 // descriptors for the loop, the journal, the log and what the runtime holds
+	spare     = 24 // descriptors for the loop, the journal, the log and what the runtime holds
 )
 
 // Server is the front end on its sockets.
@@ -44,8 +44,7 @@
 	}
 	s := &Server{cfg: cfg, clock: clock{time.Now()}, loop: l, log: log}
 	s.now = s.clock.now()
-	clients := cfg.Sockets * 2 / 5
-	s.pool = newPool(s, cfg.Sockets-clients-spare)
+	s.pool = newPool(s, cfg.Sockets-s.clientsMost()-spare)
 	if s.core, err = gateway.New(cfg.Settings, cfg.Seed, s.pool, &s.count); err != nil {
 		return nil, err
 	}
@@ -56,6 +55,10 @@
 	return s, nil
 }
 
+// clientsMost is how many clients' connections may be open: a little over the third of all descriptors
+// that clients hold at most, since a closed one may be noticed late.
+func (s *Server) clientsMost() int { return s.cfg.Sockets * 2 / 5 }
+
 // Run serves until a planned end is over.
 func (s *Server) Run() error {
 	for _, e := range s.cfg.Known {
@@ -67,7 +70,7 @@
 	}
 	s.feed.connect()
 	s.life.Serve()
-	slog.Info("serving", "name", s.cfg.Name, "listen", s.cfg.Listen.String())
+	slog.Info("serving", "name", s.cfg.Name, "listen", s.listener.addr)
 	for {
 		if err := s.turn(); err != nil {
 			return err
