Count an engine that was full of late as past its share between tries

A trace of each engine a second showed 4,600 refusals a second from one engine with 70 own attempts out, while the others were at their share. At fault: choose and pastShare in decide/decide.go. An engine that refuses at once has no load, so every held query goes there first and uses up its five attempts. Ruled out: descriptors (no job waited in line at that time), zombies of DELETE (20 a second), a stalled loop (21 ms at most).

Now such an engine takes one send in 20 ms until it has refused nothing for a second.

Also: clients get a third of the descriptors and eight, not two fifths; engines the rest.

--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -193,6 +193,32 @@
 	}
 }
 
+// An engine that refuses all at once looks idle. It is tried now and then, not with every query: those
+// used up their attempts on it while the others had room.
+func TestFullEngineIsNotFlooded(t *testing.T) {
+	r := start(t, 2, func(r *rig, w http.ResponseWriter, c call) {
+		if c.engine == "s-00000001" {
+			w.Header().Set("Never-Ran", "1")
+			w.WriteHeader(503)
+			return
+		}
+		fmt.Fprint(w, "x\n")
+	})
+	c := r.client()
+	begun := time.Now()
+	for i := range 200 {
+		c.lookup(i, "5000")
+		require.Equal(t, "answer", c.read().what)
+	}
+	tries := 0
+	for _, p := range r.got("POST", "/") {
+		if p.engine == "s-00000001" {
+			tries++
+		}
+	}
+	assert.Less(t, tries, 10+int(time.Since(begun)/(20*time.Millisecond)))
+}
+
 // No connection owns a query: one that has started is asked after on another connection, not started again.
 func TestBrokenPollGoesOn(t *testing.T) {
 	var gets atomic.Int32
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,14 +33,15 @@
 	shareBurst = 2.0  // seconds of a tenant's share that may come at once, and two queries at least
 	retrySlack = 50   // of the give-up time that a first try's time left may vary by
 
-	decay        = 0.05   // weight of a new measure in a class's ratio: about the last 20 count
-	clip         = 3.0    // times the price: the most that one measure counts
-	engineDecay  = 0.15   // an engine is judged on fewer: it must show within a second or two
-	bestDrift    = 0.01   // a second; lets the best ratio follow a lasting change
-	pressureAt   = 2.0    // times the best ratio: beyond scatter, well before aims are missed
-	bestOfAim    = 0.25   // of the aim at most is taken for the best, should we start under load
-	fullMemory   = Second // a full refusal is of late, and without a measure a price sinks to the best
-	staleDecay   = 0.98   // a sweep
+	decay        = 0.05       // weight of a new measure in a class's ratio: about the last 20 count
+	clip         = 3.0        // times the price: the most that one measure counts
+	engineDecay  = 0.15       // an engine is judged on fewer: it must show within a second or two
+	bestDrift    = 0.01       // a second; lets the best ratio follow a lasting change
+	pressureAt   = 2.0        // times the best ratio: beyond scatter, well before aims are missed
+	bestOfAim    = 0.25       // of the aim at most is taken for the best, should we start under load
+	fullMemory   = Second     // a full refusal is of late, and without a measure a price sinks to the best
+	fullPause    = sweepEvery // between sends to an engine that was full of late
+	staleDecay   = 0.98       // a sweep
 	sweepEvery   = 20 * Second / 1000
 	coldMargin   = 0.7  // of the cold budget is used: work is only known on average
 	coldUtil     = 0.85 // capacity is told as the rate that keeps cores this busy
@@ -243,8 +244,7 @@
 	e := d.byName[en.Engine]
 	if e == nil {
 		e = newEngine(en.Engine)
-		d.byName[en.Engine] = e
-		d.engines = append(d.engines, e)
+		d.byName[en.Engine], d.engines = e, append(d.engines, e)
 	}
 	restarted := en.Started > 0 && en.Started != e.Started
 	e.Entry, e.gone = en, en.State != Serving
@@ -291,8 +291,7 @@
 	if r.Cost > 0 {
 		c.work += decay * (float64(r.Cost) - c.work)
 	}
-	d.queries[r.ID] = q
-	d.held = append(d.held, q)
+	d.queries[r.ID], d.held = q, append(d.held, q)
 }
 
 // retryPastAim recognises a client's later try: it has less time left than first tries of its class, but
@@ -444,8 +443,7 @@
 // close forgets a query once it is answered and nothing of it is out.
 func (d *Dispatcher) close(q *query) {
 	q.answered = true
-	d.held = remove(d.held, q)
-	q.held = false
+	d.held, q.held = remove(d.held, q), false
 	if q.open > 0 {
 		if d.cfg.Limits.Cancel {
 			for i := range q.attempts {
@@ -608,6 +606,9 @@
 // pastShare says whether the engine runs its share and the spill: over all gateways as far as told, or
 // else this gateway's part.
 func (d *Dispatcher) pastShare(e *engine) bool {
+	if d.now-e.fullAt < fullMemory && d.now-e.sentAt < fullPause { // else what it refuses makes it look idle
+		return true
+	}
 	if d.told() { // the whole engine is the share of all
 		return float64(d.threads(e)) >= spill*toldShare*d.size(e)
 	}
@@ -699,9 +700,8 @@
 	q.open++
 	d.book(q, e, 1)
 	d.sends++
-	e.recent, e.recentAt = d.recent(e)+float64(q.class.Threads), d.sends
-	d.held = remove(d.held, q)
-	q.held = false
+	e.recent, e.recentAt, e.sentAt = d.recent(e)+float64(q.class.Threads), d.sends, d.now
+	d.held, q.held = remove(d.held, q), false
 	if len(q.attempts) == 1 {
 		d.sent = append(d.sent, q)
 	}
@@ -795,7 +795,7 @@
 		d.measure(q, a, float64(o.Elapsed))
 		d.heard(a.engine)
 	case Full:
-		d.fullAt = d.now
+		d.fullAt, a.engine.fullAt = d.now, d.now
 	case NoConnection, Reset:
 		d.eject(a.engine)
 	case TimedOut: // a measure from below: without it a jam in which nothing ends would not be seen
--- a/decide/state.go
+++ b/decide/state.go
@@ -79,6 +79,8 @@
 	trialAt  Micros // when the next trial may go
 	backoff  Micros
 	granted  float64 // memory of own attempts in hand, as told
+	fullAt   Micros  // last full refusal
+	sentAt   Micros  // last send
 }
 
 // class is what this gateway has learned of a query class.
@@ -231,7 +233,7 @@
 func newEngine(name string) *engine {
 	h := fnv.New64a()
 	h.Write([]byte(name))
-	return &engine{hash: h.Sum64(), slow: 1, cores: 1, loading: map[int]int{}}
+	return &engine{hash: h.Sum64(), slow: 1, cores: 1, fullAt: -fullMemory, sentAt: -fullPause, loading: map[int]int{}}
 }
 
 // enqueue puts a query at the end of its key's line.
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -55,9 +55,9 @@
 	return s, nil
 }
 
-// clientsMost is how many clients' connections may be open: a little over the third of all descriptors
+// clientsMost is how many connections of clients may be open: a little over the third of all descriptors
 // that clients hold at most, since a closed one may be noticed late.
-func (s *Server) clientsMost() int { return s.cfg.Sockets * 2 / 5 }
+func (s *Server) clientsMost() int { return s.cfg.Sockets/3 + 8 }
 
 // Run serves until a planned end is over.
 func (s *Server) Run() error {
