Lend engines the descriptors that clients leave, and take them back on demand

Now engines may use all descriptors but what clients hold and a twentieth. If a client finds none left, an idle connection or one on which an end is awaited is closed, and its query asked after in turn. TestClientsTakeDescriptorsBack found that what is over the budget also has to shrink.

--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -65,6 +66,30 @@
 	assert.Empty(t, r.got("DELETE", "/"))
 }
 
+// Engines use the descriptors that clients leave, but clients who come later are still taken in and the
+// queries whose connections they cost go on.
+func TestClientsTakeDescriptorsBack(t *testing.T) {
+	r := start(t, 1, store(5, "x\n"), func(r *rig) { r.sockets = 64 })
+	a, b := r.client(), r.client()
+	for i := range 30 {
+		a.load2(i)
+		b.load2(100 + i)
+	}
+	r.await(10, "POST", "/")
+	for range 18 {
+		assert.True(t, r.client().healthy())
+	}
+	assert.Eventually(t, func() bool {
+		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.cmd.Process.Pid))
+		return err == nil && len(fds) <= 64
+	}, patience, time.Millisecond)
+	for range 30 {
+		assert.Equal(t, "answer", a.read().what)
+		assert.Equal(t, "answer", b.read().what)
+	}
+	assert.Len(t, r.got("POST", "/"), 60)
+}
+
 // load2 asks for a load without a key, which no attempt's time-out cuts short.
 func (c *client) load2(n int) int32 {
 	return c.ask("INSERT INTO s_1.t", "call", id(n), "op", "load", "ttl", "15000", "dedupe", fmt.Sprint(n), "work", "10.0")
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return fmt.Errorf("listen: %s: %w", s.cfg.Listen, err)
 	}
-	s.listener = &listener{s: s, fd: fd, clients: map[*client]struct{}{}, most: s.clientsMost(), addr: s.cfg.Listen}
+	s.listener.fd, s.listener.addr = fd, s.cfg.Listen
 	if in, ok := bound.(*unix.SockaddrInet4); ok { // port 0 has taken a free one
 		s.listener.addr = netip.AddrPortFrom(s.cfg.Listen.Addr(), uint16(in.Port))
 	}
@@ -75,6 +75,9 @@
 			unix.Close(fd)
 			continue
 		}
+		if l.s.unused() <= 0 {
+			l.s.pool.makeRoom()
+		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
 		c := &client{stream: newStream(l.s.loop, fd, thrift.MaxFrame+4, maxUnread), l: l, open: map[int32]*gateway.Request{}}
 		c.want = unix.EPOLLIN
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -27,7 +27,6 @@
 	conns   map[*conn]struct{}
 	jobs    map[*job]struct{}
 	byTry   map[*gateway.Attempt]*job
-	most    int // connections
 }
 
 // engine is one engine, by its id: another may come to have its address.
@@ -66,9 +65,9 @@
 	size       int    // bytes of the call
 }
 
-func newPool(s *Server, most int) *pool {
+func newPool(s *Server) *pool {
 	return &pool{s: s, engines: map[string]*engine{}, conns: map[*conn]struct{}{}, jobs: map[*job]struct{}{},
-		byTry: map[*gateway.Attempt]*job{}, most: most}
+		byTry: map[*gateway.Attempt]*job{}}
 }
 
 // listed takes over the addresses of engines; connections to an old one are of no more use.
@@ -157,7 +156,7 @@
 	}
 	// Where all descriptors are taken, those that an engine has are shared out in turn: a query that went
 	// unasked for want of one would be given up by its engine. An engine without any always gets one.
-	if len(p.conns) >= p.most && e.conns > 0 && !p.evict() {
+	if p.s.unused() <= p.s.headroom() && e.conns > 0 && !p.evict() {
 		e.wait(j)
 		return
 	}
@@ -179,6 +178,22 @@
 	}
 }
 
+// makeRoom frees a descriptor for a client. Engines use what clients leave of theirs; a connection on
+// which a query's end is awaited can go, since no connection owns a query: it is asked after in turn.
+func (p *pool) makeRoom() {
+	if p.evict() {
+		return
+	}
+	for c := range p.conns {
+		if j := c.job; j != nil && c.busy && j.query.Polling() {
+			c.end()
+			j.conn = nil
+			p.carry(j)
+			return
+		}
+	}
+}
+
 // evict closes the connection that has been idle longest.
 func (p *pool) evict() bool {
 	var oldest *conn
@@ -350,7 +365,7 @@
 func (c *conn) answer(r rest.Response, more bool) {
 	j := c.job
 	c.busy, c.job, c.since = false, nil, c.p.s.now
-	usable := more && !r.Close && c.in.Len() == 0 && c.out.Len() == 0
+	usable := more && !r.Close && c.in.Len() == 0 && c.out.Len() == 0 && c.p.s.unused() >= 0
 	if j == nil {
 		c.release(usable)
 		return
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -47,7 +47,8 @@
 	}
 	s := &Server{cfg: cfg, clock: clock{time.Now()}, loop: l, log: log}
 	s.now = s.clock.now()
-	s.pool = newPool(s, cfg.Sockets-s.clientsMost()-spare)
+	s.pool = newPool(s)
+	s.listener = &listener{s: s, clients: map[*client]struct{}{}, most: s.clientsMost()}
 	if s.core, err = gateway.New(cfg.Settings, cfg.Seed, s.pool, &s.count); err != nil {
 		return nil, err
 	}
@@ -62,6 +63,14 @@
 // that clients hold at most, since a closed one may be noticed late.
 func (s *Server) clientsMost() int { return s.cfg.Sockets/3 + 8 }
 
+// headroom is how many descriptors engines leave for clients who come at once.
+func (s *Server) headroom() int { return s.cfg.Sockets / 20 }
+
+// unused is how many descriptors are left.
+func (s *Server) unused() int {
+	return s.cfg.Sockets - spare - len(s.pool.conns) - len(s.listener.clients)
+}
+
 // Run serves until a planned end is over.
 func (s *Server) Run() error {
 	for _, e := range s.cfg.Known {
