--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -445,10 +445,15 @@
 
 // A configuration that can't be used is refused by the name of the faulty key.
 func TestConfigurationErrorsNameTheKey(t *testing.T) {
+	usable := func(settings map[string]any) map[string]any {
+		return map[string]any{"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1", "settings": settings}
+	}
 	for key, config := range map[string]map[string]any{
-		"listen":  {"listen": "nowhere"},
-		"journal": {"listen": "127.0.0.1:0", "journal": "x"},
-		"seed":    {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "?"},
+		"settings.balancers": usable(map[string]any{}),
+		"settings.classes":   usable(map[string]any{"balancers": 1}),
+		"listen":             {"listen": "nowhere"},
+		"journal":            {"listen": "127.0.0.1:0", "journal": "x"},
+		"seed":               {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "?"},
 		"limits.sockets": {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1",
 			"limits": map[string]any{"sockets": 3}},
 		"settings": {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1"},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -97,6 +97,9 @@
 	if c.Settings, err = settings.Parse(file.Settings); err != nil {
 		return nil, fmt.Errorf("config: settings: %w", err)
 	}
+	if err := check(c.Settings); err != nil {
+		return nil, err
+	}
 	defaults(&c.Settings.ConnIdle, defaultIdle)
 	defaults(&c.Settings.DialTimeout, defaultDial)
 	defaults(&c.Settings.MaxOpen, defaultOpen)
@@ -106,6 +109,26 @@
 	return c, nil
 }
 
+// check names the settings without which nothing can be decided.
+func check(s *settings.Settings) error {
+	switch {
+	case s.Gateways < 1:
+		return fmt.Errorf("config: settings.balancers: %d is below 1", s.Gateways)
+	case len(s.Classes) == 0:
+		return fmt.Errorf("config: settings.classes: missing")
+	case len(s.Kinds) == 0:
+		return fmt.Errorf("config: settings.host_types: missing")
+	case len(s.Zones) == 0:
+		return fmt.Errorf("config: settings.failure_domains: missing")
+	}
+	for i, c := range s.Classes {
+		if c.Aim <= 0 || c.GiveUp <= 0 {
+			return fmt.Errorf("config: settings.classes[%d]: class %q lacks on_time or give_up", i, c.Name)
+		}
+	}
+	return nil
+}
+
 func address(key, text string) (netip.AddrPort, error) {
 	a, err := netip.ParseAddrPort(text)
 	if err != nil || !a.Addr().Is4() {
