--- a/cmd/chutechute/harness_test.go
+++ b/cmd/chutechute/harness_test.go
@@ -69,6 +69,9 @@
 	engines  []*engine
 	settings map[string]any
 	sockets  int
+	memory   int
+	config   map[string]any
+	path     string // of the configuration
 }
 
 type lockedBuffer struct {
@@ -100,7 +103,7 @@
 
 // start runs the program with engines that answer so.
 func start(t *testing.T, engines int, do answer, change ...func(*rig)) *rig {
-	r := &rig{t: t, log: &lockedBuffer{}, exited: make(chan error, 1), sockets: 1024}
+	r := &rig{t: t, log: &lockedBuffer{}, exited: make(chan error, 1), sockets: 1024, memory: 192}
 	require.NoError(t, json.Unmarshal([]byte(settings), &r.settings))
 	for i := range engines {
 		e := &engine{name: fmt.Sprintf("s-%08x", i+1)}
@@ -129,7 +132,7 @@
 			"model": "k", "pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0})
 	}
 	r.run(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
-		"limits":  map[string]any{"cores": 1, "memory_mb": 192, "sockets": r.sockets},
+		"limits":  map[string]any{"cores": 1, "memory_mb": r.memory, "sockets": r.sockets},
 		"journal": r.journal.Addr().String(), "settings": r.settings,
 		"known": map[string]any{"pos": 41, "entries": []any{map[string]any{"pos": 41,
 			"hosts": map[string]any{"rev": 1, "all": true, "targets": targets}}}}})
@@ -144,13 +147,11 @@
 }
 
 // run starts the program; it is ended with the test, which shows its log if it failed.
-func (r *rig) run(config any) {
-	path := filepath.Join(r.t.TempDir(), "config.json")
-	text, err := json.Marshal(config)
-	require.NoError(r.t, err)
-	require.NoError(r.t, os.WriteFile(path, text, 0o600))
+func (r *rig) run(config map[string]any) {
+	r.config, r.path = config, filepath.Join(r.t.TempDir(), "config.json")
+	r.write()
 	r.cmd = exec.Command(program)
-	r.cmd.Env = []string{"NODE_CONFIG=" + path}
+	r.cmd.Env = []string{"NODE_CONFIG=" + r.path}
 	r.cmd.Stderr = r.log
 	require.NoError(r.t, r.cmd.Start())
 	go func() { r.exited <- r.cmd.Wait() }()
@@ -162,6 +163,14 @@
 	})
 }
 
+// write puts the configuration into its file, in place of what was there.
+func (r *rig) write() {
+	text, err := json.Marshal(r.config)
+	require.NoError(r.t, err)
+	require.NoError(r.t, os.WriteFile(r.path+".new", text, 0o600))
+	require.NoError(r.t, os.Rename(r.path+".new", r.path))
+}
+
 func (r *rig) signal(s syscall.Signal) { require.NoError(r.t, r.cmd.Process.Signal(s)) }
 
 // got is the calls that engines have got, by method and the start of the path.
--- a/cmd/chutechute/main.go
+++ b/cmd/chutechute/main.go
@@ -23,25 +23,28 @@
 }
 
 func run() error {
+	signals := make(chan os.Signal, 16) // from the first on: a signal that nobody awaits would end the program
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	cfg, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
 	}
 	runtime.GOMAXPROCS(1)
-	debug.SetMemoryLimit(int64(cfg.MemoryMB) << 20 * 2 / 3)
+	debug.SetMemoryLimit(cfg.HeapLimit())
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
 	server, err := epoll.New(cfg, os.Stderr)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 8)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	signal.Ignore(syscall.SIGPIPE)
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGUSR1 {
+			switch s {
+			case syscall.SIGUSR1:
 				server.PrintCounters()
-			} else {
+			case syscall.SIGHUP:
+				server.Reload()
+			default:
 				server.Drain()
 			}
 		}
--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
+	"regexp"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -375,6 +377,53 @@
 	assert.Len(t, r.got("POST", "/"), sent)
 }
 
+// SIGHUP takes over a new journal address at once, from the last event known, while all goes on: it ended the
+// program before. A file that can't be used is logged with its key and the old one stays in force.
+func TestReload(t *testing.T) {
+	r := start(t, 2, store(3, "x\n"))
+	old, _ := r.accept()
+	_, err := old.Write(frame(42, 2, r.engines[0].record(1)))
+	require.NoError(t, err)
+	c := r.client()
+	for name, journal := range map[string]any{"config: journal: .*nowhere": "nowhere", "config: .*cannot unmarshal": 7} {
+		c.load2(len(name))
+		r.config["journal"] = journal
+		r.write()
+		r.signal(syscall.SIGHUP)
+		require.Eventually(t, func() bool { return regexp.MustCompile(name).MatchString(r.log.String()) },
+			patience, time.Millisecond)
+		assert.Equal(t, "answer", c.read().what)
+	}
+	journal, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer journal.Close()
+	r.journal, r.config["journal"], r.config["seed"] = journal, journal.Addr().String(), "77"
+	r.write()
+	c.load2(3)
+	r.await(3, "POST", "/")
+	r.signal(syscall.SIGHUP)
+	conn, last := r.accept()
+	assert.EqualValues(t, 42, last)
+	assert.True(t, r.client().healthy())
+	_, err = old.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF, "the old connection is kept")
+	_, err = conn.Write(frame(43, 2, r.engines[0].record(0), r.engines[1].record(1)))
+	require.NoError(t, err)
+	assert.Equal(t, "answer", c.read().what)
+	require.Eventually(t, func() bool {
+		r.signal(syscall.SIGUSR1)
+		return strings.Contains(r.log.String(), "frames from the journal                       2")
+	}, patience, 10*time.Millisecond)
+	c.load2(4)
+	assert.Equal(t, "answer", c.read().what)
+	assert.Equal(t, r.engines[0].name, r.got("POST", "/")[3].engine)
+	r.awaitLog("take effect at the next start\" keys=[seed]")
+	r.signal(syscall.SIGHUP) // a planned end goes on whatever else is told
+	r.signal(syscall.SIGTERM)
+	r.signal(syscall.SIGHUP)
+	assert.NoError(t, <-r.exited)
+}
+
 // Malformed input costs its sender the connection, or an exception where the frame is whole, and nobody else.
 func TestMalformedInput(t *testing.T) {
 	r := start(t, 1, store(0, "x\n"))
--- a/gateway/phase.go
+++ b/gateway/phase.go
@@ -9,6 +9,7 @@
 const (
 	Starting  Phase = iota // nothing is listened to yet
 	Serving                // health is good
+	Reloading              // health is good; a new configuration is in force, its journal service not yet heard
 	Draining               // told to end: health is bad, connections are still accepted
 	Closing                // no new connections; requests on open ones are still served
 	Answering              // what is open gets its answer
@@ -16,7 +17,7 @@
 )
 
 func (p Phase) String() string {
-	return [...]string{"starting", "serving", "draining", "closing", "answering", "stopped"}[p]
+	return [...]string{"starting", "serving", "reloading", "draining", "closing", "answering", "stopped"}[p]
 }
 
 // When the phases of a planned restart begin, counted from its signal. Clients connect for up to 0.4 s
@@ -34,6 +35,9 @@
 	told  Micros // when it was told to end
 }
 
+// Healthy says whether more requests are welcome.
+func (l *Life) Healthy() bool { return l.phase == Serving || l.phase == Reloading }
+
 // Phase is where it stands.
 func (l *Life) Phase() Phase { return l.phase }
 
@@ -44,6 +48,20 @@
 	}
 }
 
+// Reload begins with a new configuration; a front end that is to end keeps to its way.
+func (l *Life) Reload() {
+	if l.phase == Serving {
+		l.phase = Reloading
+	}
+}
+
+// Reloaded says that the new configuration's journal service has been heard.
+func (l *Life) Reloaded() {
+	if l.phase == Reloading {
+		l.phase = Serving
+	}
+}
+
 // Drain begins a planned end; a second call changes nothing.
 func (l *Life) Drain(now Micros) {
 	if l.phase < Draining {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -2,10 +2,12 @@
 package config
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 
 	"chutechute/decide"
@@ -34,6 +36,8 @@
 	Settings *settings.Settings
 	Known    []journal.Event
 	LastPos  uint64
+
+	settings []byte // as they stand in the file, but for white space
 }
 
 // Load reads the configuration that the environment names.
@@ -94,6 +98,11 @@
 	if len(file.Settings) == 0 {
 		return nil, fmt.Errorf("config: settings: missing")
 	}
+	var compact bytes.Buffer
+	if err := json.Compact(&compact, file.Settings); err != nil {
+		return nil, fmt.Errorf("config: settings: %w", err)
+	}
+	c.settings = compact.Bytes()
 	if c.Settings, err = settings.Parse(file.Settings); err != nil {
 		return nil, fmt.Errorf("config: settings: %w", err)
 	}
@@ -109,6 +118,29 @@
 	return c, nil
 }
 
+// With is the configuration in force after a reload: what c began with, but for the keys that next changes
+// while the front end runs. What next knows of engines, the journal service tells.
+func (c *Config) With(next *Config) *Config {
+	now := *c
+	now.Journal, now.MemoryMB, now.Sockets = next.Journal, next.MemoryMB, next.Sockets
+	return &now
+}
+
+// Fixed names the keys that differ in next but take effect at a start only.
+func (c *Config) Fixed(next *Config) (keys []string) {
+	for key, same := range map[string]bool{"name": c.Name == next.Name, "listen": c.Listen == next.Listen,
+		"seed": c.Seed == next.Seed, "settings": bytes.Equal(c.settings, next.settings)} {
+		if !same {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// HeapLimit is the soft limit of the heap, in bytes: the rest is for stacks, the program and the kernel.
+func (c *Config) HeapLimit() int64 { return int64(c.MemoryMB) << 20 * 2 / 3 }
+
 // check names the settings without which nothing can be decided.
 func check(s *settings.Settings) error {
 	switch {
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -34,6 +34,8 @@
 	Malformed   int `name:"connections closed for malformed input"`
 	Frames      int `name:"frames from the journal"`
 	Reconnected int `name:"connections to the journal"`
+	Reloaded    int `name:"configurations taken over"`
+	Rejected    int `name:"configurations rejected"`
 
 	LongestTurn int `name:"longest turn of the loop in microseconds"`
 }
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -166,8 +166,7 @@
 func (c *client) take(m thrift.Message) {
 	switch m.Name {
 	case "health":
-		good := c.l.s.life.Phase() == gateway.Serving
-		c.write(thrift.Answer(m.Name, m.Seq, nil, nil, good))
+		c.write(thrift.Answer(m.Name, m.Seq, nil, nil, c.l.s.life.Healthy()))
 	case "cancel":
 		if r := c.open[m.Target]; r != nil {
 			delete(c.open, m.Target)
--- a/internal/epoll/feed.go
+++ b/internal/epoll/feed.go
@@ -51,6 +51,12 @@
 	}
 }
 
+// move leaves the journal service's old address for the one now in force, and goes on from the last event.
+func (f *feed) move() {
+	f.close()
+	f.connect()
+}
+
 func (f *feed) tick() {
 	age := f.s.now - f.since
 	switch {
@@ -98,6 +104,7 @@
 		}
 		f.since = f.s.now
 		f.s.count.Frames++
+		f.s.life.Reloaded()
 		if news && e.Number > f.last {
 			f.last = e.Number
 			f.s.listed(e)
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -130,6 +132,32 @@
 	return nil
 }
 
+// Reload reads the configuration file again. It may be called from any goroutine.
+func (s *Server) Reload() { s.wake.send(wakeReload) }
+
+// reload puts a new configuration into force, once the whole file has been read and checked, or keeps the old.
+func (s *Server) reload() {
+	cfg, err := config.Load(os.Getenv)
+	if err != nil {
+		s.count.Rejected++
+		slog.Error("reload: the old configuration stays in force", "error", err)
+		return
+	}
+	s.count.Reloaded++
+	if keys := s.cfg.Fixed(cfg); len(keys) > 0 {
+		slog.Warn("reload: these keys take effect at the next start", "keys", keys)
+	}
+	moved := cfg.Journal != s.cfg.Journal
+	s.cfg = s.cfg.With(cfg)
+	s.listener.most = s.clientsMost()
+	debug.SetMemoryLimit(s.cfg.HeapLimit())
+	slog.Info("reloaded", "journal", s.cfg.Journal, "last", s.feed.last)
+	if moved {
+		s.life.Reload()
+		s.feed.move()
+	}
+}
+
 // Drain begins a planned end. It may be called from any goroutine.
 func (s *Server) Drain() { s.wake.send(wakeDrain) }
 
@@ -138,8 +166,9 @@
 
 // What the loop is woken for; the values of an eventfd add up.
 const (
-	wakeDrain = 1 << 32
-	wakePrint = 1
+	wakePrint  = 1
+	wakeReload = 1 << 20
+	wakeDrain  = 1 << 40
 )
 
 // waker lets other goroutines reach the loop.
@@ -168,9 +197,12 @@
 		return
 	}
 	told := binary.NativeEndian.Uint64(b[:])
-	if told%wakeDrain != 0 {
+	if told%wakeReload != 0 {
 		w.s.count.Print(w.s.log)
 	}
+	if told%wakeDrain >= wakeReload {
+		w.s.reload()
+	}
 	if told >= wakeDrain {
 		w.s.life.Drain(w.s.now)
 	}
