decide: let go of removed engines, empty lines, orders of made-up groups, odd figures

One client with a ttl beyond the give-up time made all first tries look like retries (retryPastAim), and one with a made-up work moved the class's usual work. An engine that answers full or with an error is alive and returns from its ejection.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -234,10 +234,11 @@
 	}
 	for _, e := range d.engines {
 		if l.Kind != ListChanges && !listed[e.Engine] {
-			e.gone = true
+			e.gone, e.State = true, Removed
 		}
 	}
 	d.orders = map[int][]*engine{}
+	d.dropRemoved()
 }
 
 func (d *Dispatcher) entry(en Entry) {
@@ -280,7 +281,7 @@
 		c.estimate, c.latency = q.estimate(), float64(c.Aim)
 	}
 	q.due = d.now + Micros(multiplier*d.price(q))
-	d.arrivals.add(d.now, 1)
+	d.ration(&d.arrivals)
 	if d.retryPastAim(q) || r.Tenant >= 0 && !d.withinShare(d.tenants[r.Tenant]) {
 		q.over = true
 		q.due += c.GiveUp
@@ -288,7 +289,7 @@
 	if c.Ordered && r.Key != "" {
 		d.enqueue(q)
 	}
-	if r.Cost > 0 {
+	if r.Cost > 0 && r.Cost <= c.GiveUp*Micros(c.Threads) { // more is no usual work, and may be made up
 		c.work += decay * (float64(r.Cost) - c.work)
 	}
 	d.queries[r.ID], d.held = q, append(d.held, q)
@@ -299,7 +300,9 @@
 // where that has passed it goes last, so that a storm of retries does not take the places of first tries.
 func (d *Dispatcher) retryPastAim(q *query) bool {
 	c, left := q.class, q.Deadline-d.now
-	c.longest = max(c.longest, left)
+	if left <= c.GiveUp { // what waits longer is no usual client
+		c.longest = max(c.longest, left)
+	}
 	if left < c.longest-c.GiveUp/retrySlack && left > c.Aim {
 		q.asked = min(d.now, q.Deadline-c.GiveUp)
 	}
@@ -396,9 +399,6 @@
 	return threads == 0 || float64(threads) < d.places
 }
 
-// fresh queries of a class may go wherever any other of them may.
-func (q *query) fresh() bool { return len(q.attempts) == 0 && q.line == nil }
-
 // refuseLapsed turns away what can no longer finish. What has only just arrived gets its chance of an
 // engine with room first: a price inflated by a jam must not refuse all that could measure it anew. Only
 // one whose client gives up before the sweep could come back to it is answered at once.
@@ -537,7 +537,7 @@
 		}
 		return order[i].Engine < order[j].Engine
 	})
-	d.orders[group] = order
+	d.keepOrder(group, order)
 	return order
 }
 
@@ -645,8 +645,6 @@
 		d.effectSafe(q, e) && d.coldRoom(q, e)
 }
 
-func allowed(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
-
 // effectSafe says whether a send to e cannot make an effect happen twice.
 func (d *Dispatcher) effectSafe(q *query, e *engine) bool {
 	for _, a := range q.attempts {
@@ -689,7 +687,7 @@
 // send starts an attempt. Every send passes here, after mayGo and admissible.
 func (d *Dispatcher) send(q *query, e *engine) {
 	if len(q.attempts) > 0 {
-		d.extras.add(d.now, 1)
+		d.ration(&d.extras)
 	}
 	if e.cold {
 		e.sentCold.add(d.now, q.class.work)
@@ -746,11 +744,6 @@
 	return q.asked + q.class.aimFor(work)
 }
 
-// aimFor is the aim of a query of the class with so much work.
-func (c *class) aimFor(work float64) Micros {
-	return c.Aim + Micros(c.AimStretch*work/float64(c.Threads))
-}
-
 // patience is how many ExecTimes an attempt may be out: the longer, the worse the class's prices have been.
 func (c *class) patience() float64 { return 1 + planScatter*c.scatter }
 
@@ -796,6 +789,9 @@
 		d.heard(a.engine)
 	case Full:
 		d.fullAt, a.engine.fullAt = d.now, d.now
+		d.heard(a.engine)
+	case Errored:
+		d.heard(a.engine)
 	case NoConnection, Reset:
 		d.eject(a.engine)
 	case TimedOut: // a measure from below: without it a jam in which nothing ends would not be seen
@@ -866,6 +862,7 @@
 
 // sweep is run every few milliseconds while anything is held or out.
 func (d *Dispatcher) sweep() {
+	d.dropLines()
 	for _, c := range d.classes {
 		if c.estimate > 0 && c.own == 0 && d.now-c.measuredAt > fullMemory && c.latency > c.best*c.estimate {
 			c.latency = max(c.best*c.estimate, c.latency*staleDecay)
--- a/decide/state.go
+++ b/decide/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"math/rand/v2"
 	"slices"
 )
@@ -215,7 +216,9 @@
 	e.own += n
 	q.class.own += n
 	if q.class.Loads {
-		e.loading[q.Group] += n
+		if e.loading[q.Group] += n; e.loading[q.Group] == 0 {
+			delete(e.loading, q.Group)
+		}
 	}
 	e.threads += n * q.class.Threads
 	d.threadsOut += n * q.class.Threads
@@ -230,6 +233,50 @@
 	return 1
 }
 
+// aimFor is the aim of a query of the class with so much work.
+func (c *class) aimFor(work float64) Micros {
+	return c.Aim + Micros(c.AimStretch*work/float64(c.Threads))
+}
+
+// fresh queries of a class may go wherever any other of them may.
+func (q *query) fresh() bool { return len(q.attempts) == 0 && q.line == nil }
+
+func allowed(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
+
+// mostOrders bounds how many groups' orders are kept: clients may name any group.
+const mostOrders = 4096
+
+func (d *Dispatcher) keepOrder(group int, order []*engine) {
+	if len(d.orders) >= mostOrders {
+		clear(d.orders)
+	}
+	d.orders[group] = order
+}
+
+// dropRemoved forgets engines that are removed and have nothing of this gateway in hand: one that comes back,
+// or another at its address, starts anew.
+func (d *Dispatcher) dropRemoved() {
+	d.engines = slices.DeleteFunc(d.engines, func(e *engine) bool {
+		removed := e.gone && e.State == Removed && e.own == 0
+		if removed {
+			delete(d.byName, e.Engine)
+		}
+		return removed
+	})
+}
+
+// dropLines forgets the lines of keys that nothing waits for any more.
+func (d *Dispatcher) dropLines() {
+	maps.DeleteFunc(d.lines, func(_ string, l *line) bool { return len(l.queue) == 0 && l.quiet <= d.now })
+}
+
+// ration counts for the attempt budget, where there is one.
+func (d *Dispatcher) ration(w *window) {
+	if d.cfg.Rules.Budgeted {
+		w.add(d.now, 1)
+	}
+}
+
 func newEngine(name string) *engine {
 	h := fnv.New64a()
 	h.Write([]byte(name))
