Ask again for answers that come spoilt or not at all, instead of running the query again

Seen on reading and with a probe (each as a case of TestSpoiltAnswers, run against the old sources): parseHead failed on 1xx answers; a cut or noisy page whose length fitted was served; a missing X-Batches counted as one page; after an unreadable answer to a POST the query was deleted and run again, and where a part of an answer stood still it took 2.35 s and ended in 'reset', which ejected the engine. One reset of a new connection, before anything was sent, ejected its engine too (NoConnection in pool.lost).

A page has to hold whole rows of three columns, and its own number. Idle connections are looked at before they are used, and let go of their storage. The buffers of all engines draw on one budget, an eighth of memory_mb.

Ruled out: second copies and noise after a whole answer did no harm before (both cases pass on the old sources) as long as they come with it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -20,6 +20,7 @@
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
 	leastSockets    = 64
+	leastMemoryMB   = 16
 	defaultIdle     = 30 * decide.Second
 	defaultDial     = decide.Second / 4
 	defaultOpen     = 20000
@@ -95,6 +96,9 @@
 	if c.Sockets < leastSockets {
 		return nil, fmt.Errorf("config: limits.sockets: %d is below %d", c.Sockets, leastSockets)
 	}
+	if c.MemoryMB < leastMemoryMB {
+		return nil, fmt.Errorf("config: limits.memory_mb: %d is below %d", c.MemoryMB, leastMemoryMB)
+	}
 	if len(file.Settings) == 0 {
 		return nil, fmt.Errorf("config: settings: missing")
 	}
@@ -138,6 +142,17 @@
 	return keys
 }
 
+// The memory that is not the program's own is shared out: an eighth each for the buffers of clients and of
+// engines, for open requests and for their statements. What is left is for what the collector has not freed yet.
+const (
+	shares = 8
+)
+
+func (c *Config) share() int { return c.MemoryMB << 20 / shares }
+
+// BufferBytes bounds the buffers of all clients, and those of all connections to engines.
+func (c *Config) BufferBytes() int { return c.share() }
+
 // HeapLimit is the soft limit of the heap, in bytes: the rest is for stacks, the program and the kernel.
 func (c *Config) HeapLimit() int64 { return int64(c.MemoryMB) << 20 * 2 / 3 }
 
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -32,6 +32,9 @@
 	Dialled     int `name:"connections to engines"`
 	Accepted    int `name:"connections from clients"`
 	Malformed   int `name:"connections closed for malformed input"`
+	Silent      int `name:"connections closed for half a message or none"`
+	Relieved    int `name:"connections closed for want of storage"`
+	Spoilt      int `name:"connections to engines spoilt"`
 	Frames      int `name:"frames from the journal"`
 	Reconnected int `name:"connections to the journal"`
 	Reloaded    int `name:"configurations taken over"`
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"chutechute/gateway"
+	"chutechute/internal/ring"
 	"chutechute/internal/sqltext"
 	"chutechute/internal/thrift"
 )
@@ -28,6 +29,7 @@
 	s       *Server
 	fd      int
 	clients map[*client]struct{}
+	budget  ring.Budget
 	most    int
 	addr    netip.AddrPort
 }
@@ -80,7 +82,7 @@
 			l.s.pool.makeRoom()
 		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
-		c := &client{stream: newStream(l.s.loop, fd, thrift.MaxFrame+4, maxUnread), l: l, open: map[int32]*gateway.Request{}}
+		c := &client{stream: newStream(l.s.loop, fd, thrift.MaxFrame+4, maxUnread, &l.budget), l: l, open: map[int32]*gateway.Request{}}
 		c.want = unix.EPOLLIN
 		if err := l.s.loop.add(fd, c.want, c); err != nil {
 			slog.Warn("accept", "error", err)
--- a/internal/epoll/feed.go
+++ b/internal/epoll/feed.go
@@ -7,6 +7,7 @@
 
 	"chutechute/decide"
 	"chutechute/internal/journal"
+	"chutechute/internal/ring"
 )
 
 const (
@@ -43,7 +44,7 @@
 		return
 	}
 	f.s.count.Reconnected++
-	f.stream = newStream(f.s.loop, fd, journal.MaxFrame, 64)
+	f.stream = newStream(f.s.loop, fd, journal.MaxFrame, 64, &ring.Budget{Most: journal.MaxFrame + 64})
 	f.connecting, f.want = true, unix.EPOLLOUT
 	if err := f.s.loop.add(fd, f.want, f); err != nil {
 		slog.Warn("journal", "error", err)
@@ -117,7 +118,7 @@
 
 // listed hands an event of the journal to the pool and the core.
 func (s *Server) listed(e journal.Event) {
-	s.pool.listed(e.Engines)
+	s.pool.listed(e)
 	entries := make([]decide.Entry, len(e.Engines))
 	for i, en := range e.Engines {
 		entries[i] = en.Entry
--- a/internal/epoll/loop.go
+++ b/internal/epoll/loop.go
@@ -96,8 +96,8 @@
 	closed  bool
 }
 
-func newStream(l *loop, fd, maxIn, maxOut int) stream {
-	return stream{loop: l, fd: fd, in: ring.New(maxIn), out: ring.New(maxOut)}
+func newStream(l *loop, fd, maxIn, maxOut int, budget *ring.Budget) stream {
+	return stream{loop: l, fd: fd, in: ring.New(maxIn, budget), out: ring.New(maxOut, budget)}
 }
 
 // fill reads what has come, as far as the ring has room; more is false at the stream's end or after an error.
@@ -124,6 +124,23 @@
 	return false
 }
 
+// free lets go of storage that is not in use.
+func (s *stream) free() {
+	if s.in.Len() == 0 {
+		s.in.Free()
+	}
+	if s.out.Len() == 0 {
+		s.out.Free()
+	}
+}
+
+// quiet says whether the peer has neither sent anything more nor ended the connection.
+func (s *stream) quiet() bool {
+	var b [1]byte
+	_, _, err := unix.Recvfrom(s.fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	return err == unix.EAGAIN
+}
+
 // flush writes what it can and asks to be called again for the rest.
 func (s *stream) flush() error {
 	for s.out.Len() > 0 {
@@ -161,6 +178,8 @@
 	if !s.closed {
 		s.closed = true
 		s.loop.drop(s.fd)
+		s.in.Free()
+		s.out.Free()
 	}
 }
 
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -51,6 +51,7 @@
 	s.now = s.clock.now()
 	s.pool = newPool(s)
 	s.listener = &listener{s: s, clients: map[*client]struct{}{}, most: s.clientsMost()}
+	s.listener.budget.Most, s.pool.budget.Most = cfg.BufferBytes(), cfg.BufferBytes()
 	if s.core, err = gateway.New(cfg.Settings, cfg.Seed, s.pool, &s.count); err != nil {
 		return nil, err
 	}
@@ -150,6 +151,7 @@
 	moved := cfg.Journal != s.cfg.Journal
 	s.cfg = s.cfg.With(cfg)
 	s.listener.most = s.clientsMost()
+	s.listener.budget.Most, s.pool.budget.Most = s.cfg.BufferBytes(), s.cfg.BufferBytes()
 	debug.SetMemoryLimit(s.cfg.HeapLimit())
 	slog.Info("reloaded", "journal", s.cfg.Journal, "last", s.feed.last)
 	if moved {
--- a/internal/rest/query.go
+++ b/internal/rest/query.go
@@ -4,13 +4,15 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"unicode/utf8"
 
 	"chutechute/decide"
 )
 
 const (
 	maxPages = 64
-	maxRows  = 256 << 10
+	maxRows  = 48000 // of one result, by the protocol
+	columns  = 3     // of each row
 )
 
 // Start is what an engine is told of a query; id, class, statement and once-key are the client's own.
@@ -33,7 +35,7 @@
 
 // Query is one attempt's way through an engine's calls: it is started, asked after and fetched page by
 // page, or given up. Whoever drives it writes Call, feeds Take with the answer, and goes on while Take
-// says so; after a broken connection Call may be written again on another, but never a POST.
+// says so; after a broken connection, Resume's Call may be written on another.
 type Query struct {
 	start Start
 	host  string
@@ -59,6 +61,14 @@
 // Dropping says whether the query is being given up.
 func (q *Query) Dropping() bool { return q.state == dropping }
 
+// Resume turns a query whose last call has no readable answer to one that may be asked again. A POST may not:
+// the query's news is asked for instead, which holds the answer if it has run.
+func (q *Query) Resume() {
+	if q.state == posting {
+		q.state = polling
+	}
+}
+
 // Drop turns the query to giving up: its next call is the DELETE.
 func (q *Query) Drop() { q.state = dropping }
 
@@ -99,42 +109,61 @@
 }
 
 // Take feeds the answer to the last call. Where the query has ended, result tells how; else Call is to
-// follow at once.
-func (q *Query) Take(r Response) (result decide.Result, ended bool) {
+// follow at once. An error says that the answer is spoilt: the call has no readable answer.
+func (q *Query) Take(r Response) (result decide.Result, ended bool, err error) {
 	if r.Load != "" {
 		q.load = readLoad(r.Load)
 	}
 	switch {
 	case q.state == dropping:
-		return decide.Canceled, true
+		return decide.Canceled, true, nil
+	case q.state == probing && r.Status == 200:
+		return decide.Done, true, nil
 	case q.state == probing:
-		if r.Status == 200 {
-			return decide.Done, true
-		}
-		return decide.Errored, true
+		return decide.Errored, true, nil
 	case r.NeverRan && r.Status == 504:
-		return decide.NotSent, true
-	case r.NeverRan:
-		return decide.Full, true
+		return decide.NotSent, true, nil
+	case r.NeverRan && r.Status == 503:
+		return decide.Full, true, nil
 	case r.Status == 202 && q.state != paging:
 		q.state = polling
-		return 0, false
+		return 0, false, nil
 	case r.Status != 200:
-		return decide.Errored, true
+		return decide.Errored, true, nil
 	}
-	if q.state == paging {
-		if r.Page != q.page {
-			return decide.Errored, true
-		}
-	} else {
-		q.pages, q.state = max(1, r.Pages), paging
+	pages := q.pages
+	if q.state != paging {
+		pages = r.Pages
 	}
-	if q.pages > maxPages || len(q.rows)+len(r.Body) > maxRows {
-		return decide.Errored, true
+	switch {
+	case max(0, r.Page) != q.page:
+		return 0, false, fmt.Errorf("%w: page %d for page %d", ErrResponse, r.Page, q.page)
+	case pages < 1 || pages > maxPages || len(q.rows)+len(r.Body) > maxRows:
+		return 0, false, fmt.Errorf("%w: %d pages, %d bytes", ErrResponse, pages, len(q.rows)+len(r.Body))
+	case !wholeRows(r.Body):
+		return 0, false, fmt.Errorf("%w: page %d does not hold whole rows", ErrResponse, q.page)
 	}
+	q.pages, q.state = pages, paging
 	q.rows = append(q.rows, r.Body...)
 	q.page++
-	return decide.Done, q.page >= q.pages
+	return decide.Done, q.page >= q.pages, nil
+}
+
+// wholeRows says whether a page holds rows of the protocol's form, to the end of the last.
+func wholeRows(page []byte) bool {
+	tabs := 0
+	for _, c := range page {
+		switch c {
+		case '\t':
+			tabs++
+		case '\n':
+			if tabs != columns-1 {
+				return false
+			}
+			tabs = 0
+		}
+	}
+	return len(page) == 0 || page[len(page)-1] == '\n' && utf8.Valid(page)
 }
 
 // readLoad reads a load report; what it does not name is negative.
--- a/internal/rest/response.go
+++ b/internal/rest/response.go
@@ -13,13 +13,15 @@
 )
 
 const (
+	protocol = "HTTP/1." // what each status line begins with
+
 	maxHead = 16 << 10
-	maxBody = 64 << 10 // of one page; engines send 6,000 bytes at most
+	maxBody = 6000 // of one page, by the protocol
 	// MaxResponse bounds what one answer may take up.
 	MaxResponse = maxHead + maxBody
 )
 
-// ErrResponse says that the stream holds no answer of ours: the connection has to end.
+// ErrResponse says that the stream holds no answer of ours, or a spoilt one: the connection has to end.
 var ErrResponse = errors.New("rest: unreadable answer")
 
 // Response is one whole answer of an engine.
@@ -33,19 +35,30 @@
 	Body     []byte // valid until the buffer is fed again
 }
 
-// NextResponse takes the next whole answer from what has come; ok is false until there is one.
+// NextResponse takes the next whole answer from what has come; ok is false until there is one. Interim answers
+// (1xx) that come before it are passed over.
 func NextResponse(in *ring.Buffer) (r Response, ok bool, err error) {
-	data := in.Bytes()
-	end := bytes.Index(data, []byte("\r\n\r\n"))
-	if end < 0 {
-		if len(data) > maxHead {
+	data, length, end := in.Bytes(), 0, 0
+	for {
+		end = bytes.Index(data, []byte("\r\n\r\n"))
+		if end > maxHead || end < 0 && len(data) > maxHead {
 			return r, false, fmt.Errorf("%w: head too long", ErrResponse)
 		}
-		return r, false, nil
-	}
-	r, length, err := parseHead(string(data[:end]))
-	if err != nil {
-		return r, false, err
+		if end < 0 {
+			// What can't become a status line is not waited for.
+			if n := min(len(data), len(protocol)); string(data[:n]) != protocol[:n] {
+				return r, false, fmt.Errorf("%w: status line %.40q", ErrResponse, data)
+			}
+			return r, false, nil
+		}
+		if r, length, err = parseHead(string(data[:end])); err != nil {
+			return r, false, err
+		}
+		if r.Status >= 200 {
+			break
+		}
+		in.Discard(end + 4)
+		data = in.Bytes()
 	}
 	whole := end + 4 + length
 	if len(data) < whole {
@@ -59,10 +72,10 @@
 func parseHead(head string) (r Response, length int, err error) {
 	line, rest, _ := strings.Cut(head, "\r\n")
 	r.Page, length = -1, -1
-	if !strings.HasPrefix(line, "HTTP/1.") || len(line) < 12 || line[8] != ' ' {
+	if !strings.HasPrefix(line, protocol) || len(line) < 12 || line[8] != ' ' {
 		return r, 0, fmt.Errorf("%w: status line %.40q", ErrResponse, line)
 	}
-	if r.Status, err = strconv.Atoi(line[9:12]); err != nil || r.Status < 200 {
+	if r.Status, err = strconv.Atoi(line[9:12]); err != nil || r.Status < 100 || r.Status == 101 {
 		return r, 0, fmt.Errorf("%w: status line %.40q", ErrResponse, line)
 	}
 	r.Close = line[7] == '0'
@@ -97,7 +110,7 @@
 			return r, 0, fmt.Errorf("%w: %s %.40q", ErrResponse, name, value)
 		}
 	}
-	if r.Status == 204 || r.Status == 304 {
+	if r.Status < 200 || r.Status == 204 || r.Status == 304 {
 		length = 0
 	}
 	if length < 0 {
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -3,33 +3,42 @@
 
 import "errors"
 
-// ErrFull says that a buffer would pass its bound.
+// ErrFull says that a buffer would pass its bound, or all buffers of its budget theirs.
 var ErrFull = errors.New("ring: buffer is full")
 
 const (
 	first  = 2 << 10 // bytes of a buffer's first storage
-	keepTo = 8 << 10 // larger storage is let go once it is empty
+	keepTo = 4 << 10 // larger storage is let go once it is empty
 )
 
+// Budget bounds the storage of many buffers together.
+type Budget struct {
+	Most int // bytes
+	used int
+}
+
 // Buffer is a ring of bytes that grows up to a bound and holds no storage until it is used.
 type Buffer struct {
 	buf     []byte
 	head, n int
 	max     int
+	budget  *Budget
 }
 
-// New returns an empty buffer that holds at most max bytes.
-func New(max int) *Buffer { return &Buffer{max: max} }
+// New returns an empty buffer that holds at most max bytes and draws its storage on a budget.
+func New(max int, budget *Budget) *Buffer { return &Buffer{max: max, budget: budget} }
 
 // Len is how many bytes the buffer holds.
 func (b *Buffer) Len() int { return b.n }
 
-// Write appends all of p or, where it would pass the bound, nothing.
+// Cap is how much storage the buffer has.
+func (b *Buffer) Cap() int { return len(b.buf) }
+
+// Write appends all of p or, where it would pass a bound, nothing.
 func (b *Buffer) Write(p []byte) (int, error) {
-	if b.n+len(p) > b.max {
+	if b.n+len(p) > b.max || !b.grow(b.n+len(p)) {
 		return 0, ErrFull
 	}
-	b.grow(b.n + len(p))
 	tail := b.tail()
 	k := copy(b.buf[tail:], p)
 	copy(b.buf, p[k:])
@@ -37,12 +46,10 @@
 	return len(p), nil
 }
 
-// Space is a free run of storage to read into, empty where the buffer is full; Commit takes up what was read.
+// Space is a free run of storage to read into, empty where the buffer or the budget is full; Commit takes up
+// what was read.
 func (b *Buffer) Space() []byte {
-	if b.n == len(b.buf) {
-		b.grow(b.n + 1)
-	}
-	if b.n == len(b.buf) {
+	if b.n == len(b.buf) && (b.n >= b.max || !b.grow(b.n+1)) {
 		return nil
 	}
 	tail := b.tail()
@@ -78,19 +85,30 @@
 	if b.n == 0 {
 		b.head = 0
 		if len(b.buf) > keepTo {
-			b.buf = nil
+			b.Free()
 		}
 	}
 }
 
+// Free lets go of what is held and of the storage.
+func (b *Buffer) Free() {
+	b.budget.used -= len(b.buf)
+	b.buf, b.head, b.n = nil, 0, 0
+}
+
 func (b *Buffer) tail() int { return (b.head + b.n) % max(1, len(b.buf)) }
 
-// grow makes room for size bytes, within the bound.
-func (b *Buffer) grow(size int) {
-	if size <= len(b.buf) || len(b.buf) >= b.max {
-		return
+// grow makes room for size bytes, within the bounds.
+func (b *Buffer) grow(size int) bool {
+	if size <= len(b.buf) {
+		return true
+	}
+	size = min(b.max, max(size, 2*len(b.buf), first))
+	if b.budget.used+size-len(b.buf) > b.budget.Most {
+		return false
 	}
-	b.move(min(b.max, max(size, 2*len(b.buf), first)))
+	b.move(size)
+	return true
 }
 
 // move puts what is held at the start of new storage.
@@ -98,5 +116,6 @@
 	buf := make([]byte, size)
 	k := copy(buf, b.Front())
 	copy(buf[k:b.n], b.buf)
+	b.budget.used += size - len(b.buf)
 	b.buf, b.head = buf, 0
 }
