Time limits for silent clients, a bounded turn for busy ones, bounds from the limits

Seen with probes (tests that fail on the old sources): a client that says nothing or half a message was never closed, and kept its place; any idle connection, also a usual client's, was evicted before a silent one; a close with input unread reset the connection under the answer; 3,000 messages of one client were taken in one turn, ahead of all others; 200 half messages took 47 MB where memory_mb was 32; an answered request with a ttl of an hour was held by its timer for an hour, with its client's buffers (8,000 of them: 34 MB); 'work' and 'mb' that are no numbers counted as none and were served.

At fault: client.end, listener.evict, client.read, readCall, and timers in the core that could not be taken back. The core's bounds come from memory_mb now (requests at 2 KB, statements), as do the buffers of clients; requests of another form are answered with an exception, and so is a keyed one without its idempotency key, whose repeats engines could not tell. A cancel that comes from an answer that can't be written waits until the module's actions are carried out.

Keyed requests are no longer answered up to 280 ms early: an unanswered one counts as failed, not lost, now.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	"maps"
 
 	"chutechute/decide"
 	"chutechute/internal/counters"
@@ -22,12 +21,6 @@
 const (
 	// margin is how long before the client gives up its final answer is due, for the loop and the wire.
 	margin = 60 * decide.Second / 1000
-	// keyGap is the longest span by which a client holds two writes of one key apart, 250 ms, and some slack.
-	keyGap = 280 * decide.Second / 1000
-	// mostKeys is how many keys are remembered before those that no longer count are let go.
-	mostKeys = 4096
-	// mostHeld bounds the bytes of the statements of all open requests.
-	mostHeld = 48 << 20
 	// busyAfter is when a client turned away for want of room may come back.
 	busyAfter = decide.Second / 2
 )
@@ -64,6 +57,7 @@
 	id       uint64
 	caller   Caller
 	deadline Micros // when its final answer is due
+	due      *timer // for that
 	answered bool
 	grantMB  float64
 	attempts []*Attempt
@@ -79,11 +73,18 @@
 
 	number  int
 	at      Micros
+	due     *timer        // of its time-out; nil without one
 	reason  decide.Result // of giving it up; Done while it is not
 	dropped bool
 	ended   bool
 }
 
+// Bounds are what the core may hold.
+type Bounds struct {
+	Open int // requests
+	Held int // bytes of their statements
+}
+
 // Core is one front end.
 type Core struct {
 	settings *settings.Settings
@@ -92,35 +93,40 @@
 	count    *counters.Set
 
 	now       Micros
-	begun     Micros // the first step
 	seed      uint64
 	lastID    uint64
 	lastTimer uint64
 	events    []decide.Event
 	open      map[uint64]*Request
-	keys      map[string]arrival // of requests in order, by key
-	ids       map[string]bool    // the clients' ids of open requests
-	held      int                // bytes of their statements
-	out       int                // attempts that have not ended
+	ids       map[string]bool // the clients' ids of open requests
+	held      int             // bytes of their statements
+	out       int             // attempts that have not ended
+	bounds    Bounds
 	timers    timers
+	acting    bool       // the module's actions are being carried out
+	late      []*Request // cancelled meanwhile
 }
 
 // New builds a front end's core.
-func New(s *settings.Settings, seed uint64, engines Engines, count *counters.Set) (*Core, error) {
+func New(s *settings.Settings, seed uint64, bounds Bounds, engines Engines, count *counters.Set) (*Core, error) {
 	module, err := decide.New(s.Config, seed)
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
-	return &Core{settings: s, module: module, engines: engines, count: count, seed: seed,
-		open: map[uint64]*Request{}, ids: map[string]bool{}, keys: map[string]arrival{}}, nil
+	return &Core{settings: s, module: module, engines: engines, count: count, seed: seed, bounds: bounds,
+		open: map[uint64]*Request{}, ids: map[string]bool{}}, nil
 }
 
+// Bound puts other bounds into force; what is open stays.
+func (c *Core) Bound(b Bounds) { c.bounds = b }
+
 // Errors of Take.
 var (
 	ErrClass  = errors.New("unknown class")
 	ErrTenant = errors.New("unknown tenant")
 	ErrTTL    = errors.New("no time left")
 	ErrTwice  = errors.New("a request with that id is open")
+	ErrOnce   = errors.New("no idempotency key in a keyed class")
 )
 
 // Take takes a request in whose last byte came now. The answer goes to caller, which is not called if
@@ -139,15 +145,15 @@
 	if call.TTL <= 0 {
 		return nil, ErrTTL
 	}
+	if call.Once == "" && c.settings.Classes[class].Repeat == decide.Keyed {
+		return nil, ErrOnce // engines could not tell its repeats
+	}
 	if c.ids[call.ID] {
 		return nil, ErrTwice
 	}
 	c.count.Taken++
 	r := &Request{Call: call, id: c.newID(), caller: caller, deadline: now + call.TTL - margin}
-	if call.Key != "" && c.settings.Classes[class].Ordered {
-		r.deadline -= min(c.heldBack(now, call.Key), call.TTL/2)
-	}
-	if len(c.open) >= c.settings.MaxOpen || c.held+len(call.Statement) > mostHeld {
+	if len(c.open) >= c.bounds.Open || c.held+len(call.Statement) > c.bounds.Held {
 		r.refuse(c, busyAfter)
 		return r, nil
 	}
@@ -156,32 +162,10 @@
 	c.held += len(call.Statement)
 	c.events = append(c.events, decide.Request{ID: r.id, Class: class, Tenant: tenant, Key: call.Key,
 		Deadline: r.deadline, Cost: call.Cost, MemoryMB: call.MemoryMB, Group: call.Group})
-	c.after(r.deadline, func() { c.expire(r) })
+	r.due = c.after(r.deadline, func() { c.expire(r) })
 	return r, nil
 }
 
-// arrival is when the last request of a key came, and for how long its client may have held it back.
-type arrival struct{ at, held Micros }
-
-// heldBack bounds for how long a client held a request back because of the one of the same key before it.
-// Its own time for the request ran meanwhile, so the answer is due that much earlier. What came before this
-// process started is unknown.
-func (c *Core) heldBack(now Micros, key string) Micros {
-	last, ok := c.keys[key]
-	held := Micros(0)
-	switch {
-	case ok && now-last.at <= keyGap:
-		held = last.held + now - last.at
-	case !ok && now-c.begun <= 2*keyGap:
-		held = keyGap
-	}
-	if len(c.keys) >= mostKeys {
-		maps.DeleteFunc(c.keys, func(_ string, a arrival) bool { return now-a.at > keyGap })
-	}
-	c.keys[key] = arrival{now, held}
-	return held
-}
-
 // newID is the next of a sequence without repeats that differs from start to start.
 func (c *Core) newID() uint64 {
 	c.lastID++
@@ -190,6 +174,10 @@
 
 // Cancel frees a request whose client no longer waits: it gets no answer, and its attempt is given up.
 func (c *Core) Cancel(r *Request) {
+	if c.acting { // an answer could not be written: what the module has decided of this request comes first
+		c.late = append(c.late, r)
+		return
+	}
 	if r.answered {
 		return
 	}
@@ -238,6 +226,7 @@
 		return
 	}
 	a.ended = true
+	c.cancel(a.due)
 	c.out--
 	a.out--
 	if a.dropped && result != decide.Done && !neverRan(result) {
@@ -275,18 +264,22 @@
 // decides.
 func (c *Core) Step(now Micros) {
 	c.now = now
-	if c.begun == 0 {
-		c.begun = now
-	}
 	for len(c.timers) > 0 && c.timers[0].at <= now {
-		heap.Pop(&c.timers).(timer).fire()
+		heap.Pop(&c.timers).(*timer).fire()
 	}
 	for len(c.events) > 0 {
 		events := c.events
 		c.events = nil
+		c.acting = true
 		for _, action := range c.module.Step(now, events) {
 			c.act(action)
 		}
+		c.acting = false
+		late := c.late
+		c.late = nil
+		for _, r := range late {
+			c.Cancel(r)
+		}
 	}
 }
 
@@ -347,7 +340,7 @@
 	a.Wait = r.deadline - c.now
 	if s.Timeout > 0 && s.Timeout < a.Wait {
 		a.Wait = s.Timeout
-		c.after(c.now+a.Wait, func() { c.drop(a, decide.TimedOut) })
+		a.due = c.after(c.now+a.Wait, func() { c.drop(a, decide.TimedOut) })
 	}
 	r.attempts = append(r.attempts, a)
 	r.out++
@@ -362,7 +355,7 @@
 		delete(c.open, r.id)
 		delete(c.ids, r.ID)
 		c.held -= len(r.Statement)
-		r.Statement = nil // its deadline's timer still holds the request
+		c.cancel(r.due)
 	}
 }
 
@@ -375,28 +368,45 @@
 
 // timer is a call at a time.
 type timer struct {
-	at   Micros
-	n    uint64 // those of one time fire in the order in which they were set
-	fire func()
+	at    Micros
+	n     uint64 // those of one time fire in the order in which they were set
+	fire  func()
+	place int // in the heap; -1 once it has left
 }
 
-func (c *Core) after(at Micros, fire func()) {
+func (c *Core) after(at Micros, fire func()) *timer {
 	c.lastTimer++
-	heap.Push(&c.timers, timer{at, c.lastTimer, fire})
+	t := &timer{at: at, n: c.lastTimer, fire: fire}
+	heap.Push(&c.timers, t)
+	return t
 }
 
-type timers []timer
+// cancel takes a timer back, and lets go of what it holds: a client may name any time for its request.
+func (c *Core) cancel(t *timer) {
+	if t != nil && t.place >= 0 {
+		heap.Remove(&c.timers, t.place)
+	}
+}
+
+type timers []*timer
 
 func (t timers) Len() int { return len(t) }
 func (t timers) Less(i, j int) bool {
 	return t[i].at < t[j].at || t[i].at == t[j].at && t[i].n < t[j].n
 }
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].place, t[j].place = i, j
+}
+func (t *timers) Push(x any) {
+	x.(*timer).place = len(*t)
+	*t = append(*t, x.(*timer))
+}
 func (t *timers) Pop() any {
 	last := len(*t) - 1
 	x := (*t)[last]
-	(*t)[last] = timer{}
+	x.place = -1
+	(*t)[last] = nil
 	*t = (*t)[:last]
 	return x
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"chutechute/decide"
+	"chutechute/gateway"
 	"chutechute/internal/journal"
 	"chutechute/internal/settings"
 )
@@ -145,7 +146,8 @@
 // The memory that is not the program's own is shared out: an eighth each for the buffers of clients and of
 // engines, for open requests and for their statements. What is left is for what the collector has not freed yet.
 const (
-	shares = 8
+	shares      = 8
+	requestSize = 2 << 10 // bytes of an open request and its attempts, without the statement
 )
 
 func (c *Config) share() int { return c.MemoryMB << 20 / shares }
@@ -153,6 +155,11 @@
 // BufferBytes bounds the buffers of all clients, and those of all connections to engines.
 func (c *Config) BufferBytes() int { return c.share() }
 
+// Bounds is what the core may hold.
+func (c *Config) Bounds() gateway.Bounds {
+	return gateway.Bounds{Open: min(c.Settings.MaxOpen, c.share()/requestSize), Held: c.share()}
+}
+
 // HeapLimit is the soft limit of the heap, in bytes: the rest is for stacks, the program and the kernel.
 func (c *Config) HeapLimit() int64 { return int64(c.MemoryMB) << 20 * 2 / 3 }
 
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -52,7 +52,7 @@
 	s.pool = newPool(s)
 	s.listener = &listener{s: s, clients: map[*client]struct{}{}, most: s.clientsMost()}
 	s.listener.budget.Most, s.pool.budget.Most = cfg.BufferBytes(), cfg.BufferBytes()
-	if s.core, err = gateway.New(cfg.Settings, cfg.Seed, s.pool, &s.count); err != nil {
+	if s.core, err = gateway.New(cfg.Settings, cfg.Seed, cfg.Bounds(), s.pool, &s.count); err != nil {
 		return nil, err
 	}
 	s.feed = newFeed(s)
@@ -114,15 +114,20 @@
 	if at, ok := s.core.Next(); ok {
 		until = min(until, at)
 	}
+	if len(s.listener.again) > 0 {
+		until = s.now
+	}
 	n, err := s.loop.wait(until - s.clock.now())
 	if err != nil {
 		return err
 	}
 	s.now = s.clock.now()
+	s.listener.leftOver()
 	s.loop.dispatch(n)
 	if s.now >= s.nextTick {
 		s.nextTick = s.now + tickEvery
 		s.pool.tick()
+		s.listener.tick()
 		s.feed.tick()
 		if s.life.Expired(s.now) {
 			s.core.ExpireAll()
@@ -152,6 +157,7 @@
 	s.cfg = s.cfg.With(cfg)
 	s.listener.most = s.clientsMost()
 	s.listener.budget.Most, s.pool.budget.Most = s.cfg.BufferBytes(), s.cfg.BufferBytes()
+	s.core.Bound(s.cfg.Bounds())
 	debug.SetMemoryLimit(s.cfg.HeapLimit())
 	slog.Info("reloaded", "journal", s.cfg.Journal, "last", s.feed.last)
 	if moved {
