decide: long queries fill their share of an engine, not that of shorter ones

A log of the module's view each 500 ms showed lookups at 5 to 24 times their estimate and reports at 0.30 of it, which is unloaded: lookups stand behind loads, that counts as pressure, pressure halves the share, and reports of three threads hold all of it (pastShare counted all threads alike). The lookups that were refused cost a seventh of the work.

--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -247,6 +247,28 @@
 	assert.Less(t, tries, 10+int(time.Since(begun)/(20*time.Millisecond)))
 }
 
+// Long queries fill their share of an engine, not that of shorter ones, which cost it little: lookups were held
+// and refused behind them.
+func TestShortQueriesPassLongOnes(t *testing.T) {
+	r := start(t, 1, func(r *rig, w http.ResponseWriter, c call) {
+		if c.header.Get("Kind") == "lookup" {
+			serve(w, row)
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+		w.WriteHeader(202)
+	}, func(r *rig) { r.settings["domain"].(map[string]any)["cpu_of_kind"] = []int{1} })
+	c := r.client()
+	for i := range 4 { // of two threads each, where four is the share
+		c.load2(i)
+	}
+	r.await(2, "POST", "/")
+	require.True(t, c.healthy(), "all are taken")
+	c.lookup(5, "5000")
+	assert.Equal(t, "answer", c.read().what)
+	assert.Len(t, r.got("POST", "/"), 3)
+}
+
 // No connection owns a query: one that has started is asked after on another connection, not started again.
 func TestBrokenPollGoesOn(t *testing.T) {
 	var gets atomic.Int32
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -333,7 +333,7 @@
 func (d *Dispatcher) release() {
 	d.refuseLapsed()
 	var blocked []*query
-	for d.room() {
+	for {
 		q := d.next()
 		if q == nil {
 			break
@@ -351,11 +351,6 @@
 	}
 }
 
-// room says whether some engine is under its share.
-func (d *Dispatcher) room() bool {
-	return slices.ContainsFunc(d.engines, func(e *engine) bool { return !e.gone && !d.pastShare(e) })
-}
-
 // next is the group EDF pick: the smallest ExecTime among those due soon after the earliest.
 func (d *Dispatcher) next() *query {
 	first := d.pick(func(q, best *query) bool { return q.due < best.due })
@@ -477,7 +472,7 @@
 	}
 	var able []*engine
 	for _, e := range d.order(q.Group) {
-		if (d.ready == 0 || !e.out || d.trial(q, e)) && d.admissible(q, e) && !d.pastShare(e) {
+		if (d.ready == 0 || !e.out || d.trial(q, e)) && d.admissible(q, e) && !d.pastShare(q, e) {
 			able = append(able, e)
 		}
 	}
@@ -604,8 +599,8 @@
 }
 
 // pastShare says whether the engine runs its share and the spill: over all gateways as far as told, or
-// else this gateway's part.
-func (d *Dispatcher) pastShare(e *engine) bool {
+// else this gateway's part, which longer classes do not take from shorter ones while no engine is full.
+func (d *Dispatcher) pastShare(q *query, e *engine) bool {
 	if d.now-e.fullAt < fullMemory && d.now-e.sentAt < fullPause { // else what it refuses makes it look idle
 		return true
 	}
@@ -614,7 +609,11 @@
 	}
 	share := d.share / float64(d.cfg.Gateways)
 	full := e.memory > 0 && ownChoice*e.granted*shareFactor >= e.memory*share
-	return e.own > 0 && (float64(e.threads) >= share*d.size(e) || full)
+	threads := e.threads
+	if d.now-d.fullAt >= fullMemory {
+		threads = d.threadsUpTo(q.class, e)
+	}
+	return e.own > 0 && (float64(threads) >= share*d.size(e) || full)
 }
 
 // pressure is a full refusal of late, or a class's latency well above its best.
--- a/decide/state.go
+++ b/decide/state.go
@@ -64,6 +64,7 @@
 	memory   float64
 	gone     bool    // draining or removed
 	threads  int     // own threads in hand
+	byClass  []int   // the same, by class
 	own      int     // own attempts in hand
 	recent   float64 // threads sent lately, as of send recentAt
 	recentAt int
@@ -221,6 +222,10 @@
 		}
 	}
 	e.threads += n * q.class.Threads
+	for len(e.byClass) <= q.Request.Class {
+		e.byClass = append(e.byClass, 0)
+	}
+	e.byClass[q.Request.Class] += n * q.class.Threads
 	d.threadsOut += n * q.class.Threads
 	e.granted += float64(n) * q.MemoryMB
 }
@@ -243,6 +248,16 @@
 
 func allowed(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
 
+// threadsUpTo is the own threads on an engine of classes whose queries are no longer than this one's.
+func (d *Dispatcher) threadsUpTo(c *class, e *engine) (n int) {
+	for i, threads := range e.byClass {
+		if d.classes[i].work <= c.work {
+			n += threads
+		}
+	}
+	return n
+}
+
 // mostOrders bounds how many groups' orders are kept: clients may name any group.
 const mostOrders = 4096
 
