Keep newcomers whose request is on its way; read what has come before an eviction

Ruled out by reading: lines of keys (they leave the map only while empty), late DELETEs, the turn's bound of 32.

Now a newcomer has 1 s, unless the silent hold half of all places; a connection is read before it is evicted; with nobody to evict a newcomer is taken while descriptors are left. Also: connections to a removed engine are not kept idle, and pushback is sent only where the settings allow it.

--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -33,6 +33,8 @@
 	silentMost = 2500 * ms
 	partMost   = 2000 * ms
 	lingerMost = 500 * ms
+	freshFor   = 1000 * ms // how long a newcomer is expected to send
+	mostLooks  = 8
 )
 
 // listener accepts clients.
@@ -86,7 +88,7 @@
 			}
 			return
 		}
-		if len(l.clients) >= l.most && !l.evict() {
+		if len(l.clients) >= l.most && !l.evict() && l.s.unused() <= 0 {
 			unix.Close(fd)
 			continue
 		}
@@ -111,36 +113,59 @@
 // maxUnread is how much one client may leave unread, less than all may together.
 func (l *listener) maxUnread() int { return min(maxUnread, l.budget.Most/4) }
 
-// evict closes the connection that can best be done without: one that has ended, one that has said nothing or
-// half of something, or one with nothing open, the one of longest standing first.
+// evict closes the connection that can best be done without. What has come on it is read first, since a request
+// may be on its way: the rules hold it for taken, and others of its key wait for its end.
 func (l *listener) evict() bool {
-	var worst *client
-	rank := 0
+	for range mostLooks {
+		c := l.leastNeeded()
+		if c == nil {
+			return false
+		}
+		if c.ready(unix.EPOLLIN); c.ending || c.idle() && c.part != l.s.now {
+			c.end()
+		}
+		if c.closed {
+			return true
+		}
+	}
+	return false
+}
+
+// leastNeeded is a connection that has ended, one that has said nothing or half of something for a while, or one
+// with nothing open; of these the one of longest standing. One that has only just come is about to send, unless
+// such as these take half of all places.
+func (l *listener) leastNeeded() (least *client) {
+	silent := 0
+	for c := range l.clients {
+		if !c.spoke && !c.ending {
+			silent++
+		}
+	}
+	rank := -1
 	for c := range l.clients {
 		r := 0
-		switch {
+		switch old := l.s.now-c.since >= freshFor; {
 		case c.ending:
 			r = 4
-		case len(c.open) > 0 || c.out.Len() > 0:
+		case !c.idle():
 			continue
-		case !c.spoke:
+		case !c.spoke && (old || silent > l.most/2):
 			r = 3
-		case c.part != 0:
+		case c.spoke && c.part != 0:
 			r = 2
-		default:
+		case c.spoke:
 			r = 1
 		}
-		if r > rank || r == rank && c.since < worst.since {
-			worst, rank = c, r
+		if r > rank || r == rank && c.since < least.since {
+			least, rank = c, r
 		}
 	}
-	if worst == nil {
-		return false
-	}
-	worst.end()
-	return true
+	return least
 }
 
+// idle says whether nothing is owed to the client.
+func (c *client) idle() bool { return len(c.open) == 0 && c.out.Len() == 0 && !c.queued }
+
 // relieve ends the client that holds the most storage, where all of it is taken.
 func (l *listener) relieve() {
 	var most *client
@@ -470,9 +495,13 @@
 // Served passes the rows on.
 func (w *waiting) Served(rows []byte) { w.answer(thrift.Answer("call", w.seq, rows, nil, true)) }
 
-// Refused tells when to come back.
+// Refused tells when to come back, where that is allowed.
 func (w *waiting) Refused(after gateway.Micros) {
-	w.answer(thrift.Shed(w.seq, map[string]string{"pushback": strconv.FormatInt((after+ms-1)/ms, 10)}))
+	fields := map[string]string{}
+	if w.c.l.s.cfg.Settings.Limits.RetryAfter {
+		fields["pushback"] = strconv.FormatInt((after+ms-1)/ms, 10)
+	}
+	w.answer(thrift.Shed(w.seq, fields))
 }
 
 // Failed promises nothing.
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -504,7 +504,7 @@
 
 // release gives a connection to the next job that waits for one, or keeps it.
 func (c *conn) release(usable bool) {
-	if !usable {
+	if !usable || c.engine.removed && len(c.engine.waiting) == 0 {
 		c.end()
 		return
 	}
