Send a silent DELETE again, and ask again as soon as an engine passes a call over

And each silence was waited for 1 s although the engine was heard meanwhile.

Now what is not heard of twice is given up by DELETE, a DELETE is sent again on a new connection, a POST of which the engine knows nothing is ended by a DELETE once its 2 s unasked are over. Silence counts after 350 ms where the engine has answered others 300 ms after the call, and an answer in part after 100 ms.

Ruled out: answers that end a load too early (each result 6 followed a 204), lines of keys in the module.

--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -342,6 +342,8 @@
 		switch {
 		case c.method == "GET":
 			w.WriteHeader(500)
+		case c.method == "DELETE":
+			w.WriteHeader(204)
 		case posts.Add(1) == 1:
 			raw(w, "", false)
 		default:
@@ -355,6 +357,59 @@
 	require.Len(t, p, 2)
 	assert.GreaterOrEqual(t, p[1].at.Sub(p[0].at), 2*time.Second)
 	assert.Len(t, r.got("GET", "/"), 1)
+	require.Len(t, r.got("DELETE", "/"), 1, "what came late is not ended")
+	assert.Less(t, r.got("DELETE", "/")[0].at, p[1].at)
+}
+
+// A DELETE that is met with silence may not have arrived: it is sent again on another connection, and the next
+// attempt waits for its answer. Waiting for the engine to give up by itself let attempts overlap.
+func TestSilentDeleteIsSentAgain(t *testing.T) {
+	var deletes atomic.Int32
+	r := start(t, 1, func(r *rig, w http.ResponseWriter, c call) {
+		switch {
+		case c.method == "DELETE" && deletes.Add(1) == 1:
+			raw(w, "", false)
+		case c.method == "DELETE":
+			w.WriteHeader(204)
+		case deletes.Load() > 1:
+			serve(w, row)
+		default:
+			time.Sleep(20 * time.Millisecond)
+			w.WriteHeader(202)
+		}
+	})
+	c := r.client()
+	c.lookup(1, "9000")
+	assert.Equal(t, "answer", c.read().what)
+	assert.Len(t, r.got("POST", "/"), 2)
+	assert.Len(t, r.got("DELETE", "/"), 2)
+}
+
+// Where an engine goes on to answer others, a silent connection is not waited for as if it stood still.
+func TestSilentConnectionOfALiveEngine(t *testing.T) {
+	for range 5 { // a slow machine may miss the second
+		r := start(t, 1, func(r *rig, w http.ResponseWriter, c call) {
+			if c.method == "POST" && c.header.Get("Request-Id") == id(1) {
+				raw(w, "", false)
+				return
+			}
+			if strings.Contains(c.path, id(1)) {
+				serve(w, row)
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+			w.WriteHeader(202)
+		})
+		c := r.client()
+		c.load2(2)
+		c.load2(1)
+		require.Equal(t, "answer", c.read().what)
+		post, asked := r.got("POST", "/"), r.await(1, "GET", "/v1/store/"+id(1))
+		if asked[0].at.Sub(post[1].at) < 900*time.Millisecond {
+			return
+		}
+	}
+	t.Error("the silence was waited for")
 }
 
 // A connection that is reset before it has carried anything costs neither the query nor its engine.
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	silentAfter  = 1000 * ms // an engine answers each call within 250 ms, and stands still for 600 at most
-	partAfter    = 300 * ms  // an answer comes at one go
+	answerWithin = 300 * ms  // an engine answers each call within 250 ms
+	silentAfter  = 1000 * ms // and stands still for 600 at most, unless it is heard on other connections
+	suspectFor   = 50 * ms
+	partAfter    = 100 * ms  // an answer comes at one go
 	unaskedAfter = 2350 * ms // an engine gives up what nobody has asked for in 2 s; one ask may last 250 ms
 	mostResumes  = 3         // connections, one after another, on which a query is asked after again
 	mostRedials  = 2         // connections that may break before they carry anything of a query
@@ -41,6 +43,7 @@
 	idle    []*conn // the last used one last
 	conns   int
 	jobs    int
+	heard   Micros // when it last answered anything
 	removed bool   // and forgotten once nothing of it is left
 	waiting []*job // for a connection, where no descriptor is left: in turn
 }
@@ -55,6 +58,7 @@
 	asked   Micros // when the engine was last asked, if ever
 	posted  bool   // some of the POST may have reached the engine
 	doubt   bool   // the POST may not have been read yet, and may be later
+	last    bool   // the DELETE that ends the doubt is out
 	giveUp  bool   // to be dropped once the POST is answered
 	resumes int    // since the last answer
 	redials int
@@ -71,6 +75,7 @@
 	busy       bool // a call is out
 	connecting bool
 	since      Micros // of the call, the dial or the last use
+	suspect    Micros // since when other answers have overtaken this one; 0: none has
 	part       Micros // since when the answer has come in part; 0: it has not
 	size       int    // bytes of the call
 }
@@ -298,15 +303,21 @@
 }
 
 // unheard settles a job whose call has been met with silence. The machine may be gone, so only a new
-// connection can tell; where none comes up the query is left until its engine has given it up. A POST may
-// still be read, and a DELETE is not to overtake it.
+// connection can tell; where none comes up the query is left until its engine has given it up. One that is
+// not heard of twice is given up: what was asked may reach the engine late, so that waiting proves less than
+// the answer to a DELETE. A POST may still be read, and a DELETE is not to overtake it.
 func (p *pool) unheard(j *job) {
 	j.conn = nil
-	if j.resumes++; j.attempt == nil || j.resumes > 1 || j.giveUp || j.query.Dropping() {
+	j.resumes++
+	switch {
+	case j.attempt == nil || j.last || j.resumes > mostResumes || j.doubt:
 		return
+	case j.query.Posting():
+		j.doubt = true
+		j.query.Resume()
+	case j.resumes > 1:
+		j.query.Drop()
 	}
-	j.doubt = j.doubt || j.query.Posting()
-	j.query.Resume()
 	p.dial(j)
 }
 
@@ -346,7 +357,7 @@
 			}
 		case c.busy && c.part != 0 && now-c.part >= partAfter:
 			c.fail(true)
-		case c.busy && age >= silentAfter:
+		case c.busy && (age >= silentAfter || c.passedOver(now)):
 			c.end()
 			if j != nil {
 				p.unheard(j)
@@ -371,16 +382,33 @@
 				j.conn.end()
 				j.conn = nil
 			}
+			if j.doubt && !j.last { // if the POST has come late after all, this ends it
+				j.last, j.asked = true, now-unaskedAfter+silentAfter
+				j.query.Drop()
+				p.dial(j)
+				continue
+			}
 			p.finish(j, decide.Reset)
 		}
 	}
 }
 
+// passedOver says that the engine has gone on to answer others when this call's answer was due.
+func (c *conn) passedOver(now Micros) bool {
+	switch {
+	case c.engine.heard < c.since+answerWithin:
+		return false
+	case c.suspect == 0: // after a standstill all answers come at once
+		c.suspect = now
+	}
+	return now-c.suspect >= suspectFor
+}
+
 // call writes the next call of the connection's job.
 func (c *conn) call() {
 	j := c.job
 	b := j.query.Call()
-	c.busy, c.since, c.size, c.part = true, c.p.s.now, len(b), 0
+	c.busy, c.since, c.size, c.part, c.suspect = true, c.p.s.now, len(b), 0, 0
 	if !j.query.Dropping() {
 		j.asked = c.since
 	}
@@ -462,6 +490,7 @@
 // answer takes a whole answer; what follows goes out at once over the same connection.
 func (c *conn) answer(r rest.Response, more bool) {
 	j := c.job
+	c.engine.heard = c.p.s.now
 	result, ended, err := decide.Done, false, error(nil)
 	if j != nil {
 		result, ended, err = j.query.Take(r)
