A refused connection is no end while an engine is heard on others: it drains

A log of each load's calls showed it: at 15.56 s a load that was not heard of dialled anew, was refused, counted as 'reset' and let its key go on, while the same engine answered a DELETE at 15.77 s and POSTs until 17.03 s on connections it had.

At fault: pool.lost, which took each refused connection under a started query for the end of the process. It proves only that what was to be sent anew never ran.

Now such a query waits for one of the connections that the engine has left. So a crash is still seen at once: its connections end, and the next is refused. TestDrainingEngineRefusesConnections fails without it.

--- a/cmd/chutechute/harness_test.go
+++ b/cmd/chutechute/harness_test.go
@@ -52,8 +52,9 @@
 
 // engine plays an engine on a loopback socket; its answers are the test's.
 type engine struct {
-	name string
-	addr *net.TCPAddr
+	name   string
+	addr   *net.TCPAddr
+	server *httptest.Server
 }
 
 // rig is a front end that runs, with its journal service and engines.
@@ -122,6 +123,7 @@
 			}
 		}
 		server.Start()
+		e.server = server
 		e.addr = server.Listener.Addr().(*net.TCPAddr)
 		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
 		r.engines = append(r.engines, e)
--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -385,6 +385,32 @@
 	assert.Len(t, r.got("DELETE", "/"), 2)
 }
 
+// An engine that drains refuses new connections and runs on: a query that has lost its connection is asked after
+// on one that is left. Taken for gone, its key's next query was sent beside it.
+func TestDrainingEngineRefusesConnections(t *testing.T) {
+	var asked atomic.Int32
+	r := start(t, 1, func(r *rig, w http.ResponseWriter, c call) {
+		switch {
+		case c.method == "GET" && strings.Contains(c.path, id(2)) && asked.Add(1) == 1:
+			r.engines[0].server.Listener.Close()
+			raw(w, "", false)
+		case c.method == "GET" && strings.Contains(c.path, id(2)):
+			serve(w, row)
+		default:
+			time.Sleep(20 * time.Millisecond)
+			w.WriteHeader(202)
+		}
+	})
+	c := r.client()
+	c.load2(1) // keeps a connection
+	r.await(1, "GET", "/v1/store/"+id(1))
+	c.load(2, "9000")
+	p := c.read()
+	require.Equal(t, "answer", p.what)
+	assert.Equal(t, row, p.body())
+	assert.Len(t, r.got("POST", "/"), 2)
+}
+
 // Where an engine goes on to answer others, a silent connection is not waited for as if it stood still.
 func TestSilentConnectionOfALiveEngine(t *testing.T) {
 	for range 5 { // a slow machine may miss the second
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -57,6 +57,7 @@
 	begun   Micros
 	asked   Micros // when the engine was last asked, if ever
 	posted  bool   // some of the POST may have reached the engine
+	cut     bool   // its last connection was ended by the engine
 	doubt   bool   // the POST may not have been read yet, and may be later
 	last    bool   // the DELETE that ends the doubt is out
 	giveUp  bool   // to be dropped once the POST is answered
@@ -269,15 +270,21 @@
 	return true
 }
 
-// lost settles a job that has no connection. What was never posted never ran. Where the engine's process
-// is gone nothing runs any more; a silent one is left until it has given up by itself.
+// lost settles a job that has no connection. What was never posted never ran. One that drains refuses new
+// connections and runs on, so the job waits for one of those that are left. Where there is none and the engine has
+// ended the last, its process is gone and nothing runs any more; else it is left until it has given up by itself.
 func (p *pool) lost(j *job, refused bool) {
 	j.conn = nil
-	switch {
+	switch e := j.engine; {
 	case !j.posted:
 		p.finish(j, decide.NoConnection)
-	case refused:
+	case refused && e.conns > 0:
+		e.wait(j)
+	case refused && j.cut:
 		p.finish(j, decide.Reset)
+		if next := e.next(); next != nil {
+			p.carry(next)
+		}
 	}
 }
 
@@ -286,6 +293,7 @@
 // it is asked after on another connection. One that comes spoilt again and again is given up.
 func (p *pool) broken(j *job, arrived bool) {
 	j.conn = nil
+	j.cut = !arrived
 	j.resumes++
 	switch {
 	case j.attempt == nil:
@@ -307,7 +315,7 @@
 // not heard of twice is given up: what was asked may reach the engine late, so that waiting proves less than
 // the answer to a DELETE. A POST may still be read, and a DELETE is not to overtake it.
 func (p *pool) unheard(j *job) {
-	j.conn = nil
+	j.conn, j.cut = nil, false
 	j.resumes++
 	switch {
 	case j.attempt == nil || j.last || j.resumes > mostResumes || j.doubt:
