--- a/decide/api.go
+++ b/decide/api.go
@@ -213,6 +213,10 @@
 		Cost     Micros  // told work on one thread, 0 if not told
 		MemoryMB float64 // told need, 0 if not told
 		Group    int     // table group
+		Unsafe   bool    // a second execution would do harm, whatever the class says
+		Single   bool    // no second attempt, even where the first never ran
+		Guessed  bool    // Cost is the gateway's own estimate
+		Measured bool    // a Measure is wanted when it is served
 	}
 	// Started tells that a streamed answer began.
 	Started struct {
@@ -306,6 +310,12 @@
 		At    Micros
 		Token string
 	}
+	// Measure tells how long a served attempt took, and how many times longer than at its best for the load.
+	Measure struct {
+		ID       uint64
+		Elapsed  Micros
+		Slowdown float64 // 1 at the least
+	}
 	// Log adds a line to the operators' log.
 	Log struct{ Text string }
 )
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,6 +38,7 @@
 	engineDecay  = 0.15       // an engine is judged on fewer: it must show within a second or two
 	bestDrift    = 0.01       // a second; lets the best ratio follow a lasting change
 	pressureAt   = 2.0        // times the best ratio: beyond scatter, well before aims are missed
+	guessedBest  = 0.5        // of a query's work over its threads: none takes less, where no cost is told
 	bestOfAim    = 0.25       // of the aim at most is taken for the best, should we start under load
 	fullMemory   = Second     // a full refusal is of late, and without a measure a price sinks to the best
 	fullPause    = sweepEvery // between sends to an engine that was full of late
@@ -276,7 +277,7 @@
 func (d *Dispatcher) request(r Request) {
 	c := d.classes[r.Class]
 	q := &query{Request: r, class: c, arrived: d.now, asked: d.now, held: true, priority: -1}
-	q.lot = d.rng.Float64()
+	q.lot, c.guessed = d.rng.Float64(), c.guessed || r.Guessed
 	if c.estimate == 0 { // the first query seeds the ratio to the class's aim
 		c.estimate, c.latency = q.estimate(), float64(c.Aim)
 	}
@@ -429,7 +430,7 @@
 
 // refusable says whether a retry would do no harm.
 func (d *Dispatcher) refusable(q *query) bool {
-	if q.class.Repeat == Safe || q.class.Repeat == Keyed && q.class.Scope == ScopeAll {
+	if q.repeat() == Safe || q.repeat() == Keyed && q.class.Scope == ScopeAll {
 		return true
 	}
 	return !slices.ContainsFunc(q.attempts, func(a attempt) bool { return !a.harmless })
@@ -625,7 +626,7 @@
 
 // mayGo holds the rules that bind a query whatever the engine.
 func (d *Dispatcher) mayGo(q *query) bool {
-	if q.answered || len(q.attempts) >= d.cfg.Limits.MaxAttempts || q.open > 0 {
+	if q.answered || len(q.attempts) >= d.mostAttempts(q) || q.open > 0 {
 		return false
 	}
 	if q.line != nil && (q.line.queue[0] != q || q.line.quiet > d.now && q.line.except != q) {
@@ -644,15 +645,23 @@
 		d.effectSafe(q, e) && d.coldRoom(q, e)
 }
 
+// mostAttempts is how often a query may be sent.
+func (d *Dispatcher) mostAttempts(q *query) int {
+	if q.Single {
+		return 1
+	}
+	return d.cfg.Limits.MaxAttempts
+}
+
 // effectSafe says whether a send to e cannot make an effect happen twice.
 func (d *Dispatcher) effectSafe(q *query, e *engine) bool {
 	for _, a := range q.attempts {
-		if a.harmless || q.class.Repeat == Safe {
+		if a.harmless || q.repeat() == Safe {
 			continue
 		}
 		same := q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && a.zone == e.Zone ||
 			q.class.Scope == ScopeCell && a.cell == e.Cell
-		if q.class.Repeat == Unsafe || !same || d.now >= a.at+q.class.Window {
+		if q.repeat() == Unsafe || !same || d.now >= a.at+q.class.Window {
 			return false
 		}
 	}
@@ -704,7 +713,7 @@
 	}
 	d.terms(q)
 	timeout := Micros(0)
-	if !d.cfg.Limits.Cancel && q.class.Repeat == Safe { // what can't be called off must end by itself
+	if !d.cfg.Limits.Cancel && q.repeat() == Safe { // what can't be called off must end by itself
 		timeout = Micros(q.class.patience() * exec)
 	}
 	d.do(Send{ID: q.ID, Engine: e.Engine, Timeout: timeout})
@@ -774,7 +783,7 @@
 
 // again says whether a further attempt could still serve the query.
 func (d *Dispatcher) again(q *query) bool {
-	if len(q.attempts) >= d.cfg.Limits.MaxAttempts || d.now+2*sweepEvery >= q.Deadline {
+	if len(q.attempts) >= d.mostAttempts(q) || d.now+2*sweepEvery >= q.Deadline {
 		return false
 	}
 	return slices.ContainsFunc(d.engines, func(e *engine) bool { return d.effectSafe(q, e) })
@@ -784,6 +793,9 @@
 func (d *Dispatcher) judge(q *query, a *attempt, o Outcome) {
 	switch o.Result {
 	case Done:
+		if q.Measured {
+			d.do(Measure{ID: q.ID, Elapsed: o.Elapsed, Slowdown: d.slowdown(q, a)})
+		}
 		d.measure(q, a, float64(o.Elapsed))
 		d.heard(a.engine)
 	case Full:
@@ -808,6 +820,11 @@
 	}
 }
 
+// slowdown is how many times its best latency a query is held to have taken for the load on its engine.
+func (d *Dispatcher) slowdown(q *query, a *attempt) float64 {
+	return max(1, q.class.latency/q.class.estimate/q.class.best) * max(1, d.relative(a.engine))
+}
+
 // learn moves the class's ratio; one bad plan or wait for a load says little of the class and is clipped.
 func (d *Dispatcher) learn(q *query, latency float64) {
 	price := d.price(q)
@@ -827,6 +844,9 @@
 	c.latency += weight * (latency - c.latency)
 	c.estimate += weight * (estimate - c.estimate)
 	c.best = min(c.best, c.latency/c.estimate, bestOfAim*float64(c.aimFor(c.work))/c.estimate)
+	if c.guessed { // by estimates that were too high and have been put right, load would be seen for good
+		c.best = max(c.best, guessedBest/float64(c.Threads))
+	}
 	c.measuredAt = d.now
 }
 
@@ -856,7 +876,7 @@
 
 // trial lets one harmless query at a time try an ejected engine.
 func (d *Dispatcher) trial(q *query, e *engine) bool {
-	return e.out && d.now >= e.trialAt && e.own == 0 && q.class.Repeat == Safe && len(q.attempts) == 0
+	return e.out && d.now >= e.trialAt && e.own == 0 && q.repeat() == Safe && len(q.attempts) == 0
 }
 
 // sweep is run every few milliseconds while anything is held or out.
@@ -906,8 +926,8 @@
 		return
 	}
 	left := float64(q.Deadline - d.now)
-	if !d.cfg.Limits.Cancel || q.class.Repeat != Safe || left < 2*d.price(q) || a.planned ||
-		len(q.attempts) >= d.cfg.Limits.MaxAttempts ||
+	if !d.cfg.Limits.Cancel || q.repeat() != Safe || left < 2*d.price(q) || a.planned ||
+		len(q.attempts) >= d.mostAttempts(q) ||
 		age < q.class.patience()*max(a.exec, d.price(q))*max(1, d.relative(a.engine)) {
 		return
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -94,6 +94,7 @@
 	longest           Micros  // time left of first tries
 	scatter           float64 // usual error of a price, as a share of it
 	blocked           bool    // in this release no engine can take one
+	guessed           bool    // some of its costs are the gateway's own estimates
 	own               int     // attempts out
 	chance            float64 // of a held query to find room, by the last sum
 	work              float64 // usual work of one query
@@ -230,6 +231,14 @@
 	e.granted += float64(n) * q.MemoryMB
 }
 
+// repeat is what a second execution would do: that of the class, or worse.
+func (q *query) repeat() Repeat {
+	if q.Unsafe {
+		return Unsafe
+	}
+	return q.class.Repeat
+}
+
 // estimate is the told work, or one for all where none is told.
 func (q *query) estimate() float64 {
 	if q.Cost > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"chutechute/decide"
 	"chutechute/internal/counters"
 	"chutechute/internal/settings"
+	"chutechute/statement"
 )
 
 // Micros is a time or a span in microseconds.
@@ -25,14 +26,17 @@
 	busyAfter = decide.Second / 2
 )
 
-// Call is a request as the core sees it. ID, Once and Statement go to engines byte for byte.
+// Call is a request as the core sees it. ID, Once and Statement go to engines byte for byte. Class may be left
+// out where statements are read.
 type Call struct {
 	ID, Class, Tenant, Key, Once string
 	TTL                          Micros // how long the client waits, from the request's last byte
 	Cost                         Micros // 0: not told
 	MemoryMB                     float64
-	Group                        int
 	Statement                    []byte
+	Group                        int // of tables; Take finds it
+
+	toldCost, toldMB float64 // what the client told, where Take has filled in the rest
 }
 
 // Caller waits for the final answer to one request; one of the three is called, once.
@@ -60,8 +64,10 @@
 	due      *timer // for that
 	answered bool
 	grantMB  float64
-	attempts []*Attempt
-	out      int // attempts that have not ended
+	// completion is what was read of the statement; nil where that is off.
+	completion *statement.Completion
+	attempts   []*Attempt
+	out        int // attempts that have not ended
 }
 
 // Attempt is one send of a request to an engine.
@@ -92,19 +98,20 @@
 	engines  Engines
 	count    *counters.Set
 
-	now       Micros
-	seed      uint64
-	lastID    uint64
-	lastTimer uint64
-	events    []decide.Event
-	open      map[uint64]*Request
-	ids       map[string]bool // the clients' ids of open requests
-	held      int             // bytes of their statements
-	out       int             // attempts that have not ended
-	bounds    Bounds
-	timers    timers
-	acting    bool       // the module's actions are being carried out
-	late      []*Request // cancelled meanwhile
+	now        Micros
+	seed       uint64
+	lastID     uint64
+	lastTimer  uint64
+	events     []decide.Event
+	open       map[uint64]*Request
+	ids        map[string]bool // the clients' ids of open requests
+	held       int             // bytes of their statements
+	out        int             // attempts that have not ended
+	bounds     Bounds
+	timers     timers
+	statements statements
+	acting     bool       // the module's actions are being carried out
+	late       []*Request // cancelled meanwhile
 }
 
 // New builds a front end's core.
@@ -113,8 +120,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("gateway: %w", err)
 	}
+	read, err := newStatements(s.Classes)
+	if err != nil {
+		return nil, fmt.Errorf("gateway: %w", err)
+	}
 	return &Core{settings: s, module: module, engines: engines, count: count, seed: seed, bounds: bounds,
-		open: map[uint64]*Request{}, ids: map[string]bool{}}, nil
+		open: map[uint64]*Request{}, ids: map[string]bool{}, statements: read}, nil
 }
 
 // Bound puts other bounds into force; what is open stays.
@@ -132,8 +143,9 @@
 // Take takes a request in whose last byte came now. The answer goes to caller, which is not called if
 // there is an error.
 func (c *Core) Take(now Micros, call *Call, caller Caller) (*Request, error) {
+	bare := call.Class == "" && c.statements.complete
 	class, ok := c.settings.ClassOf[call.Class]
-	if !ok {
+	if !ok && !bare {
 		return nil, ErrClass
 	}
 	tenant := -1
@@ -145,14 +157,18 @@
 	if call.TTL <= 0 {
 		return nil, ErrTTL
 	}
-	if call.Once == "" && c.settings.Classes[class].Repeat == decide.Keyed {
+	if call.Once == "" && !c.statements.complete && c.settings.Classes[class].Repeat == decide.Keyed {
 		return nil, ErrOnce // engines could not tell its repeats
 	}
 	if c.ids[call.ID] {
 		return nil, ErrTwice
 	}
+	read, err := c.statements.read(call, class, !bare)
+	if err != nil {
+		return nil, fmt.Errorf("statement: %w", err)
+	}
 	c.count.Taken++
-	r := &Request{Call: call, id: c.newID(), caller: caller, deadline: now + call.TTL - margin}
+	r := &Request{Call: call, id: c.newID(), caller: caller, deadline: now + call.TTL - margin, completion: read}
 	if len(c.open) >= c.bounds.Open || c.held+len(call.Statement) > c.bounds.Held {
 		r.refuse(c, busyAfter)
 		return r, nil
@@ -160,8 +176,13 @@
 	c.open[r.id] = r
 	c.ids[call.ID] = true
 	c.held += len(call.Statement)
-	c.events = append(c.events, decide.Request{ID: r.id, Class: class, Tenant: tenant, Key: call.Key,
-		Deadline: r.deadline, Cost: call.Cost, MemoryMB: call.MemoryMB, Group: call.Group})
+	event := decide.Request{ID: r.id, Class: class, Tenant: tenant, Key: call.Key,
+		Deadline: r.deadline, Cost: call.Cost, MemoryMB: call.MemoryMB, Group: call.Group}
+	if read != nil {
+		event.Class, event.Unsafe, event.Single = read.Class, read.Unsafe, read.Single
+		event.Guessed, event.Measured = read.Guessed, true
+	}
+	c.events = append(c.events, event)
 	r.due = c.after(r.deadline, func() { c.expire(r) })
 	return r, nil
 }
@@ -236,6 +257,7 @@
 	if result == decide.Done && !a.answered {
 		a.answered = true
 		c.count.Served++
+		c.statements.served(a.Request)
 		a.caller.Served(rows)
 	}
 	c.events = append(c.events, decide.Outcome{ID: a.id, Attempt: a.number, Engine: a.Engine, Result: result,
@@ -275,6 +297,7 @@
 			c.act(action)
 		}
 		c.acting = false
+		clear(c.statements.ended)
 		late := c.late
 		c.late = nil
 		for _, r := range late {
@@ -320,6 +343,8 @@
 		c.engines.Probe(a.Engine)
 	case decide.SetTimer:
 		c.after(a.At, func() { c.events = append(c.events, decide.Timer{Token: a.Token}) })
+	case decide.Measure:
+		c.statements.measured(a, c.now)
 	case decide.Log:
 		slog.Info(a.Text)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 	"chutechute/gateway"
 	"chutechute/internal/journal"
 	"chutechute/internal/settings"
+	"chutechute/statement"
 )
 
 // Defaults for what a configuration leaves out.
@@ -39,11 +40,47 @@
 	Known    []journal.Event
 	LastPos  uint64
 
-	settings []byte // as they stand in the file, but for white space
+	// Installation is the path of the installation file; empty without one.
+	Installation string
+	// Statements are the options for reading statements; nil where that is off.
+	Statements *statement.Options
+
+	installation *Installation
+	settings     []byte // as they stand in the file, but for white space
+}
+
+// Load reads the configuration that the environment names, and the installation file where a path is given.
+func Load(getenv func(string) string, installation string) (*Config, error) {
+	c, err := load(getenv)
+	if err != nil || installation == "" {
+		return c, err
+	}
+	if c.installation, err = ReadInstallation(installation); err != nil {
+		return nil, err
+	}
+	c.Installation = installation
+	return c, c.under(c.Settings)
+}
+
+// under checks the installation against the site's settings that are in force.
+func (c *Config) under(s *settings.Settings) (err error) {
+	if c.installation != nil {
+		c.Statements, err = c.installation.Statement.options(Classes(s), c.MemoryMB)
+	}
+	return err
+}
+
+// Reload reads the configuration and the installation file again. The latter is checked against the settings
+// in force, which a reload does not change.
+func (c *Config) Reload(getenv func(string) string) (*Config, error) {
+	next, err := Load(getenv, c.Installation)
+	if err != nil {
+		return nil, err
+	}
+	return next, next.under(c.Settings)
 }
 
-// Load reads the configuration that the environment names.
-func Load(getenv func(string) string) (*Config, error) {
+func load(getenv func(string) string) (*Config, error) {
 	path := getenv("NODE_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("config: NODE_CONFIG is not set")
@@ -128,6 +165,7 @@
 func (c *Config) With(next *Config) *Config {
 	now := *c
 	now.Journal, now.MemoryMB, now.Sockets = next.Journal, next.MemoryMB, next.Sockets
+	now.Statements = next.Statements
 	return &now
 }
 
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -40,6 +40,13 @@
 	Reloaded    int `name:"configurations taken over"`
 	Rejected    int `name:"configurations rejected"`
 
+	ShapeHits   int `name:"statements of a known shape"`
+	ShapeMisses int `name:"statements parsed"`
+	Unparsed    int `name:"statements that could not be parsed"`
+	Learned     int `name:"outcomes learned from"`
+	Shapes      int `name:"shapes kept"`
+	ShapeBytes  int `name:"bytes of shapes kept"`
+
 	LongestTurn int `name:"longest turn of the loop in microseconds"`
 }
 
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -12,7 +12,6 @@
 
 	"chutechute/gateway"
 	"chutechute/internal/ring"
-	"chutechute/internal/sqltext"
 	"chutechute/internal/thrift"
 )
 
@@ -354,7 +353,7 @@
 func readCall(m thrift.Message) (*gateway.Call, error) {
 	f := m.Fields
 	call := &gateway.Call{ID: f["call"], Class: f["op"], Tenant: f["org"], Key: f["row"], Once: f["dedupe"],
-		Statement: m.Body, Group: sqltext.Group(string(m.Body))}
+		Statement: m.Body}
 	if len(call.ID) != 16 || strings.Trim(call.ID, "0123456789abcdefABCDEF") != "" {
 		return nil, fmt.Errorf("call: %.80q is no id", call.ID)
 	}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -55,6 +55,9 @@
 	if s.core, err = gateway.New(cfg.Settings, cfg.Seed, cfg.Bounds(), s.pool, &s.count); err != nil {
 		return nil, err
 	}
+	if err = s.core.ReadStatements(cfg.Statements); err != nil {
+		return nil, fmt.Errorf("installation: statement.%w", err)
+	}
 	s.feed = newFeed(s)
 	if s.wake, err = newWaker(s); err != nil {
 		return nil, err
@@ -98,7 +101,7 @@
 			}
 		}
 		if s.life.Phase() == gateway.Stopped {
-			s.count.Print(s.log)
+			s.print()
 			return nil
 		}
 	}
@@ -143,7 +146,12 @@
 
 // reload puts a new configuration into force, once the whole file has been read and checked, or keeps the old.
 func (s *Server) reload() {
-	cfg, err := config.Load(os.Getenv)
+	cfg, err := s.cfg.Reload(os.Getenv)
+	if err == nil {
+		if err = s.core.ReadStatements(cfg.Statements); err != nil {
+			err = fmt.Errorf("installation: statement.%w", err)
+		}
+	}
 	if err != nil {
 		s.count.Rejected++
 		slog.Error("reload: the old configuration stays in force", "error", err)
@@ -169,6 +177,14 @@
 // Drain begins a planned end. It may be called from any goroutine.
 func (s *Server) Drain() { s.wake.send(wakeDrain) }
 
+// print prints the counters, those of the statement reader among them.
+func (s *Server) print() {
+	c := s.core.StatementCounts()
+	s.count.ShapeHits, s.count.ShapeMisses, s.count.Unparsed = c.Hits, c.Misses, c.Failures
+	s.count.Learned, s.count.Shapes, s.count.ShapeBytes = c.Learned, c.Shapes, c.Bytes
+	s.count.Print(s.log)
+}
+
 // PrintCounters prints the counters. It may be called from any goroutine.
 func (s *Server) PrintCounters() { s.wake.send(wakePrint) }
 
@@ -206,7 +222,7 @@
 	}
 	told := binary.NativeEndian.Uint64(b[:])
 	if told%wakeReload != 0 {
-		w.s.count.Print(w.s.log)
+		w.s.print()
 	}
 	if told%wakeDrain >= wakeReload {
 		w.s.reload()
--- /dev/null
+++ b/internal/standin/rig.go
@@ -0,0 +1,199 @@
+// Package standin plays what surrounds a front end: its clients, its engines and its journal service, written from
+// the protocol and apart from the program's own codecs. Tests and tools share it. All of it stays on loopback
+// addresses.
+package standin
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Patience bounds each wait; nothing is timed by it.
+const Patience = 20 * time.Second
+
+// Rig is a front end that runs, with its journal service and engines.
+type Rig struct {
+	T        *testing.T
+	Program  string // that is started
+	Args     []string
+	Env      []string // besides NODE_CONFIG
+	Cmd      *exec.Cmd
+	Addr     string // where the front end listens
+	Log      *LockedBuffer
+	Exited   chan error
+	Journal  net.Listener
+	Mu       sync.Mutex
+	Calls    []Call
+	Engines  []*Engine
+	Settings map[string]any
+	Sockets  int
+	MemoryMB int
+	Conns    func(net.Conn, http.ConnState) // sees the engines' connections
+	Config   map[string]any
+	Path     string // of the configuration
+}
+
+// Build builds the program in the current folder into a new one; the caller removes that.
+func Build() (program string, remove func(), err error) {
+	dir, err := os.MkdirTemp("", "chutechute")
+	if err != nil {
+		return "", nil, err
+	}
+	remove = func() { os.RemoveAll(dir) }
+	program = filepath.Join(dir, "chutechute")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		remove()
+		return "", nil, fmt.Errorf("go build: %w: %s", err, out)
+	}
+	return program, remove, nil
+}
+
+// Start runs the program with engines that answer so.
+func Start(t *testing.T, program string, engines int, do Answer, change ...func(*Rig)) *Rig {
+	r := &Rig{T: t, Program: program, Log: &LockedBuffer{}, Exited: make(chan error, 1), Sockets: 1024, MemoryMB: 192}
+	require.NoError(t, json.Unmarshal([]byte(Settings), &r.Settings))
+	for i := range engines {
+		e := &Engine{Name: fmt.Sprintf("s-%08x", i+1)}
+		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
+			body, _ := io.ReadAll(req.Body)
+			c := Call{e.Name, req.Method, req.URL.Path, req.Header, string(body), time.Now()}
+			r.Mu.Lock()
+			r.Calls = append(r.Calls, c)
+			r.Mu.Unlock()
+			do(r, w, c)
+		}))
+		server.Config.ConnState = func(conn net.Conn, state http.ConnState) {
+			if r.Conns != nil {
+				r.Conns(conn, state)
+			}
+		}
+		server.Start()
+		e.Server = server
+		e.Addr = server.Listener.Addr().(*net.TCPAddr)
+		t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+		r.Engines = append(r.Engines, e)
+	}
+	var err error
+	r.Journal, err = net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { r.Journal.Close() })
+	for _, f := range change {
+		f(r)
+	}
+	var targets []any
+	for _, e := range r.Engines {
+		targets = append(targets, map[string]any{"uid": e.Name, "endpoint": e.Addr.String(), "az": "a",
+			"model": "k", "pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0})
+	}
+	r.Run(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+		"limits":  map[string]any{"cores": 1, "memory_mb": r.MemoryMB, "sockets": r.Sockets},
+		"journal": r.Journal.Addr().String(), "settings": r.Settings,
+		"known": map[string]any{"pos": 41, "entries": []any{map[string]any{"pos": 41,
+			"hosts": map[string]any{"rev": 1, "all": true, "targets": targets}}}}})
+	listen := regexp.MustCompile(`listen=(\S+)`)
+	require.Eventually(t, func() bool {
+		if m := listen.FindStringSubmatch(r.Log.String()); m != nil {
+			r.Addr = m[1]
+		}
+		return r.Addr != ""
+	}, Patience, time.Millisecond, "%s", r.Log)
+	return r
+}
+
+// Run starts the program; it is ended with the test, which shows its log if it failed.
+func (r *Rig) Run(config map[string]any) {
+	r.Config, r.Path = config, filepath.Join(r.T.TempDir(), "config.json")
+	r.Write()
+	r.Cmd = exec.Command(r.Program, r.Args...)
+	r.Cmd.Env = append([]string{"NODE_CONFIG=" + r.Path}, r.Env...)
+	r.Cmd.Stderr = r.Log
+	require.NoError(r.T, r.Cmd.Start())
+	go func() { r.Exited <- r.Cmd.Wait() }()
+	r.T.Cleanup(func() {
+		_ = r.Cmd.Process.Kill()
+		if r.T.Failed() {
+			r.T.Log(r.Log)
+		}
+	})
+}
+
+// Write puts the configuration into its file, in place of what was there.
+func (r *Rig) Write() {
+	text, err := json.Marshal(r.Config)
+	require.NoError(r.T, err)
+	require.NoError(r.T, os.WriteFile(r.Path+".new", text, 0o600))
+	require.NoError(r.T, os.Rename(r.Path+".new", r.Path))
+}
+
+// Signal sends the front end a signal.
+func (r *Rig) Signal(s syscall.Signal) { require.NoError(r.T, r.Cmd.Process.Signal(s)) }
+
+// PeakMB is the most memory that the program has held.
+func (r *Rig) PeakMB() (kb int) {
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", r.Cmd.Process.Pid))
+	require.NoError(r.T, err)
+	_, err = fmt.Sscanf(string(status[bytes.Index(status, []byte("VmHWM:")):]), "VmHWM: %d kB", &kb)
+	require.NoError(r.T, err)
+	return kb / 1024
+}
+
+// Got is the calls that engines have got, by method and the start of the path.
+func (r *Rig) Got(method, path string) (list []Call) {
+	r.Mu.Lock()
+	defer r.Mu.Unlock()
+	for _, c := range r.Calls {
+		if c.Method == method && strings.HasPrefix(c.Path, path) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// Await waits until that many such calls have come.
+func (r *Rig) Await(n int, method, path string) []Call {
+	r.T.Helper()
+	require.Eventually(r.T, func() bool { return len(r.Got(method, path)) >= n }, Patience, time.Millisecond)
+	return r.Got(method, path)
+}
+
+// AwaitLog waits until a text stands in the front end's log.
+func (r *Rig) AwaitLog(text string) {
+	r.T.Helper()
+	require.Eventually(r.T, func() bool { return strings.Contains(r.Log.String(), text) }, Patience, time.Millisecond)
+}
+
+// LockedBuffer is a buffer that is written and read at the same time.
+type LockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write adds to the buffer.
+func (l *LockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+// String is all that was written.
+func (l *LockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
