--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -60,7 +60,7 @@
 	a, b := r.Client(), r.Client()
 	for i := range 30 {
 		load2(a, i)
-		load2(b, 100 + i)
+		load2(b, 100+i)
 	}
 	for range 30 {
 		assert.Equal(t, "answer", a.Read().What)
@@ -77,7 +77,7 @@
 	a, b := r.Client(), r.Client()
 	for i := range 30 {
 		load2(a, i)
-		load2(b, 100 + i)
+		load2(b, 100+i)
 	}
 	r.Await(10, "POST", "/")
 	for range 18 {
@@ -529,7 +529,7 @@
 	a, b := r.Client(), r.Client()
 	for i := range 30 {
 		load2(a, i)
-		load2(b, 100 + i)
+		load2(b, 100+i)
 	}
 	require.True(t, a.Healthy() && b.Healthy(), "all are taken")
 	r.Await(10, "POST", "/")
--- /dev/null
+++ b/cmd/chutechute/statement_test.go
@@ -0,0 +1,392 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chutechute/internal/standin"
+)
+
+// rules are those of the tests: reports are what reads stats tables or takes long.
+const rules = `[{ class: 'report', tables: ['stats_*'] }, { class: 'lookup', cost_ms: 900 }, { class: 'report' }, { class: 'load' }]`
+
+// install writes an installation file and starts the program with it; a class for reports joins the site's.
+func install(t *testing.T, path, statement string) func(*standin.Rig) {
+	write(t, path, statement)
+	return func(r *standin.Rig) {
+		r.Args = []string{"serve", "--installation", path, "--log-level", "debug"}
+		classes := r.Settings["classes"].([]any)
+		r.Settings["classes"] = append(classes, map[string]any{"name": "report", "on_time": 4.0, "aim_stretch": 2.5, "give_up": 25.0,
+			"worth": 7.5, "repeat": "safe", "group": "all", "window": 5.0})
+		domain := r.Settings["domain"].(map[string]any)
+		domain["class_threads"] = []any{1, 2, 3}
+		domain["writes_tables"], domain["yields_to_loads"] = []any{false, true, false}, []any{true, false, true}
+	}
+}
+
+func write(t *testing.T, path, statement string) {
+	text := fmt.Sprintf("{ statement: { enabled: true, %s } }", statement)
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+}
+
+func file(t *testing.T) string { return filepath.Join(t.TempDir(), "installation.jsonnet") }
+
+// bare asks without class or figures.
+func bare(c *standin.Client, n int, statement string, fields ...string) int32 {
+	return c.Ask(statement, append([]string{"call", standin.ID(n), "ttl", "9000", "org", "t"}, fields...)...)
+}
+
+// Bare look-ups, reports and loads are served under the class that the rules give them, and groups are kept.
+func TestBareStatements(t *testing.T) {
+	r := start(t, 1, standin.Store(0, standin.Row), install(t, file(t), "rules: "+rules))
+	c := r.Client()
+	for i, one := range []struct{ text, kind string }{
+		{"SELECT * FROM ops_7.flights WHERE id = 3", "lookup"},
+		{"SELECT gate, sum(n) FROM stats_2.daily GROUP BY gate", "report"},
+		{"INSERT INTO ops_7.flights VALUES (1)", "load"},
+		{"WITH d AS (DELETE FROM ops_7.old RETURNING *) SELECT * FROM d", "load"},
+	} {
+		bare(c, i, one.text)
+		assert.Equal(t, "answer", c.Read().What, one.text)
+		post := r.Got("POST", "/")[i]
+		assert.Equal(t, []string{one.kind, one.text, standin.ID(i)}, []string{post.Header.Get("Kind"), post.Body,
+			post.Header.Get("Request-Id")})
+	}
+	// What is told stands before what is read.
+	bare(c, 9, "SELECT * FROM ops_7.flights WHERE id = 3", "op", "report")
+	assert.Equal(t, "answer", c.Read().What)
+	assert.Equal(t, "report", r.Got("POST", "/")[4].Header.Get("Kind"))
+	// No class of that name, whatever the statement is.
+	bare(c, 10, "SELECT 1", "op", "none")
+	assert.Equal(t, "exception", c.Read().What)
+}
+
+// Without the installation file a class has to be told.
+func TestBareStatementsAreOffByThemselves(t *testing.T) {
+	r := start(t, 1, standin.Store(0, standin.Row))
+	c := r.Client()
+	bare(c, 1, "SELECT * FROM ops_7.flights")
+	p := c.Read()
+	assert.Equal(t, "exception", p.What)
+	assert.Contains(t, p.Raw, "unknown class")
+	assert.Empty(t, r.Got("POST", "/"))
+}
+
+// resets ends each connection once a start has come whole on it, and knows nothing of the query afterwards.
+func resets(t *testing.T) standin.Answer {
+	return func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		switch c.Method {
+		case "POST":
+			standin.Raw(w, "", true)
+		case "DELETE":
+			w.WriteHeader(204)
+		default:
+			w.WriteHeader(500)
+		}
+	}
+}
+
+// A load without a key whose connection resets is answered once and runs once; so is one whose class the client has
+// told, be it a safe one. A look-up goes on elsewhere.
+func TestBareLoadRunsOnce(t *testing.T) {
+	r := start(t, 3, resets(t), install(t, file(t), "rules: "+rules))
+	c := r.Client()
+	for i, one := range []struct {
+		text   string
+		fields []string
+		posts  int
+	}{
+		{"INSERT INTO ops_7.flights VALUES (1)", nil, 1},
+		{"INSERT INTO ops_7.flights VALUES (2)", []string{"op", "load", "row", "k"}, 1},
+		{"INSERT INTO ops_7.flights VALUES (3)", []string{"op", "lookup"}, 1},
+		{"SELECT nextval('s') FROM ops_7.t FOR UPDATE", nil, 1},
+		{"DELETE FROM ops_7.t", []string{"op", "load", "dedupe", "d1"}, 2},
+	} {
+		before := len(r.Got("POST", "/"))
+		bare(c, i, one.text, one.fields...)
+		p := c.Read()
+		assert.Contains(t, []string{"fault", "shed"}, p.What, one.text)
+		if one.posts == 1 {
+			assert.Equal(t, "fault", p.What, "%s: it may have run", one.text)
+			assert.Equal(t, before+1, len(r.Got("POST", "/")), one.text)
+		} else {
+			assert.GreaterOrEqual(t, len(r.Got("POST", "/")), before+one.posts, one.text)
+		}
+	}
+	assert.True(t, c.Healthy(), "each was answered once: the next message is that of health")
+}
+
+// A statement that can't be read gets one answer: at once and with its place, or from one attempt.
+func TestUnparsable(t *testing.T) {
+	path := file(t)
+	r := start(t, 2, resets(t), install(t, path, "unparsed: 'fail', rules: "+rules))
+	c := r.Client()
+	bare(c, 1, "SELECT a\nFROM WHERE")
+	p := c.Read()
+	assert.Equal(t, "exception", p.What)
+	assert.Contains(t, p.Raw, "line 2, column 6: expected a table, found where")
+	assert.Empty(t, r.Got("POST", "/"))
+
+	write(t, path, "unparsed: 'once', unparsed_class: 'lookup', rules: "+rules)
+	r.Signal(syscall.SIGHUP)
+	r.AwaitLog("reloaded")
+	bare(c, 2, "INGEST MANIFEST INTO s_3.t")
+	assert.Equal(t, "fault", c.Read().What)
+	posts := r.Got("POST", "/")
+	require.Len(t, posts, 1)
+	assert.Equal(t, "lookup", posts[0].Header.Get("Kind"))
+	// A client that tells the class is served under it, but no guess lets it run twice.
+	bare(c, 3, "INGEST MANIFEST INTO s_3.t", "op", "report")
+	assert.Equal(t, "fault", c.Read().What)
+	assert.Len(t, r.Got("POST", "/"), 2)
+	assert.True(t, c.Healthy())
+}
+
+// One attempt is one: not even a start that an engine is known to have refused is sent again.
+func TestUnparsableIsSentOnce(t *testing.T) {
+	full := func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		w.Header().Set("Never-Ran", "1")
+		w.WriteHeader(503)
+	}
+	r := start(t, 2, full, install(t, file(t), "unparsed: 'once', unparsed_class: 'load', rules: "+rules))
+	c := r.Client()
+	bare(c, 1, "INGEST MANIFEST INTO s_3.t", "row", "k")
+	assert.Equal(t, "shed", c.Read().What, "it never ran")
+	assert.Len(t, r.Got("POST", "/"), 1)
+}
+
+// Loads of one key that were not told as such, and one that can't be read between them, run one at a time in the
+// order in which they came.
+func TestBareLoadsKeepTheirOrder(t *testing.T) {
+	var running, most atomic.Int32
+	slow := func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		most.Store(max(most.Load(), running.Add(1)))
+		time.Sleep(30 * time.Millisecond)
+		running.Add(-1)
+		standin.Serve(w, standin.Row)
+	}
+	r := start(t, 3, slow, install(t, file(t), "unparsed: 'once', unparsed_class: 'load', rules: "+rules))
+	c := r.Client()
+	for i := range 6 {
+		text := "INSERT INTO ops_7.flights VALUES (1)"
+		if i%2 == 1 {
+			text = "INGEST MANIFEST INTO s_3.t"
+		}
+		bare(c, i, text, "row", "k")
+	}
+	for range 6 {
+		assert.Equal(t, "answer", c.Read().What)
+	}
+	for i, p := range r.Got("POST", "/") {
+		assert.Equal(t, standin.ID(i), p.Header.Get("Request-Id"))
+	}
+	assert.Equal(t, int32(1), most.Load())
+}
+
+// One shape, cheap with some values and dear with others: the dear ones become reports and don't hold up the cheap
+// ones, which are look-ups.
+func TestOneShapeCheapAndDear(t *testing.T) {
+	var release sync.WaitGroup
+	release.Add(1)
+	r := start(t, 1, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		if c.Method == "POST" && strings.Contains(c.Body, "999999") && strings.HasSuffix(c.Body, "-- hold") {
+			release.Wait()
+		}
+		standin.Serve(w, standin.Row)
+	}, install(t, file(t), "rules: "+rules), func(r *standin.Rig) {
+		r.Settings["domain"].(map[string]any)["cpu_of_kind"] = []any{4}
+	})
+	defer release.Done()
+	c := r.Client()
+	text := func(width int) string {
+		return fmt.Sprintf("SELECT sum(a) FROM ops_7.t WHERE d BETWEEN 0 AND %d", width)
+	}
+	for i := range 30 { // what the client tells is learned from
+		bare(c, 2*i, text(10), "work", "20")
+		c.Read()
+		bare(c, 2*i+1, text(999999), "work", "8000")
+		c.Read()
+	}
+	dear := r.Client()
+	for i := range 20 {
+		bare(dear, 100+i, text(999999)+" -- hold")
+	}
+	r.Await(61, "POST", "/")
+	for i := range 10 {
+		bare(c, 200+i, text(10+i))
+		assert.Equal(t, "answer", c.Read().What)
+	}
+	kinds := map[string]int{}
+	for _, p := range r.Got("POST", "/")[60:] {
+		kinds[fmt.Sprint(p.Header.Get("Kind"), strings.Contains(p.Body, "999999"))]++
+	}
+	assert.Equal(t, 10, kinds["lookupfalse"])
+	assert.Positive(t, kinds["reporttrue"])
+	assert.Len(t, kinds, 2, "%v", kinds)
+}
+
+// Rules change in service: what is open is answered, what comes after goes by the new ones, and a file that can't be
+// used changes nothing and is told of with its key.
+func TestRulesAreReloadedUnderLoad(t *testing.T) {
+	path := file(t)
+	r := start(t, 2, standin.Store(1, standin.Row), install(t, path, "rules: "+rules))
+	c := r.Client()
+	answered := func(from, n int) {
+		for i := range n {
+			bare(c, from+i, "SELECT * FROM ops_7.flights WHERE id = 3")
+		}
+	}
+	answered(0, 16)
+	r.Await(1, "POST", "/")
+	write(t, path, "rules: [{ class: 'report' }, { class: 'load' }]")
+	r.Signal(syscall.SIGHUP)
+	r.AwaitLog("reloaded")
+	answered(16, 16)
+	for range 32 {
+		assert.Equal(t, "answer", c.Read().What)
+	}
+	assert.Equal(t, "report", r.Await(32, "POST", "/")[31].Header.Get("Kind"))
+	write(t, path, "rules: [{ class: 'nobody' }]")
+	r.Signal(syscall.SIGHUP)
+	r.AwaitLog("the old configuration stays in force")
+	r.AwaitLog("statement.rules[0].class")
+	answered(32, 1)
+	assert.Equal(t, "answer", c.Read().What)
+	assert.Equal(t, "report", r.Await(33, "POST", "/")[32].Header.Get("Kind"))
+	require.NoError(t, os.WriteFile(path, []byte("{ statement: { enabled: false } }"), 0o600))
+	r.Signal(syscall.SIGHUP)
+	require.Eventually(t, func() bool {
+		bare(c, 50, "SELECT 1")
+		return c.Read().What == "exception"
+	}, standin.Patience, 10*time.Millisecond)
+}
+
+// command runs the program to its end.
+func command(t *testing.T, input string, env []string, args ...string) (out, errs string, code int) {
+	cmd := exec.Command(program, args...)
+	cmd.Env = env
+	cmd.Stdin = strings.NewReader(input)
+	var o, e bytes.Buffer
+	cmd.Stdout, cmd.Stderr = &o, &e
+	err := cmd.Run()
+	if cmd.ProcessState == nil {
+		require.NoError(t, err)
+	}
+	return o.String(), e.String(), cmd.ProcessState.ExitCode()
+}
+
+func TestExplain(t *testing.T) {
+	path := file(t)
+	write(t, path, "rules: [{class: 'lookup', verbs: ['select']}, {class: 'load', verbs: ['insert']}]")
+	one := "select a is distinct from z_1.q from ops_7.x where b in (1, 2)"
+	two := "insert into s_3.t select * from \"S_4\".u"
+	three := "select *\nfrom where"
+	out, errs, code := command(t, one+"\x00"+two+"\x00"+three, nil, "statement", "explain", "--installation", path)
+	assert.Zero(t, code, errs)
+	lines := strings.Split(strings.TrimSuffix(out, "\n"), "\n")
+	require.Len(t, lines, 3)
+	var got [3]struct {
+		Class, Verb, Shape string
+		Writes, Repeatable bool
+		Group              int
+		Tables             []struct{ Name, Role string }
+		Cost               float64 `json:"cost_ms"`
+		High               float64 `json:"cost_high_ms"`
+		Error              *struct {
+			Line, Column int
+			Message      string
+		}
+	}
+	for i, line := range lines {
+		d := json.NewDecoder(strings.NewReader(line))
+		require.NoError(t, d.Decode(&got[i]))
+		_, err := d.Token()
+		assert.Equal(t, io.EOF, err)
+	}
+	assert.Equal(t, []any{"lookup", "select", 7, false, true}, []any{got[0].Class, got[0].Verb, got[0].Group, got[0].Writes, got[0].Repeatable})
+	assert.Equal(t, "select a is distinct from z_1.q from ops_7.x where b in (?)", got[0].Shape)
+	assert.Greater(t, got[0].High, got[0].Cost)
+	assert.Equal(t, []any{"load", "insert", 3, true, false}, []any{got[1].Class, got[1].Verb, got[1].Group, got[1].Writes, got[1].Repeatable})
+	assert.Len(t, got[1].Tables, 2)
+	require.NotNil(t, got[2].Error)
+	assert.Equal(t, []int{2, 6}, []int{got[2].Error.Line, got[2].Error.Column})
+	assert.Contains(t, lines[0], `"error":null`)
+
+	name := filepath.Join(t.TempDir(), "s.sql")
+	require.NoError(t, os.WriteFile(name, []byte(one+"\x00"), 0o600))
+	again, _, code := command(t, "", nil, "statement", "explain", name, name)
+	assert.Zero(t, code)
+	assert.Equal(t, 2, strings.Count(again, "\n"))
+}
+
+func TestCommandLine(t *testing.T) {
+	path := file(t)
+	for _, c := range []struct {
+		installation string
+		args         string
+		code         int
+		says         string
+	}{
+		{"", "version", 0, "chutechute "},
+		{"", "help", 0, "statement"},
+		{"", "completion bash", 0, "chutechute"},
+		{"", "bogus", 2, "unknown command"},
+		{"", "--bogus", 2, "unknown flag"},
+		{"", "serve extra", 2, "unknown command"},
+		{"", "--log-format xml", 2, "log-format"},
+		{"", "serve --log-level loud", 2, "log-level"},
+		{"", "", 1, "NODE_CONFIG is not set"},
+		{"", "config check", 1, "neither"},
+		{"{}", "config check", 0, "ok"},
+		{"{", "config check", 1, "installation"},
+		{"{ statment: {} }", "config check", 1, "statment"},
+		{"{ statement: { enabled: 'yes' } }", "config check", 1, "statement.enabled"},
+		{"{ statement: { rules: [{ clas: 'x' }] } }", "config check", 1, "statement.rules[0]"},
+		{"{ statement: { rules: [{ class: 'x', verbs: ['zap'] }] } }", "config check", 1, "statement.rules[0].verbs[0]"},
+		{"{ statement: { rules: [{ class: 'x', verbs: ['show', 'insert'] }] } }", "config check", 1, "statement.rules[0].verbs[0]"},
+		{"{ statement: { rules: [{ class: 'x', tables: ['[a'] }] } }", "config check", 1, "statement.rules[0].tables[0]"},
+		{"{ statement: { unparsed: 'guess' } }", "config check", 1, "statement.unparsed"},
+		{"{ statement: { unparsed: 'once' } }", "config check", 1, "statement.unparsed_class"},
+		{"{ statement: { cache_mb: -1 } }", "config check", 1, "statement.cache_mb"},
+		{"{ statement: { tables: { t: { mb: -1 } } } }", "config check", 1, "statement.tables.t"},
+		{"{ statement: { cache_mb: 1 + 1 } }", "config show", 0, `"cache_mb": 2`},
+	} {
+		args := strings.Fields(c.args)
+		if c.installation != "" {
+			require.NoError(t, os.WriteFile(path, []byte(c.installation), 0o600))
+			args = append(args, "--installation", path)
+		}
+		out, errs, code := command(t, "", nil, args...)
+		assert.Equal(t, c.code, code, "%s: %s", c.args, c.installation)
+		assert.Contains(t, out+errs, c.says, "%s: %s", c.args, c.installation)
+		assert.Equal(t, code != 0, errs != "", "errors go to standard error: %s", c.args)
+	}
+}
+
+// The log can be JSON, a line an object.
+func TestLogFormat(t *testing.T) {
+	r := &standin.Rig{T: t, Program: program, Args: []string{"--log-format", "json"}, Log: &standin.LockedBuffer{}, Exited: make(chan error, 1)}
+	var settings map[string]any
+	require.NoError(t, json.Unmarshal([]byte(standin.Settings), &settings))
+	r.Run(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1", "settings": settings,
+		"known": map[string]any{"pos": 0, "entries": []any{}}})
+	r.AwaitLog(`"msg":"serving"`)
+	line, _, _ := strings.Cut(r.Log.String(), "\n")
+	var object map[string]any
+	assert.NoError(t, json.Unmarshal([]byte(line), &object), line)
+}
--- /dev/null
+++ b/decide/bare_test.go
@@ -0,0 +1,133 @@
+package decide
+
+import (
+	"math"
+	"testing"
+)
+
+// bareConfig has a keyed class, whose engines drop repeats of a key, beside a safe one.
+func bareConfig() Config {
+	cfg := testConfig()
+	cfg.Classes[1].Repeat, cfg.Classes[1].Scope, cfg.Classes[1].Window = Keyed, ScopeAll, 25*Second
+	return cfg
+}
+
+// A query that may not run twice is not sent again once it may have run, whatever its class says, and it is failed
+// then, not refused. Where it is known not to have run it may go elsewhere, unless it is to go once only.
+func TestUnsafeAndSingle(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		class          int
+		unsafe, single bool
+		result         Result
+		again          bool
+		refused        bool
+	}{
+		{"safe, reset", 0, false, false, Reset, true, false},
+		{"unsafe in a safe class, reset", 0, true, false, Reset, false, false},
+		{"unsafe in a safe class, error", 0, true, false, Errored, false, false},
+		{"unsafe in a safe class, full", 0, true, false, Full, true, false},
+		{"keyed, reset", 1, false, false, Reset, true, false},
+		{"unsafe in a keyed class, reset", 1, true, false, Reset, false, false},
+		{"unsafe in a keyed class, timed out", 1, true, false, TimedOut, false, false},
+		{"unsafe in a keyed class, no connection", 1, true, false, NoConnection, true, false},
+		{"single, full", 0, true, true, Full, false, true},
+		{"single, no connection", 1, true, true, NoConnection, false, true},
+		{"single, reset", 0, true, true, Reset, false, false},
+	} {
+		d := started(t, bareConfig(), engines("a", "b", "c"))
+		for id := uint64(100); id < 150; id++ { // prices come down to what queries take
+			d.Step(Second/2, []Event{ask(id, c.class, Second/2)})
+			e := d.queries[id].attempts[0].engine.Engine
+			d.Step(Second/2, []Event{outcome(id, 0, e, Done, Second/20)})
+		}
+		r := ask(1, c.class, Second)
+		r.Unsafe, r.Single = c.unsafe, c.single
+		first := sends(d.Step(Second, []Event{r}))
+		if len(first) != 1 {
+			t.Fatalf("%s: sends %v", c.name, first)
+		}
+		var again []Send
+		var refused, failed []uint64
+		events := []Event{outcome(1, 0, first[0].Engine, c.result, Second/10)}
+		for now := Second + Second/10; now < 6*Second; now += sweepEvery {
+			actions := d.Step(now, events)
+			again, refused = append(again, sends(actions)...), append(refused, refusals(actions)...)
+			failed = append(failed, fails(actions)...)
+			events = []Event{Timer{Token: "sweep"}}
+		}
+		if got := len(again) > 0; got != c.again {
+			t.Errorf("%s: sent again %v, want %v", c.name, got, c.again)
+		}
+		if !c.again && (len(refused) != map[bool]int{true: 1}[c.refused] || len(refused)+len(failed) != 1) {
+			t.Errorf("%s: refused %v, failed %v", c.name, refused, failed)
+		}
+	}
+}
+
+// What is not safe has no time-out of its own: an attempt that can't be called off may run on.
+func TestUnsafeHasNoTimeout(t *testing.T) {
+	cfg := bareConfig()
+	cfg.Limits.Cancel = false
+	for _, unsafe := range []bool{false, true} {
+		d := started(t, cfg, engines("a"))
+		r := ask(1, 0, Second)
+		r.Unsafe = unsafe
+		if s := sends(d.Step(Second, []Event{r})); len(s) != 1 || s[0].Timeout > 0 == unsafe {
+			t.Errorf("unsafe %v: sends %v", unsafe, s)
+		}
+	}
+}
+
+// A Measure follows a served attempt where it is wanted, and tells of the load by the class's ratio over its best.
+func TestMeasure(t *testing.T) {
+	d := started(t, testConfig(), engines("a"))
+	measure := func(id uint64, took Micros, wanted bool) (list []Measure) {
+		now := Second * Micros(id)
+		r := ask(id, 0, now)
+		r.Cost, r.Measured = Second/10, wanted
+		d.Step(now, []Event{r})
+		for _, a := range d.Step(now+took, []Event{outcome(id, 0, "a", Done, took)}) {
+			if m, ok := a.(Measure); ok {
+				list = append(list, m)
+			}
+		}
+		return list
+	}
+	if got := measure(1, Second/10, false); len(got) != 0 {
+		t.Errorf("not wanted: %v", got)
+	}
+	for id := uint64(2); id < 40; id++ {
+		measure(id, Second/10, true)
+	}
+	if got := measure(40, Second/10, true); len(got) != 1 || got[0].Slowdown > 1.2 || got[0].Elapsed != Second/10 {
+		t.Errorf("calm: %v", got)
+	}
+	for id := uint64(41); id < 100; id++ {
+		measure(id, Second/2, true)
+	}
+	if got := measure(100, Second/2, true); len(got) != 1 || got[0].Slowdown < 2 {
+		t.Errorf("under load: %v", got)
+	}
+}
+
+// Estimates that were too high and are put right must not look like load: the best ratio has a floor where costs are
+// the gateway's own.
+func TestGuessesPutRightAreNoPressure(t *testing.T) {
+	for _, guessed := range []bool{false, true} {
+		d := started(t, testConfig(), engines("a"))
+		for id := uint64(1); id < 200; id++ {
+			now := Second * Micros(id)
+			r := ask(id, 0, now)
+			r.Guessed, r.Cost = guessed, 2*Second
+			if id > 30 {
+				r.Cost = Second / 10
+			}
+			d.Step(now, []Event{r})
+			d.Step(now+Second/10, []Event{outcome(id, 0, "a", Done, Second/10)})
+		}
+		if best := d.classes[0].best; math.IsInf(best, 0) || d.pressure() == guessed {
+			t.Errorf("guessed %v: pressure %v with best %v", guessed, d.pressure(), best)
+		}
+	}
+}
--- /dev/null
+++ b/statement/corpus_test.go
@@ -0,0 +1,146 @@
+package statement_test
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chutechute/internal/sqltext"
+	"chutechute/statement"
+)
+
+// block is the statements of one shape and what is expected of them.
+type block struct {
+	line                int
+	class, verb, effect string
+	group               int
+	tables              []string
+	statements          []string
+}
+
+func corpus(t testing.TB) (blocks []block) {
+	text, err := os.ReadFile("testdata/corpus.txt")
+	require.NoError(t, err)
+	for n, line := range strings.Split(string(text), "\n") {
+		switch {
+		case line == "" || line[0] == '#':
+		case strings.HasPrefix(line, "= "):
+			f := strings.Fields(line)
+			group, err := strconv.Atoi(f[4])
+			require.NoError(t, err, "line %d", n+1)
+			blocks = append(blocks, block{line: n + 1, class: f[1], verb: f[2], effect: f[3], group: group, tables: f[5:]})
+		default:
+			b := &blocks[len(blocks)-1]
+			b.statements = append(b.statements, strings.ReplaceAll(line, `\n`, "\n"))
+		}
+	}
+	return blocks
+}
+
+var classNames = []string{"lookup", "report", "load"}
+
+func TestCorpus(t *testing.T) {
+	r := reader(t, 0)
+	shapes := map[string]int{}
+	statements, oldRight := 0, 0
+	for _, b := range corpus(t) {
+		shape := ""
+		for _, s := range b.statements {
+			statements++
+			reading, err := r.Read([]byte(s))
+			if !assert.NoError(t, err, "block of line %d: %s", b.line, s) {
+				continue
+			}
+			f := reading.Facts()
+			if shape == "" {
+				shape = reading.Shape()
+				assert.Zero(t, shapes[shape], "line %d has the shape of another: %s", b.line, shape)
+				shapes[shape] = b.line
+			}
+			assert.Equal(t, shape, reading.Shape(), "line %d: %s", b.line, s)
+			var tables []string
+			for _, table := range f.Tables {
+				tables = append(tables, table.Name+":"+string(table.Role))
+			}
+			assert.Equal(t, strings.Join(b.tables, " "), strings.Join(tables, " "), s)
+			effect := ""
+			if f.Reads {
+				effect = "r"
+			}
+			if f.Writes {
+				effect += "w"
+			}
+			if effect == "" {
+				effect = "-"
+			}
+			assert.Equal(t, []string{b.verb, b.effect}, []string{f.Verb, effect}, s)
+			assert.Equal(t, b.group, f.Group, s)
+			if sqltext.Group(s) == b.group {
+				oldRight++
+			}
+			class, ok := r.Classify(&reading)
+			if assert.True(t, ok, s) {
+				assert.Equal(t, b.class, classNames[class], s)
+			}
+		}
+	}
+	assert.GreaterOrEqual(t, statements, 300)
+	assert.GreaterOrEqual(t, len(shapes), 60)
+	t.Logf("%d statements of %d shapes; the scan that was there before has the group of %d", statements, len(shapes), oldRight)
+}
+
+// A statement that can't be read is told of where it goes wrong.
+func TestFaults(t *testing.T) {
+	r := reader(t, 0)
+	for text, want := range map[string]string{
+		"":                                   "line 1, column 1: expected a statement, found the end",
+		"select 1 from":                      "line 1, column 14: expected a table, found the end",
+		"select *\nfrom ops_1.t\nwhere and":  "line 3, column 7: expected an expression, found and",
+		"selec 1":                            "line 1, column 1: expected a statement, found selec",
+		"select 'abc":                        "line 1, column 8: found a text that does not end",
+		"select 1 /* x":                      "line 1, column 10: found a comment that does not end",
+		"select (1, 2":                       "line 1, column 13: expected ), found the end",
+		"select 1 )":                         "line 1, column 10: expected the end of the statement, found )",
+		"insert into ops_1.t":                "line 1, column 20: expected SELECT, VALUES, TABLE or (, found the end",
+		"update ops_1.t set a 1":             "line 1, column 22: expected =, found 1",
+		"select case a when 1 then 2":        "line 1, column 28: expected END, found the end",
+		"select \x01 from t":                 "",
+		"select # from t":                    "line 1, column 8: expected an expression, found #",
+		strings.Repeat("(", 5000):            "line 1, column 101: nested too deeply",
+		"select " + strings.Repeat("a", 1e5): "line 1, column 1: the statement is longer than 65536 bytes",
+	} {
+		_, err := r.Read([]byte(text))
+		if want == "" {
+			assert.NoError(t, err, text)
+			continue
+		}
+		if assert.Error(t, err, "%.80s", text) {
+			assert.Equal(t, want, err.Error(), "%.80s", text)
+		}
+	}
+}
+
+// What is read decides what may run twice: a statement that changes something may not, unless engines can tell
+// its repeat by the client's key.
+func TestUnsafe(t *testing.T) {
+	r := reader(t, 0)
+	complete := func(text string, class int, keyed bool) statement.Completion {
+		c, err := r.Complete(statement.Call{Text: []byte(text), Class: class, Keyed: keyed})
+		require.NoError(t, err, text)
+		return c
+	}
+	const load, lookup = 2, 0
+	assert.False(t, complete("select * from ops_1.t", -1, false).Unsafe)
+	assert.True(t, complete("insert into ops_1.t values (1)", -1, false).Unsafe)
+	assert.False(t, complete("insert into ops_1.t values (1)", -1, true).Unsafe)
+	assert.True(t, complete("insert into ops_1.t values (1)", lookup, true).Unsafe, "no engine drops repeats of that class")
+	assert.True(t, complete("begin", lookup, false).Unsafe)
+	assert.True(t, complete("selec", load, false).Unsafe, "unread, it may change something")
+	assert.False(t, complete("selec", load, true).Unsafe)
+	_, err := r.Complete(statement.Call{Text: []byte("selec"), Class: -1})
+	assert.ErrorContains(t, err, "line 1, column 1")
+}
--- a/statement/group.go
+++ b/statement/group.go
@@ -10,7 +10,7 @@
 // scanGroup is the group of a text that can't be parsed: that of the first name behind a word that tables
 // follow or, without one, of the first qualified name. Strings and comments don't count.
 func scanGroup(text string) int {
-	l := lex.Lexer{Text: text}
+	l := lex.Lexer{Text: text, Lenient: true}
 	tables, list, fallback := false, false, 0
 	t := l.Next()
 	for t.Kind != lex.End && t.Kind != lex.Bad {
--- a/statement/lex/lex.go
+++ b/statement/lex/lex.go
@@ -31,11 +31,14 @@
 // Lexer hands out the tokens of one text. Its zero value with a Text is ready for use.
 type Lexer struct {
 	Text string
+	// Lenient takes a character that no token begins with for a mark.
+	Lenient bool
 	// Fault says what is wrong with the last Bad token.
 	Fault string
 
 	at       int
 	brackets int
+	last     Token
 }
 
 // Reset begins with another text.
@@ -73,6 +76,11 @@
 
 // Next is the next token; after the last it is End, and after a Bad one the rest of the text is given up.
 func (l *Lexer) Next() Token {
+	l.last = l.next()
+	return l.last
+}
+
+func (l *Lexer) next() Token {
 	for l.at < len(l.Text) {
 		c := l.Text[l.at]
 		switch classes[c] {
@@ -134,7 +142,16 @@
 	case ':':
 		return l.colon()
 	}
-	return l.bad(start, "a character that no token begins with")
+	return l.strange(start, "a character that no token begins with")
+}
+
+// strange is a character where no token begins: with Lenient it is passed over.
+func (l *Lexer) strange(start int, fault string) Token {
+	if !l.Lenient {
+		return l.bad(start, fault)
+	}
+	l.at = start + 1
+	return Token{Op, start, l.at}
 }
 
 // peek is the byte n behind the current one, or 0.
@@ -254,13 +271,13 @@
 	return Token{Op, start, l.at}
 }
 
-// colon is ::, := or a parameter; within brackets a single one parts the bounds of a slice.
+// colon is ::, := or a parameter; within brackets one behind a bound parts the bounds of a slice.
 func (l *Lexer) colon() Token {
 	start := l.at
 	switch c := l.peek(1); {
 	case c == ':' || c == '=':
 		l.at += 2
-	case l.brackets == 0 && (classes[c] == letter || classes[c] == digit):
+	case !l.slice() && (classes[c] == letter || classes[c] == digit):
 		for l.at++; classes[l.peek(0)] == letter || classes[l.peek(0)] == digit; l.at++ {
 		}
 		return Token{Param, start, l.at}
@@ -270,6 +287,20 @@
 	return Token{Op, start, l.at}
 }
 
+// slice says whether a colon here stands behind the bound of a slice.
+func (l *Lexer) slice() bool {
+	if l.brackets == 0 {
+		return false
+	}
+	switch l.last.Kind {
+	case Number, Param:
+		return true
+	case Word, Quoted:
+		return l.last.End == l.at // in [case when a then :b end] it stands apart
+	}
+	return l.last.Kind == Op && (l.Text[l.last.End-1] == ')' || l.Text[l.last.End-1] == ']')
+}
+
 // dollar is a parameter such as $1 or a text in dollar quotes.
 func (l *Lexer) dollar() Token {
 	start := l.at
@@ -282,7 +313,7 @@
 		l.at++
 	}
 	if l.peek(0) != '$' {
-		return l.bad(start, "a dollar sign that begins neither a parameter nor a text")
+		return l.strange(start, "a dollar sign that begins neither a parameter nor a text")
 	}
 	l.at++
 	tag := l.Text[start:l.at]
--- /dev/null
+++ b/statement/property_test.go
@@ -0,0 +1,198 @@
+package statement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chutechute/statement/lex"
+	"chutechute/statement/shape"
+	"chutechute/statement/syntax"
+)
+
+// write writes a text's tokens anew: other values, other white space, comments between them and other letters in
+// words. What is drawn leaves the shape alone.
+func write(t *rapid.T, text string) string {
+	gaps := rapid.SampledFrom([]string{" ", "\n", "\t ", " /* from ops_99.x */ ", " -- ops_98.y\n", " /* a /* b */ 'c */ "})
+	values := rapid.SampledFrom([]string{"1", "2.5", "1e3", "'x'", "'it''s'", "$$from ops_97.z$$", "$3", ":name", "?", "E'\\''", "0"})
+	var b strings.Builder
+	l := lex.Lexer{Text: text}
+	prev := lex.Token{}
+	for tok := l.Next(); tok.Kind != lex.End; prev, tok = tok, l.Next() {
+		word := text[tok.Start:tok.End]
+		joined := tok.Start == prev.End && (tok.Kind == lex.Op || prev.Kind == lex.Op)
+		if !joined || rapid.Bool().Draw(t, "apart") {
+			b.WriteString(gaps.Draw(t, "gap"))
+		}
+		switch {
+		case tok.Kind == lex.Word && rapid.Bool().Draw(t, "upper"):
+			b.WriteString(strings.ToUpper(word))
+		case tok.Kind == lex.String || tok.Kind == lex.Number || tok.Kind == lex.Param:
+			b.WriteString(values.Draw(t, "value"))
+		default:
+			b.WriteString(word)
+		}
+	}
+	return b.String()
+}
+
+func shapeOf(t require.TestingT, text string) string {
+	var s shape.Scan
+	require.True(t, s.Read(text), "%s: %s", s.Fault, text)
+	return string(s.Shape)
+}
+
+// expression draws an expression of bounded depth.
+func expression(t *rapid.T, depth int) string {
+	if depth == 0 {
+		return rapid.SampledFrom([]string{"a", "t.b", "1", "'x'", "-2", "now()", "null", "\"C\"", "?"}).Draw(t, "leaf")
+	}
+	e := func() string { return expression(t, depth-1) }
+	switch rapid.IntRange(0, 9).Draw(t, "form") {
+	case 0:
+		return e() + " + " + e()
+	case 1:
+		return "(" + e() + ")"
+	case 2:
+		return "f(" + e() + ", " + e() + ")"
+	case 3:
+		return "case when " + e() + " = 1 then " + e() + " else 2 end"
+	case 4:
+		return e() + "::text"
+	case 5:
+		return "extract(day from " + e() + ")"
+	case 6:
+		return "(select " + e() + " from ops_2.u limit 3)"
+	case 7:
+		return "array[" + e() + ", " + e() + "]"
+	case 8:
+		return "coalesce(" + e() + ", 0)"
+	}
+	return e()
+}
+
+// query draws a statement.
+func query(t *rapid.T) string {
+	e := func() string { return expression(t, rapid.IntRange(0, 2).Draw(t, "depth")) }
+	condition := rapid.SampledFrom([]string{"a in (1, 2, 3)", "a between 1 and 2", "b like 'x%'", "a is distinct from 4",
+		"not a > 5", "exists (select 1 from ops_3.v)"}).Draw(t, "condition") + " and " + e() + " = " + e()
+	switch rapid.IntRange(0, 4).Draw(t, "statement") {
+	case 0:
+		return "insert into ops_4.t (a, b) values (" + e() + ", 1), (" + e() + ", 2) returning " + e()
+	case 1:
+		return "update ops_4.t set a = " + e() + " where " + condition
+	case 2:
+		return "delete from ops_4.t using ops_5.u where " + condition
+	case 3:
+		return "with c as (select " + e() + " as x from ops_4.t) select * from c join ops_5.u on " + condition + " order by " + e()
+	}
+	return "select " + e() + ", " + e() + " from ops_4.t where " + condition + " group by " + e() + " limit 10"
+}
+
+// Literals, white space, comments and the case of words never change a shape, and what a shape prints parses to
+// itself: to the same shape, tables and verb.
+func TestShapeKeeps(t *testing.T) {
+	var p syntax.Parser
+	check := func(t *rapid.T, text string) {
+		want := shapeOf(t, text)
+		other := write(t, text)
+		require.Equal(t, want, shapeOf(t, other), "%s\n%s", text, other)
+		require.Equal(t, want, shapeOf(t, want))
+		facts, err := p.Parse(text)
+		require.NoError(t, err, text)
+		again, err := p.Parse(want)
+		require.NoError(t, err, want)
+		require.Equal(t, facts.Tables, again.Tables)
+		require.Equal(t, facts.Verb, again.Verb)
+		written, err := p.Parse(other)
+		require.NoError(t, err, other)
+		require.Equal(t, facts.Tables, written.Tables)
+	}
+	rapid.Check(t, func(t *rapid.T) { check(t, query(t)) })
+	blocks := corpus(t)
+	rapid.Check(t, func(t *rapid.T) {
+		b := rapid.SampledFrom(blocks).Draw(t, "block")
+		text := rapid.SampledFrom(b.statements).Draw(t, "statement")
+		require.Equal(t, shapeOf(t, text), shapeOf(t, shapeOf(t, text)))
+	})
+}
+
+// FuzzRead reads any text: it must not panic, and what can be read has a shape that is its own.
+func FuzzRead(f *testing.F) {
+	for _, b := range corpus(f) {
+		f.Add(b.statements[0])
+	}
+	for _, s := range []string{"", "\x00", "'", "\"", "$", "$$", "$a$", "?", ":", "::", "(((((", "))))", "--", "/*", "/*/*", "select 1..2",
+		"select [", "values", "with", "with recursive", "insert", "case when", "in (", "e'\\", "u&\"", "select \xff\xfe", "select -", "a - -", "- 1 - - 2"} {
+		f.Add(s)
+	}
+	r := reader(f, 0)
+	f.Fuzz(func(t *testing.T, text string) {
+		reading, err := r.Read([]byte(text))
+		group := r.Group([]byte(text))
+		if err != nil {
+			return
+		}
+		assert.Equal(t, reading.Facts().Group, group)
+		again, err := r.Read([]byte(reading.Shape()))
+		if err == nil {
+			assert.Equal(t, reading.Shape(), again.Shape())
+		}
+	})
+}
+
+// Random texts of SQL's pieces reach further than random bytes do.
+func TestAnyPiecesAreRead(t *testing.T) {
+	pieces := strings.Fields(`select from where and or not in ( ) ( ) , . ; * = < > - + :: [ ] 'x' 1 ? $1 :n "q" ops_1.t a b as
+		with recursive values insert into update set delete using merge when matched then case else end join left on
+		union all order by group limit offset fetch first rows only for over partition between interval date exists any
+		array cast extract ( substring ( trim ( copy to create table explain analyze begin call is distinct null filter`)
+	r := reader(t, 0)
+	rng := rand.New(rand.NewPCG(7, 7))
+	read := 0
+	for range 20000 {
+		var words []string
+		for range 1 + rng.IntN(24) {
+			words = append(words, pieces[rng.IntN(len(pieces))])
+		}
+		if _, err := r.Read([]byte(strings.Join(words, " "))); err == nil {
+			read++
+		}
+	}
+	assert.Positive(t, read)
+}
+
+// The time of a reading grows no faster than the text: eight times the text takes far less than 64 times as long,
+// however the text is made.
+func TestLinearTime(t *testing.T) {
+	best := func(text string) time.Duration {
+		least := time.Duration(1 << 62)
+		for range 7 {
+			var s shape.Scan
+			var p syntax.Parser
+			start := time.Now()
+			s.Read(text)
+			_, _ = p.Parse(text)
+			least = min(least, time.Since(start))
+		}
+		return least
+	}
+	for name, piece := range map[string]string{
+		"parens": "(", "brackets": "[", "commas": "a,", "rows": "(1,'x'),", "quotes": "'a' ", "comments": "/* x */ ", "dashes": "- ",
+		"ctes": "x as (select 1),", "joins": " join ops_1.t using (a)", "names": "a.", "cases": "case when ", "nots": "not ",
+		"tables": "ops_1.t, ", "semicolons": ";", "dollars": "$a$ $a$ ", "columns": "a > 1 and a < 2 and ", "unions": " union select 1",
+	} {
+		for _, head := range []string{"", "select ", "select * from ops_1.t", "with ", "values ", "select * from ", "select 1 where "} {
+			n := 700
+			small, large := head+strings.Repeat(piece, n), head+strings.Repeat(piece, 8*n)
+			ratio := float64(best(large)) / float64(best(small)+20*time.Microsecond)
+			assert.Less(t, ratio, 32.0, fmt.Sprintf("%s behind %q", name, head))
+		}
+	}
+}
--- a/statement/shape/shape.go
+++ b/statement/shape/shape.go
@@ -18,7 +18,7 @@
 // stand in the order of the question marks of the shape.
 type Value struct {
 	Kind       lex.Kind // of the first, where it is a list
-	Negative   bool     // a sign stood before the number
+	Negative   bool     // the signs before it make it negative
 	Start, End int      // in the text; of the first, where it is a list
 	Count      int      // values in the list; 1 for a single one
 }
@@ -35,7 +35,7 @@
 
 	l    lex.Lexer
 	prev lex.Token // the last token taken
-	sign int       // where in Shape a sign stands that may be the next number's; -1 without one
+	sign int       // where in Shape the signs begin that may be the next value's; -1 without any
 	list list
 	rows rows
 }
@@ -102,8 +102,8 @@
 		return
 	}
 	v := Value{Kind: t.Kind, Start: t.Start, End: t.End, Count: 1}
-	if s.sign >= 0 && t.Kind == lex.Number {
-		v.Negative = s.Shape[len(s.Shape)-1] == '-'
+	if s.sign >= 0 {
+		v.Negative = bytes.Count(s.Shape[s.sign:], []byte{'-'})%2 == 1
 		s.Shape = s.Shape[:s.sign]
 	}
 	s.sign = -1
@@ -132,7 +132,9 @@
 	case lex.Op:
 		if t.End == t.Start+1 {
 			s.mark(s.Text[t.Start], t)
-			if c := s.Text[t.Start]; (c == '-' || c == '+') && !s.operand() {
+			if c := s.Text[t.Start]; (c == '-' || c == '+') && s.sign >= 0 {
+				sign = s.sign
+			} else if (c == '-' || c == '+') && !s.operand() {
 				sign = s.before(t)
 			}
 		} else {
@@ -253,7 +255,8 @@
 	for _, w := range []string{"select", "where", "and", "or", "not", "on", "when", "then", "else", "case", "between",
 		"in", "like", "ilike", "limit", "offset", "values", "set", "by", "having", "return", "returning", "distinct",
 		"all", "any", "some", "default", "from", "interval", "to", "using", "fetch", "first", "next", "escape",
-		"collate", "only", "as", "is", "with", "top", "call"} {
+		"collate", "only", "as", "is", "with", "top", "call", "symmetric", "asymmetric", "for", "placing", "rows", "range",
+		"groups", "xor", "div", "mod", "overlaps", "zone", "similar", "regexp", "rlike", "variadic", "separator", "qualify"} {
 		m[w] = true
 	}
 	return m
--- a/statement/syntax/expr.go
+++ b/statement/syntax/expr.go
@@ -536,11 +536,7 @@
 
 // column is a column's name, qualified or not, or a call.
 func (p *Parser) column() operand {
-	name := p.next().text
-	for p.cur().op(".") && (p.ahead(1).name() || p.ahead(1).op("*")) {
-		p.at++
-		name += "." + p.next().text
-	}
+	name := p.dotted()
 	if p.cur().op("(") {
 		p.call(name, "")
 		return unknown
--- a/statement/syntax/parser.go
+++ b/statement/syntax/parser.go
@@ -10,7 +10,7 @@
 const (
 	DefaultDepth = 100 // of parentheses, subqueries and CASE within one another
 	mostTables   = 256 // tables, and functions, that are told
-	mostNames    = 256 // predicates
+	mostNames    = 256 // predicates, and names of one WITH clause after another
 )
 
 // Parser parses statements, one after another; its buffers are used again.
@@ -83,15 +83,19 @@
 
 // enter goes one level deeper; leave returns.
 func (p *Parser) enter() {
-	most := p.Depth
-	if most == 0 {
-		most = DefaultDepth
-	}
-	if p.depth++; p.depth > most {
+	if p.depth++; p.depth > p.most() {
 		panic(NewError(p.text, p.tokens[p.at].Start, "nested too deeply"))
 	}
 }
 
+// most is the deepest nesting.
+func (p *Parser) most() int {
+	if p.Depth == 0 {
+		return DefaultDepth
+	}
+	return p.Depth
+}
+
 func (p *Parser) leave() { p.depth-- }
 
 func (p *Parser) cur() *token { return &p.tokens[p.at] }
@@ -177,12 +181,33 @@
 	if !p.cur().name() || p.cur().Kind == lex.Word && reserved[p.cur().text] {
 		p.fail(what)
 	}
-	name := p.next().text
-	for p.cur().op(".") && p.ahead(1).name() {
-		p.at++
-		name += "." + p.next().text
+	return p.dotted()
+}
+
+// dotted is the current token and the names that follow it behind dots, as in the text where that has them in one
+// piece and in lower case.
+func (p *Parser) dotted() string {
+	first := p.at
+	p.at++
+	for p.cur().op(".") && (p.ahead(1).name() || p.ahead(1).op("*")) {
+		p.at += 2
+	}
+	parts := p.tokens[first:p.at]
+	last := parts[len(parts)-1]
+	size, same := 0, true
+	for i, t := range parts {
+		size += len(t.text)
+		same = same && t.text == p.text[t.Start:t.End] && (i == 0 || t.Start == parts[i-1].End)
+	}
+	if same {
+		return p.text[parts[0].Start:last.End]
+	}
+	var b strings.Builder
+	b.Grow(size)
+	for _, t := range parts {
+		b.WriteString(t.text)
 	}
-	return name
+	return b.String()
 }
 
 // skip passes over all up to the end of the statement or one of the words at this level.
--- a/statement/syntax/query.go
+++ b/statement/syntax/query.go
@@ -41,6 +41,9 @@
 func (p *Parser) with() {
 	recursive := p.word("recursive")
 	for {
+		if len(p.names) >= mostNames {
+			p.fail("fewer names in WITH")
+		}
 		name := p.name("a name in WITH")
 		if p.cur().op("(") {
 			p.group()
@@ -402,9 +405,12 @@
 	p.correlation()
 }
 
-// begins says whether a query begins here, behind any number of opening parentheses.
+// begins says whether a query begins here, behind any number of opening parentheses that may be nested.
 func (p *Parser) begins() bool {
 	for n := 0; ; n++ {
+		if n > p.most() {
+			return false
+		}
 		t := p.ahead(n)
 		if t.op("(") {
 			continue
--- a/statement/syntax/script.go
+++ b/statement/syntax/script.go
@@ -128,7 +128,7 @@
 		p.facts.Writes, p.facts.Session = false, false
 		for i, t := range p.facts.Tables {
 			if t.Role == Written {
-				p.facts.Tables[i].Role = Read
+				p.facts.Tables[i].Role, p.facts.Reads = Read, true
 			}
 		}
 	}
