--- a/internal/sqltext/sqltext.go
+++ b/internal/sqltext/sqltext.go
@@ -1,4 +1,6 @@
-// Package sqltext finds the group of tables that a statement reads or writes.
+// Package sqltext finds the group of tables that a statement reads or writes by looking for the words that tables
+// follow. It is what the program had before package statement, kept as the baseline of its tests and measurements; the
+// program does not use it.
 package sqltext
 
 import (
