Caller Identity, first part: tokens, rights, ceilings, keys that rotate in service

TLS and certificates on the sockets are still to come.

Change: identity/ decides (callers, rights, ceilings, validity, a cache by whole tokens, a budget for signatures), identity/token reads JWTs and JWKS by go-jose, internal/keyfiles reads, writes and watches files; gateway.Take asks before anything else. Off by default.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"log/slog"
 
 	"chutechute/decide"
+	"chutechute/identity"
 	"chutechute/internal/counters"
 	"chutechute/internal/settings"
 	"chutechute/statement"
@@ -35,10 +36,19 @@
 	MemoryMB                     float64
 	Statement                    []byte
 	Group                        int // of tables; Take finds it
+	Proof                        Proof
 
 	toldCost, toldMB float64 // what the client told, where Take has filled in the rest
 }
 
+// Proof is what a call shows of who it comes from. It counts only where callers are identified.
+type Proof struct {
+	Token       string
+	Certificate *identity.Certificate // of the connection; nil without one
+	Address     uint64                // the client's, as a number
+	Wall        Micros                // the system's clock, which may step, in Unix time
+}
+
 // Caller waits for the final answer to one request; one of the three is called, once.
 type Caller interface {
 	Served(rows []byte)
@@ -66,6 +76,7 @@
 	grantMB  float64
 	// completion is what was read of the statement; nil where that is off.
 	completion *statement.Completion
+	from       identity.Caller
 	attempts   []*Attempt
 	out        int // attempts that have not ended
 }
@@ -110,6 +121,7 @@
 	bounds     Bounds
 	timers     timers
 	statements statements
+	callers    callers
 	acting     bool       // the module's actions are being carried out
 	late       []*Request // cancelled meanwhile
 }
@@ -143,6 +155,10 @@
 // Take takes a request in whose last byte came now. The answer goes to caller, which is not called if
 // there is an error.
 func (c *Core) Take(now Micros, call *Call, caller Caller) (*Request, error) {
+	from, err := c.callers.identify(now, call)
+	if err != nil {
+		return nil, err
+	}
 	bare := call.Class == "" && c.statements.complete
 	class, ok := c.settings.ClassOf[call.Class]
 	if !ok && !bare {
@@ -167,10 +183,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("statement: %w", err)
 	}
+	if err := c.callers.enter(now, from, call); err != nil {
+		return nil, err
+	}
+	if call.Tenant != "" {
+		tenant = c.settings.TenantOf[call.Tenant]
+	}
 	c.count.Taken++
-	r := &Request{Call: call, id: c.newID(), caller: caller, deadline: now + call.TTL - margin, completion: read}
+	r := &Request{Call: call, id: c.newID(), caller: caller, deadline: now + call.TTL - margin, completion: read, from: from}
 	if len(c.open) >= c.bounds.Open || c.held+len(call.Statement) > c.bounds.Held {
 		r.refuse(c, busyAfter)
+		c.callers.leave(from)
 		return r, nil
 	}
 	c.open[r.id] = r
@@ -380,6 +403,7 @@
 		delete(c.open, r.id)
 		delete(c.ids, r.ID)
 		c.held -= len(r.Statement)
+		c.callers.leave(r.from)
 		c.cancel(r.due)
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -12,6 +12,7 @@
 
 	"chutechute/decide"
 	"chutechute/gateway"
+	"chutechute/identity"
 	"chutechute/internal/journal"
 	"chutechute/internal/settings"
 	"chutechute/statement"
@@ -44,6 +45,8 @@
 	Installation string
 	// Statements are the options for reading statements; nil where that is off.
 	Statements *statement.Options
+	// Callers are the options for identifying callers; nil where that is off.
+	Callers *identity.Options
 
 	installation *Installation
 	settings     []byte // as they stand in the file, but for white space
@@ -65,11 +68,21 @@
 // under checks the installation against the site's settings that are in force.
 func (c *Config) under(s *settings.Settings) (err error) {
 	if c.installation != nil {
-		c.Statements, err = c.installation.Statement.options(Classes(s), c.MemoryMB)
+		if c.Statements, err = c.installation.Statement.options(Classes(s), c.MemoryMB); err == nil {
+			c.Callers, err = c.installation.Identity.Options(s)
+		}
 	}
 	return err
 }
 
+// Identity is the installation's section on callers.
+func (c *Config) Identity() *Identity {
+	if c.installation == nil {
+		return &Identity{}
+	}
+	return &c.installation.Identity
+}
+
 // Reload reads the configuration and the installation file again. The latter is checked against the settings
 // in force, which a reload does not change.
 func (c *Config) Reload(getenv func(string) string) (*Config, error) {
@@ -165,7 +178,7 @@
 func (c *Config) With(next *Config) *Config {
 	now := *c
 	now.Journal, now.MemoryMB, now.Sockets = next.Journal, next.MemoryMB, next.Sockets
-	now.Statements = next.Statements
+	now.Statements, now.Callers, now.installation = next.Statements, next.Callers, next.installation
 	return &now
 }
 
--- a/internal/config/installation.go
+++ b/internal/config/installation.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"path/filepath"
 	"slices"
 	"strings"
 
@@ -20,6 +21,7 @@
 // without it.
 type Installation struct {
 	Statement Statement `json:"statement"`
+	Identity  Identity  `json:"identity"`
 }
 
 // Statement sets how bare statements are read.
@@ -65,7 +67,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("installation: %w", err)
 	}
-	return ParseInstallation([]byte(text))
+	file, err := ParseInstallation([]byte(text))
+	if err != nil {
+		return nil, err
+	}
+	file.Identity.rooted(filepath.Dir(path))
+	return file, nil
 }
 
 // ParseInstallation reads what an installation file evaluates to.
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -47,6 +47,12 @@
 	Shapes      int `name:"shapes kept"`
 	ShapeBytes  int `name:"bytes of shapes kept"`
 
+	Identified      int `name:"calls of callers with the right"`
+	SignatureChecks int `name:"signatures checked"`
+	BadProofs       int `name:"calls without a proof that holds"`
+	Forbidden       int `name:"calls without the right"`
+	OverCeiling     int `name:"calls above a ceiling or the budget for signatures"`
+
 	LongestTurn int `name:"longest turn of the loop in microseconds"`
 }
 
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -1,16 +1,19 @@
 package epoll
 
 import (
+	"encoding/binary"
 	"errors"
 	"fmt"
 	"log/slog"
 	"net/netip"
 	"strconv"
 	"strings"
+	"time"
 
 	"golang.org/x/sys/unix"
 
 	"chutechute/gateway"
+	"chutechute/identity"
 	"chutechute/internal/ring"
 	"chutechute/internal/thrift"
 )
@@ -76,7 +79,7 @@
 // that of their last bytes, and a connection read only in the next turn could lose its place.
 func (l *listener) ready(uint32) {
 	for {
-		fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, from, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err == unix.EINTR || err == unix.ECONNABORTED {
 			continue
 		}
@@ -96,7 +99,7 @@
 		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
 		c := &client{stream: newStream(l.s.loop, fd, thrift.MaxFrame+4, l.maxUnread(), &l.budget), l: l,
-			open: map[int32]*gateway.Request{}, since: l.s.now}
+			open: map[int32]*gateway.Request{}, since: l.s.now, address: address(from)}
 		c.want = unix.EPOLLIN
 		if err := l.s.loop.add(fd, c.want, c); err != nil {
 			slog.Warn("accept", "error", err)
@@ -109,6 +112,14 @@
 	}
 }
 
+// address is a client's IPv4 address as a number.
+func address(from unix.Sockaddr) uint64 {
+	if in, ok := from.(*unix.SockaddrInet4); ok {
+		return uint64(binary.BigEndian.Uint32(in.Addr[:]))
+	}
+	return 0
+}
+
 // maxUnread is how much one client may leave unread, less than all may together.
 func (l *listener) maxUnread() int { return min(maxUnread, l.budget.Most/4) }
 
@@ -221,14 +232,15 @@
 // client is one client's connection.
 type client struct {
 	stream
-	l      *listener
-	open   map[int32]*gateway.Request // by sequence number
-	since  Micros                     // of its connecting, its last message or its end
-	part   Micros                     // since when a message has come in part; 0: none has
-	spoke  bool                       // a whole message has come
-	queued bool                       // messages are left over for the next turn
-	ending bool                       // nothing more is read or answered
-	drawn  int                        // bytes read off since
+	l       *listener
+	open    map[int32]*gateway.Request // by sequence number
+	address uint64                     // the client's, as a number
+	since   Micros                     // of its connecting, its last message or its end
+	part    Micros                     // since when a message has come in part; 0: none has
+	spoke   bool                       // a whole message has come
+	queued  bool                       // messages are left over for the next turn
+	ending  bool                       // nothing more is read or answered
+	drawn   int                        // bytes read off since
 }
 
 func (c *client) ready(events uint32) {
@@ -337,8 +349,17 @@
 		fail(err)
 		return
 	}
+	call.Proof = gateway.Proof{Token: m.Fields["token"], Address: c.address}
+	if c.l.s.core.Guard() != nil {
+		call.Proof.Wall = time.Now().UnixMicro()
+	}
 	w := &waiting{c: c, seq: m.Seq}
 	r, err := c.l.s.core.Take(c.l.s.now, call, w)
+	var denied *identity.Denied
+	if errors.As(err, &denied) {
+		w.denied(denied)
+		return
+	}
 	if err != nil {
 		fail(err)
 		return
@@ -503,5 +524,18 @@
 	w.answer(thrift.Shed(w.seq, fields))
 }
 
+// denied answers a call that was turned away before it was taken. Where coming back is of use it says when.
+func (w *waiting) denied(d *identity.Denied) {
+	fields := map[string]string{"never_ran": "1", "reason": d.Error()}
+	if d.After == 0 {
+		w.answer(thrift.Fault(w.seq, fields))
+		return
+	}
+	if w.c.l.s.cfg.Settings.Limits.RetryAfter {
+		fields["pushback"] = strconv.FormatInt((min(d.After, w.c.l.s.cfg.Settings.Limits.MaxRetryAfter)+ms-1)/ms, 10)
+	}
+	w.answer(thrift.Shed(w.seq, fields))
+}
+
 // Failed promises nothing.
 func (w *waiting) Failed() { w.answer(thrift.Fault(w.seq, nil)) }
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -14,6 +14,7 @@
 	"chutechute/gateway"
 	"chutechute/internal/config"
 	"chutechute/internal/counters"
+	"chutechute/internal/keyfiles"
 )
 
 const (
@@ -39,6 +40,9 @@
 	wake     *waker
 	nextTick Micros
 	log      io.Writer
+	posts    posts
+	watches  int             // so far
+	watch    *keyfiles.Watch // of the files that identity is fed from; nil where it is off
 }
 
 // New builds a front end; it does not listen yet. Counters are printed to log.
@@ -62,6 +66,9 @@
 	if s.wake, err = newWaker(s); err != nil {
 		return nil, err
 	}
+	if err = s.identified(cfg); err != nil {
+		return nil, fmt.Errorf("identity: %w", err)
+	}
 	return s, nil
 }
 
@@ -147,6 +154,9 @@
 // reload puts a new configuration into force, once the whole file has been read and checked, or keeps the old.
 func (s *Server) reload() {
 	cfg, err := s.cfg.Reload(os.Getenv)
+	if err == nil {
+		err = s.identified(cfg) // reads files, so it comes first: with an error nothing changes
+	}
 	if err == nil {
 		if err = s.core.ReadStatements(cfg.Statements); err != nil {
 			err = fmt.Errorf("installation: statement.%w", err)
@@ -182,6 +192,12 @@
 	c := s.core.StatementCounts()
 	s.count.ShapeHits, s.count.ShapeMisses, s.count.Unparsed = c.Hits, c.Misses, c.Failures
 	s.count.Learned, s.count.Shapes, s.count.ShapeBytes = c.Learned, c.Shapes, c.Bytes
+	if g := s.core.Guard(); g != nil {
+		i := g.Counts()
+		s.count.Identified, s.count.SignatureChecks = i.Allowed, i.Checked
+		s.count.BadProofs, s.count.Forbidden = i.Missing+i.Unsigned+i.Negative+i.Expired+i.Unmapped, i.Forbidden+i.Foreign
+		s.count.OverCeiling = i.Over + i.Busy
+	}
 	s.count.Print(s.log)
 }
 
@@ -193,6 +209,7 @@
 	wakePrint  = 1
 	wakeReload = 1 << 20
 	wakeDrain  = 1 << 40
+	wakePosted = 1 << 52
 )
 
 // waker lets other goroutines reach the loop.
@@ -227,7 +244,10 @@
 	if told%wakeDrain >= wakeReload {
 		w.s.reload()
 	}
-	if told >= wakeDrain {
+	if told >= wakePosted {
+		w.s.takePosts()
+	}
+	if told%wakePosted >= wakeDrain {
 		w.s.life.Drain(w.s.now)
 	}
 }
