Evaluate the installation file in a program of its own; reloads read off the loop

Change: chutechute-eval evaluates Jsonnet; SIGHUP reads and checks the files on a goroutine and hands the result to the loop.

--- /dev/null
+++ b/cmd/chutechute-eval/main.go
@@ -0,0 +1,23 @@
+// Command chutechute-eval evaluates a Jsonnet file and prints what it comes to as JSON. The front end runs it to read its
+// installation file: Jsonnet's library would cost each idle front end 1.6 MB of memory for what happens once.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/google/go-jsonnet"
+)
+
+func main() {
+	if len(os.Args) != 2 {
+		fmt.Fprintln(os.Stderr, "usage: chutechute-eval FILE")
+		os.Exit(2)
+	}
+	text, err := jsonnet.MakeVM().EvaluateFile(os.Args[1])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	fmt.Print(text)
+}
--- a/cmd/chutechute/serve.go
+++ b/cmd/chutechute/serve.go
@@ -55,7 +55,7 @@
 			case syscall.SIGUSR1:
 				server.PrintCounters()
 			case syscall.SIGHUP:
-				server.Reload()
+				go server.Reload() // it may take a while, and SIGTERM is not to wait for it
 			default:
 				server.Drain()
 			}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -83,15 +83,8 @@
 	return &c.installation.Identity
 }
 
-// Reload reads the configuration and the installation file again. The latter is checked against the settings
-// in force, which a reload does not change.
-func (c *Config) Reload(getenv func(string) string) (*Config, error) {
-	next, err := Load(getenv, c.Installation)
-	if err != nil {
-		return nil, err
-	}
-	return next, next.under(c.Settings)
-}
+// Rebase checks what a reload has read against the settings in force, which a reload does not change.
+func (c *Config) Rebase(next *Config) (*Config, error) { return next, next.under(c.Settings) }
 
 func load(getenv func(string) string) (*Config, error) {
 	path := getenv("NODE_CONFIG")
--- a/internal/config/installation.go
+++ b/internal/config/installation.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"github.com/go-viper/mapstructure/v2"
-	"github.com/google/go-jsonnet"
 
 	"chutechute/decide"
 	"chutechute/internal/settings"
@@ -63,11 +62,11 @@
 
 // ReadInstallation evaluates an installation file. Unknown keys and wrong types are errors that name the key.
 func ReadInstallation(path string) (*Installation, error) {
-	text, err := jsonnet.MakeVM().EvaluateFile(path)
+	text, err := evaluate(path)
 	if err != nil {
 		return nil, fmt.Errorf("installation: %w", err)
 	}
-	file, err := ParseInstallation([]byte(text))
+	file, err := ParseInstallation(text)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -41,8 +42,11 @@
 	nextTick Micros
 	log      io.Writer
 	posts    posts
-	watches  int             // so far
-	watch    *keyfiles.Watch // of the files that identity is fed from; nil where it is off
+	// installation is the path of the installation file, which stays as it was at the start.
+	installation string
+	reloading    sync.Mutex
+	watches      int             // so far
+	watch        *keyfiles.Watch // of the files that identity is fed from; nil where it is off
 }
 
 // New builds a front end; it does not listen yet. Counters are printed to log.
@@ -51,7 +55,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{cfg: cfg, clock: clock{time.Now()}, loop: l, log: log}
+	s := &Server{cfg: cfg, clock: clock{time.Now()}, loop: l, log: log, installation: cfg.Installation}
 	s.now = s.clock.now()
 	s.pool = newPool(s)
 	s.listener = &listener{s: s, clients: map[*client]struct{}{}, most: s.clientsMost()}
@@ -148,12 +152,20 @@
 	return nil
 }
 
-// Reload reads the configuration file again. It may be called from any goroutine.
-func (s *Server) Reload() { s.wake.send(wakeReload) }
+// Reload reads the configuration and the installation file again, which may take a while, and hands them to the loop. It
+// may be called from any goroutine but the loop's.
+func (s *Server) Reload() {
+	s.reloading.Lock() // of two, the later reads later
+	defer s.reloading.Unlock()
+	cfg, err := config.Load(os.Getenv, s.installation)
+	s.post(func() { s.reload(cfg, err) })
+}
 
-// reload puts a new configuration into force, once the whole file has been read and checked, or keeps the old.
-func (s *Server) reload() {
-	cfg, err := s.cfg.Reload(os.Getenv)
+// reload puts a new configuration into force, once all of it has been read and checked, or keeps the old.
+func (s *Server) reload(cfg *config.Config, err error) {
+	if err == nil {
+		cfg, err = s.cfg.Rebase(cfg)
+	}
 	if err == nil {
 		err = s.identified(cfg) // reads files, so it comes first: with an error nothing changes
 	}
@@ -207,7 +219,6 @@
 // What the loop is woken for; the values of an eventfd add up.
 const (
 	wakePrint  = 1
-	wakeReload = 1 << 20
 	wakeDrain  = 1 << 40
 	wakePosted = 1 << 52
 )
@@ -238,12 +249,9 @@
 		return
 	}
 	told := binary.NativeEndian.Uint64(b[:])
-	if told%wakeReload != 0 {
+	if told%wakeDrain != 0 {
 		w.s.print()
 	}
-	if told%wakeDrain >= wakeReload {
-		w.s.reload()
-	}
 	if told >= wakePosted {
 		w.s.takePosts()
 	}
--- a/internal/standin/rig.go
+++ b/internal/standin/rig.go
@@ -50,7 +50,7 @@
 	Path     string // of the configuration
 }
 
-// Build builds the program in the current folder into a new one; the caller removes that.
+// Build builds the program, from its folder, into a new one and what it needs beside it; the caller removes that.
 func Build() (program string, remove func(), err error) {
 	dir, err := os.MkdirTemp("", "chutechute")
 	if err != nil {
@@ -58,7 +58,7 @@
 	}
 	remove = func() { os.RemoveAll(dir) }
 	program = filepath.Join(dir, "chutechute")
-	cmd := exec.Command("go", "build", "-o", program, ".")
+	cmd := exec.Command("go", "build", "-o", dir+"/", ".", "../chutechute-eval")
 	cmd.Env = append(os.Environ(), "CGO_ENABLED=0") // as the Makefile has it
 	if out, err := cmd.CombinedOutput(); err != nil {
 		remove()
