--- a/identity/callers.go
+++ b/identity/callers.go
@@ -50,6 +50,8 @@
 type Certificate struct {
 	URIs, DNS []string
 	Subject   string // as RFC 2253 writes it
+	Expires   Micros // of the wall clock; 0: not known
+	Revoked   bool   // by its authority, as of now
 }
 
 // ofToken is the rule for a token's subject; nil where none holds.
--- a/identity/tokens.go
+++ b/identity/tokens.go
@@ -126,6 +126,10 @@
 	}
 	var caller Caller
 	if certificate != nil {
+		if certificate.Revoked || certificate.Expires > 0 && wall >= certificate.Expires {
+			g.count.Expired++
+			return Caller{}, &Denied{Reason: Outdated, Detail: "certificate"}
+		}
 		rule := g.options.ofCertificate(certificate)
 		if rule == nil {
 			g.count.Unmapped++
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -71,10 +71,23 @@
 		if c.Statements, err = c.installation.Statement.options(Classes(s), c.MemoryMB); err == nil {
 			c.Callers, err = c.installation.Identity.Options(s)
 		}
+		if err == nil && c.installation.TLS.Enabled {
+			if _, err = c.installation.TLS.Files(); err != nil {
+				err = fmt.Errorf("installation: %w", err)
+			}
+		}
 	}
 	return err
 }
 
+// TLS is the installation's section on TLS with clients.
+func (c *Config) TLS() *TLS {
+	if c.installation == nil {
+		return &TLS{}
+	}
+	return &c.installation.TLS
+}
+
 // Identity is the installation's section on callers.
 func (c *Config) Identity() *Identity {
 	if c.installation == nil {
--- a/internal/config/identity.go
+++ b/internal/config/identity.go
@@ -161,6 +161,11 @@
 	for n := range i.Issuers {
 		paths = append(paths, &i.Issuers[n].Keys)
 	}
+	root(dir, paths)
+}
+
+// root puts paths that are not whole under a folder.
+func root(dir string, paths []*string) {
 	for _, p := range paths {
 		if *p != "" && !filepath.IsAbs(*p) {
 			*p = filepath.Join(dir, *p)
--- a/internal/config/installation.go
+++ b/internal/config/installation.go
@@ -21,6 +21,7 @@
 type Installation struct {
 	Statement Statement `json:"statement"`
 	Identity  Identity  `json:"identity"`
+	TLS       TLS       `json:"tls"`
 }
 
 // Statement sets how bare statements are read.
@@ -71,6 +72,7 @@
 		return nil, err
 	}
 	file.Identity.rooted(filepath.Dir(path))
+	file.TLS.rooted(filepath.Dir(path))
 	return file, nil
 }
 
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -53,6 +53,10 @@
 	Forbidden       int `name:"calls without the right"`
 	OverCeiling     int `name:"calls above a ceiling or the budget for signatures"`
 
+	Handshakes    int `name:"handshakes"`
+	Resumed       int `name:"handshakes that resumed a session"`
+	BadHandshakes int `name:"handshakes that failed"`
+
 	LongestTurn int `name:"longest turn of the loop in microseconds"`
 }
 
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -1,6 +1,7 @@
 package epoll
 
 import (
+	"crypto/x509"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -8,7 +9,6 @@
 	"net/netip"
 	"strconv"
 	"strings"
-	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -16,6 +16,7 @@
 	"chutechute/identity"
 	"chutechute/internal/ring"
 	"chutechute/internal/thrift"
+	"chutechute/internal/tlsio"
 )
 
 const (
@@ -108,6 +109,9 @@
 		}
 		l.s.count.Accepted++
 		l.clients[c] = struct{}{}
+		if m := l.s.security.material; m != nil {
+			c.secure = tlsio.NewConn(m.Config)
+		}
 		c.ready(unix.EPOLLIN)
 	}
 }
@@ -235,12 +239,19 @@
 	l       *listener
 	open    map[int32]*gateway.Request // by sequence number
 	address uint64                     // the client's, as a number
-	since   Micros                     // of its connecting, its last message or its end
-	part    Micros                     // since when a message has come in part; 0: none has
-	spoke   bool                       // a whole message has come
-	queued  bool                       // messages are left over for the next turn
-	ending  bool                       // nothing more is read or answered
-	drawn   int                        // bytes read off since
+
+	secure      *tlsio.Conn // nil without TLS
+	greeted     bool        // its handshake has been asked for
+	slot        bool        // and takes a place among those that go
+	shaken      bool        // and is over
+	leaf        *x509.Certificate
+	certificate *identity.Certificate // what leaf stands for; nil without one
+	since       Micros                // of its connecting, its last message or its end
+	part        Micros                // since when a message has come in part; 0: none has
+	spoke       bool                  // a whole message has come
+	queued      bool                  // messages are left over for the next turn
+	ending      bool                  // nothing more is read or answered
+	drawn       int                   // bytes read off since
 }
 
 func (c *client) ready(events uint32) {
@@ -291,6 +302,7 @@
 			c.l.s.count.Malformed++
 			slog.Debug("client", "error", err)
 			c.hangUp()
+		case !ok && c.secure != nil && c.decrypt():
 		case !ok:
 			c.rest()
 			return
@@ -349,10 +361,7 @@
 		fail(err)
 		return
 	}
-	call.Proof = gateway.Proof{Token: m.Fields["token"], Address: c.address}
-	if c.l.s.core.Guard() != nil {
-		call.Proof.Wall = time.Now().UnixMicro()
-	}
+	call.Proof = c.proofOf(m.Fields["token"])
 	w := &waiting{c: c, seq: m.Seq}
 	r, err := c.l.s.core.Take(c.l.s.now, call, w)
 	var denied *identity.Denied
@@ -426,6 +435,14 @@
 	if c.closed || c.ending {
 		return
 	}
+	c.raw(c.sealed(answer))
+}
+
+// raw writes bytes as they go over the connection.
+func (c *client) raw(answer []byte) {
+	if c.closed || c.ending || len(answer) == 0 && c.out.Len() == 0 {
+		return
+	}
 	_, err := c.out.Write(answer)
 	if err != nil && c.out.Len()+len(answer) <= c.l.maxUnread() {
 		c.l.relieve()
@@ -486,6 +503,9 @@
 		return
 	}
 	c.close()
+	if c.secure != nil {
+		c.secure.Close()
+	}
 	delete(c.l.clients, c)
 	c.cancel()
 }
--- a/internal/epoll/keys.go
+++ b/internal/epoll/keys.go
@@ -33,17 +33,9 @@
 	}
 }
 
-// identified puts the identity section into force: its rights at once and its files, which are watched from then on. With
-// an error nothing changes.
-func (s *Server) identified(cfg *config.Config) error {
-	if cfg.Callers == nil {
-		s.unwatch()
-		return s.core.IdentifyCallers(nil)
-	}
-	section := cfg.Identity()
-	// All files are read before anything is in force: the first load of each is not handed over but kept here.
-	keys := map[string][]identity.Key{}
-	var revoked identity.Revoked
+// guarded puts the identity and TLS sections into force, and their files, which are watched from then on. With an error
+// nothing changes.
+func (s *Server) guarded(cfg *config.Config) error {
 	started := false
 	s.watches++
 	watch := s.watches
@@ -54,34 +46,20 @@
 			}
 		})
 	}
-	var files []*keyfiles.File
-	for _, one := range section.Issuers {
-		files = append(files, &keyfiles.File{Path: one.Keys, Load: func(path string) error {
-			set, err := keyfiles.Keys(path)
-			if err != nil {
-				return err
-			}
-			if started {
-				later(func() { s.keysChanged(one.Name, set) })
-			} else {
-				keys[one.Name] = set
-			}
-			return nil
-		}})
+	files, force, err := s.secure(cfg, later, &started)
+	if err != nil {
+		return err
 	}
-	if section.Revoked != "" {
-		files = append(files, &keyfiles.File{Path: section.Revoked, Load: func(path string) error {
-			list, err := keyfiles.Revoked(path)
-			if err != nil {
-				return err
-			}
-			if started {
-				later(func() { s.revoked(list) })
-			} else {
-				revoked = list
-			}
-			return nil
-		}})
+	var first []func() // what the files hold now comes into force once all of them could be read
+	now := func(work func()) {
+		if started {
+			later(work)
+		} else {
+			first = append(first, work)
+		}
+	}
+	if cfg.Callers != nil {
+		files = append(files, s.identityFiles(cfg.Identity(), now)...)
 	}
 	if err := keyfiles.Load(files); err != nil {
 		return err
@@ -89,16 +67,41 @@
 	if err := s.core.IdentifyCallers(cfg.Callers); err != nil {
 		return err
 	}
-	for issuer, set := range keys {
-		s.keysChanged(issuer, set)
+	force()
+	for _, work := range first {
+		work()
 	}
-	s.revoked(revoked)
 	s.unwatch()
 	started = true
-	s.watch = keyfiles.Start(files, section.Every())
+	if len(files) > 0 {
+		s.watch = keyfiles.Start(files, cfg.Identity().Every())
+	}
 	return nil
 }
 
+// identityFiles are the files of the identity section; what they hold is handed to now.
+func (s *Server) identityFiles(section *config.Identity, now func(func())) (files []*keyfiles.File) {
+	for _, one := range section.Issuers {
+		files = append(files, &keyfiles.File{Path: one.Keys, Load: func(path string) error {
+			set, err := keyfiles.Keys(path)
+			if err == nil {
+				now(func() { s.keysChanged(one.Name, set) })
+			}
+			return err
+		}})
+	}
+	if section.Revoked != "" {
+		files = append(files, &keyfiles.File{Path: section.Revoked, Load: func(path string) error {
+			list, err := keyfiles.Revoked(path)
+			if err == nil {
+				now(func() { s.revoked(list) })
+			}
+			return err
+		}})
+	}
+	return files
+}
+
 func (s *Server) unwatch() {
 	if s.watch != nil {
 		s.watch.Stop()
--- /dev/null
+++ b/internal/epoll/secure.go
@@ -0,0 +1,234 @@
+package epoll
+
+import (
+	"errors"
+	"log/slog"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"chutechute/gateway"
+	"chutechute/identity"
+	"chutechute/internal/certs"
+	"chutechute/internal/config"
+	"chutechute/internal/keyfiles"
+	"chutechute/internal/tlsio"
+)
+
+// security is the server's side of TLS with clients: what new connections are made with and who may shake hands.
+type security struct {
+	material   *certs.Material // nil where TLS is off
+	files      *certs.Files
+	handshakes *identity.Handshakes
+	pool       *tlsio.Pool
+	warn       time.Duration // ahead of an expiry
+	warnAt     Micros        // next
+	scratch    []byte        // for what comes of any connection
+}
+
+const (
+	scratchSize = 16 << 10
+	mostChunks  = 16 // of scratchSize that one connection reads in one turn
+	warnEvery   = 3600 * 1000 * ms
+)
+
+// secure puts the TLS section into force for connections that come from now on, and adds its files to those that are
+// watched. With an error nothing changes.
+func (s *Server) secure(cfg *config.Config, later func(func()), started *bool) (files []*keyfiles.File, force func(), err error) {
+	section, off := cfg.TLS(), func() { s.security.material = nil }
+	if !section.Enabled {
+		return nil, off, nil
+	}
+	set, err := section.Files()
+	if err != nil {
+		return nil, nil, err
+	}
+	material, err := certs.Load(set)
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, path := range set.Paths() {
+		files = append(files, &keyfiles.File{Path: path, Load: func(string) error {
+			if !*started { // all were read together above
+				return nil
+			}
+			changed, err := certs.Load(set)
+			if err == nil {
+				later(func() { s.renewed(changed) })
+			}
+			return err
+		}})
+	}
+	return files, func() {
+		pending, share := section.Bounds()
+		s.security.files, s.security.warn = set, section.Warn()
+		if s.security.pool == nil {
+			s.security.pool, s.security.handshakes = tlsio.NewPool(share), identity.NewHandshakes(pending)
+			s.security.scratch = make([]byte, scratchSize)
+		}
+		s.renewed(material)
+	}, nil
+}
+
+// renewed puts a state of the files into force: connections that come from now on are made with its certificates, and what
+// it says is revoked is so for all.
+func (s *Server) renewed(m *certs.Material) {
+	s.security.material = m
+	s.security.warnAt = 0
+}
+
+// tick logs what will expire soon, now and again.
+func (s *security) tick(now Micros) {
+	if s.material == nil || now < s.warnAt {
+		return
+	}
+	s.warnAt = now + warnEvery
+	for _, e := range s.material.Expiry {
+		if left := time.Until(e.At); left < s.warn {
+			slog.Warn("expires soon", "file", e.Path, "at", e.At.UTC().Format(time.RFC3339), "left", left.Round(time.Second).String())
+		}
+	}
+}
+
+// greet begins the handshake once the client's first message has come whole: who sends half of one, or noise, costs none.
+func (c *client) greet() {
+	whole, err := c.secure.Hello()
+	if err != nil {
+		c.l.s.count.BadHandshakes++
+		c.hangUp()
+		return
+	}
+	if !whole {
+		return
+	}
+	c.greeted = true
+	server, s := c.l.s, &c.l.s.security
+	s.handshakes.Ask(c.address, func() {
+		if c.closed { // it left while it waited
+			server.post(func() { s.handshakes.Ended(c.address) })
+			return
+		}
+		c.slot = true
+		s.pool.Start(c.secure, func(done bool, err error) { server.post(func() { c.shook(done, err) }) })
+	})
+}
+
+// shook goes on with a handshake that has something to say, or that is over.
+func (c *client) shook(done bool, err error) {
+	s := &c.l.s.security
+	if c.slot { // what it waits for now is its peer, or nothing
+		c.slot = false
+		s.handshakes.Ended(c.address)
+	}
+	if c.closed || c.ending {
+		return
+	}
+	c.raw(c.secure.Output())
+	switch {
+	case !done || c.closed:
+	case err != nil:
+		c.l.s.count.BadHandshakes++
+		slog.Debug("client", "handshake", err)
+		c.hangUp()
+	default:
+		c.l.s.count.Handshakes++
+		c.secure.Finish()
+		c.shaken, c.since = true, c.l.s.now
+		state := c.secure.State()
+		if state.DidResume {
+			c.l.s.count.Resumed++
+		}
+		if len(state.PeerCertificates) > 0 {
+			c.leaf, c.certificate = state.PeerCertificates[0], certs.Of(state.PeerCertificates[0])
+		}
+		c.read()
+	}
+}
+
+// proof is what the connection shows of who its client is, as of now.
+func (c *client) proof(wall Micros) *identity.Certificate {
+	if c.certificate == nil {
+		return nil
+	}
+	s := &c.l.s.security
+	c.certificate.Revoked = s.material != nil && s.material.Revoked.Has(c.leaf, time.UnixMicro(wall), s.files.StaleRefuses)
+	return c.certificate
+}
+
+// fill reads what has come. On a connection with TLS that is records, which decrypt turns into messages.
+func (c *client) fill() (more bool) {
+	if c.secure == nil {
+		return c.stream.fill()
+	}
+	b := c.l.s.security.scratch
+	for n := 0; n < mostChunks && !c.closed && !c.ending; n++ {
+		n, err := unix.Read(c.fd, b)
+		switch {
+		case err == unix.EAGAIN:
+			return true
+		case err == unix.EINTR:
+			continue
+		case err != nil || n == 0:
+			return false
+		}
+		if err := c.secure.Feed(b[:n]); err != nil {
+			c.l.s.count.Malformed++
+			c.hangUp()
+			return true
+		}
+		if !c.greeted {
+			c.greet()
+		}
+		if c.shaken && !c.decrypt() && len(c.in.Space()) == 0 || n < len(b) {
+			return true
+		}
+	}
+	return true
+}
+
+// decrypt moves what the client has said into the ring of messages; it says whether there was anything.
+func (c *client) decrypt() (got bool) {
+	if !c.shaken || c.closed || c.ending {
+		return false
+	}
+	for {
+		space := c.in.Space()
+		if len(space) == 0 {
+			break
+		}
+		n, err := c.secure.Read(space)
+		c.in.Commit(n)
+		got = got || n > 0
+		if err != nil {
+			c.raw(c.secure.Output()) // an alert, or an answer to a change of keys
+			if !errors.Is(err, tlsio.ErrAgain) && !errors.Is(err, tlsio.ErrEnd) {
+				c.l.s.count.Malformed++
+				c.hangUp()
+			}
+			break
+		}
+	}
+	return got
+}
+
+// sealed is an answer as it goes over the connection.
+func (c *client) sealed(answer []byte) []byte {
+	if c.secure == nil {
+		return answer
+	}
+	if err := c.secure.Write(answer); err != nil {
+		c.end()
+		return nil
+	}
+	return c.secure.Output()
+}
+
+// proofOf gathers what a call shows of who it comes from.
+func (c *client) proofOf(token string) gateway.Proof {
+	p := gateway.Proof{Token: token, Address: c.address}
+	if c.l.s.core.Guard() != nil {
+		p.Wall = time.Now().UnixMicro()
+		p.Certificate = c.proof(p.Wall)
+	}
+	return p
+}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -42,6 +42,7 @@
 	nextTick Micros
 	log      io.Writer
 	posts    posts
+	security security
 	// installation is the path of the installation file, which stays as it was at the start.
 	installation string
 	reloading    sync.Mutex
@@ -70,8 +71,8 @@
 	if s.wake, err = newWaker(s); err != nil {
 		return nil, err
 	}
-	if err = s.identified(cfg); err != nil {
-		return nil, fmt.Errorf("identity: %w", err)
+	if err = s.guarded(cfg); err != nil {
+		return nil, fmt.Errorf("installation: %w", err)
 	}
 	return s, nil
 }
@@ -143,6 +144,7 @@
 		s.pool.tick()
 		s.listener.tick()
 		s.feed.tick()
+		s.security.tick(s.now)
 		if s.life.Expired(s.now) {
 			s.core.ExpireAll()
 		}
@@ -167,7 +169,7 @@
 		cfg, err = s.cfg.Rebase(cfg)
 	}
 	if err == nil {
-		err = s.identified(cfg) // reads files, so it comes first: with an error nothing changes
+		err = s.guarded(cfg) // reads files, so it comes first: with an error nothing changes
 	}
 	if err == nil {
 		if err = s.core.ReadStatements(cfg.Statements); err != nil {
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -31,6 +32,16 @@
 
 func text(s string) []byte { return append(binary.BigEndian.AppendUint32(nil, uint32(len(s))), s...) }
 
+// Secure connects another client by TLS, and gives the error where the front end does not have it.
+func (r *Rig) Secure(config *tls.Config) (*Client, error) {
+	conn, err := tls.DialWithDialer(&net.Dialer{Timeout: Patience}, "tcp4", r.Addr, config)
+	if err != nil {
+		return nil, err
+	}
+	r.T.Cleanup(func() { conn.Close() })
+	return &Client{T: r.T, Conn: conn}, conn.SetDeadline(time.Now().Add(Patience))
+}
+
 // Send sends a message of a kind and gives its sequence number; the arguments are whole fields.
 func (c *Client) Send(kind byte, name string, args ...[]byte) int32 {
 	c.Seq++
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -78,6 +78,7 @@
 		} else {
 			w.Header().Set("X-Batches", fmt.Sprint(len(rows)))
 		}
+		w.Header().Set("Content-Length", fmt.Sprint(len(rows[page]))) // longer ones would come in chunks, which no engine sends
 		io.WriteString(w, rows[page])
 	}
 }
