--- a/internal/certs/load.go
+++ b/internal/certs/load.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"time"
 
 	"chutechute/identity"
@@ -26,6 +27,12 @@
 	StaleRefuses bool
 	MinVersion   uint16
 	ALPN         []string
+
+	// Towards engines: their authorities, none where that is off; the name that one has to show, with {id} for its id; and what the
+	// front end shows, if anything.
+	EngineCAs  []string
+	EngineName string
+	EnginePair *PairFiles
 }
 
 // PairFiles are the paths of a certificate, with the chain behind it, and its key.
@@ -36,12 +43,16 @@
 	for _, p := range f.Pairs {
 		paths = append(paths, p.Certificate, p.Key)
 	}
-	return append(append(paths, f.ClientCAs...), f.CRLs...)
+	if f.EnginePair != nil {
+		paths = append(paths, f.EnginePair.Certificate, f.EnginePair.Key)
+	}
+	return slices.Concat(paths, f.ClientCAs, f.CRLs, f.EngineCAs)
 }
 
 // Material is a consistent state of the files.
 type Material struct {
-	Config  *tls.Config
+	Config  *tls.Config // for clients; nil where that is off
+	Engines *tls.Config // towards engines; nil where that is off
 	Revoked Revoked
 	Expiry  []Expiry
 }
@@ -75,8 +86,14 @@
 // Load reads all files. With an error, which names the file, none of them is to come into force: a pair that is half
 // written does not match.
 func Load(f *Files) (*Material, error) {
-	m := &Material{Config: &tls.Config{MinVersion: f.MinVersion, NextProtos: f.ALPN, ClientAuth: f.ClientAuth},
-		Revoked: Revoked{map[string]bool{}, map[string]time.Time{}}}
+	m := &Material{Revoked: Revoked{map[string]bool{}, map[string]time.Time{}}}
+	if err := m.loadEngines(f); err != nil {
+		return nil, err
+	}
+	if len(f.Pairs) == 0 {
+		return m, nil
+	}
+	m.Config = &tls.Config{MinVersion: f.MinVersion, NextProtos: f.ALPN, ClientAuth: f.ClientAuth}
 	for _, p := range f.Pairs {
 		pair, err := loadPair(p)
 		if err != nil {
@@ -110,6 +127,37 @@
 	return m, nil
 }
 
+// sessions is how many engines' sessions are kept to be resumed.
+const sessions = 256
+
+// loadEngines loads what connections to engines are made with.
+func (m *Material) loadEngines(f *Files) error {
+	if len(f.EngineCAs) == 0 {
+		return nil
+	}
+	m.Engines = &tls.Config{MinVersion: f.MinVersion, RootCAs: x509.NewCertPool(),
+		ClientSessionCache: tls.NewLRUClientSessionCache(sessions)}
+	for _, path := range f.EngineCAs {
+		list, err := loadCertificates(path)
+		if err != nil {
+			return err
+		}
+		for _, c := range list {
+			m.Engines.RootCAs.AddCert(c)
+			m.Expiry = append(m.Expiry, Expiry{path, c.NotAfter})
+		}
+	}
+	if f.EnginePair != nil {
+		pair, err := loadPair(*f.EnginePair)
+		if err != nil {
+			return err
+		}
+		m.Engines.Certificates = []tls.Certificate{pair}
+		m.Expiry = append(m.Expiry, Expiry{f.EnginePair.Certificate, pair.Leaf.NotAfter})
+	}
+	return nil
+}
+
 // loadPair reads a certificate and its key, which nobody else may be able to read.
 func loadPair(p PairFiles) (pair tls.Certificate, err error) {
 	info, err := os.Stat(p.Key)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -71,8 +71,8 @@
 		if c.Statements, err = c.installation.Statement.options(Classes(s), c.MemoryMB); err == nil {
 			c.Callers, err = c.installation.Identity.Options(s)
 		}
-		if err == nil && c.installation.TLS.Enabled {
-			if _, err = c.installation.TLS.Files(); err != nil {
+		if t := &c.installation.TLS; err == nil && (t.Enabled || t.Engines.Enabled) {
+			if _, err = t.Files(); err != nil {
 				err = fmt.Errorf("installation: %w", err)
 			}
 		}
--- a/internal/config/tls.go
+++ b/internal/config/tls.go
@@ -20,6 +20,15 @@
 	ALPN         []string         `json:"alpn"`
 	Handshakes   TLSHandshakes    `json:"handshakes"`
 	WarnDays     float64          `json:"warn_days"` // ahead of an expiry
+	Engines      TLSEngines       `json:"engines"`
+}
+
+// TLSEngines sets TLS towards engines.
+type TLSEngines struct {
+	Enabled     bool           `json:"enabled"`
+	CAs         []string       `json:"cas"`
+	Name        string         `json:"name"`        // that an engine has to show, with {id} for its id
+	Certificate TLSCertificate `json:"certificate"` // that the front end shows; none where it is left out
 }
 
 // TLSCertificate is the paths of a certificate with its chain and of its key.
@@ -45,11 +54,31 @@
 	fault := func(key, form string, args ...any) (*certs.Files, error) {
 		return nil, fmt.Errorf("tls.%s: %s", key, fmt.Sprintf(form, args...))
 	}
-	f := &certs.Files{ClientCAs: t.ClientCAs, CRLs: t.CRLs, ALPN: t.ALPN}
-	if len(t.Certificates) == 0 {
-		return fault("certificates", "missing")
+	f := &certs.Files{}
+	if e := t.Engines; e.Enabled {
+		switch one := (e.Certificate.Certificate == "") != (e.Certificate.Key == ""); {
+		case len(e.CAs) == 0:
+			return fault("engines.cas", "missing")
+		case e.Name == "":
+			return fault("engines.name", "missing")
+		case one:
+			return fault("engines.certificate", "certificate or key is missing")
+		}
+		f.EngineCAs, f.EngineName = e.CAs, e.Name
+		if e.Certificate.Key != "" {
+			f.EnginePair = &certs.PairFiles{Certificate: e.Certificate.Certificate, Key: e.Certificate.Key}
+		}
+	}
+	if t.Enabled {
+		f.ClientCAs, f.CRLs, f.ALPN = t.ClientCAs, t.CRLs, t.ALPN
+		if len(t.Certificates) == 0 {
+			return fault("certificates", "missing")
+		}
 	}
 	for i, c := range t.Certificates {
+		if !t.Enabled {
+			break
+		}
 		if c.Certificate == "" || c.Key == "" {
 			return fault(fmt.Sprintf("certificates[%d]", i), "certificate or key is missing")
 		}
@@ -66,7 +95,7 @@
 		return fault("min_version", "%q is neither 1.3 nor 1.2", t.MinVersion)
 	}
 	switch {
-	case f.ClientAuth != tls.NoClientCert && len(t.ClientCAs) == 0:
+	case t.Enabled && f.ClientAuth != tls.NoClientCert && len(t.ClientCAs) == 0:
 		return fault("client_cas", "missing, with client_auth %q", t.ClientAuth)
 	case len(t.CRLs) > 0 && len(t.ClientCAs) == 0:
 		return fault("client_cas", "missing, with crls")
@@ -105,7 +134,8 @@
 	for i := range t.Certificates {
 		paths = append(paths, &t.Certificates[i].Certificate, &t.Certificates[i].Key)
 	}
-	for _, list := range [][]string{t.ClientCAs, t.CRLs} {
+	paths = append(paths, &t.Engines.Certificate.Certificate, &t.Engines.Certificate.Key)
+	for _, list := range [][]string{t.ClientCAs, t.CRLs, t.Engines.CAs} {
 		for i := range list {
 			paths = append(paths, &list[i])
 		}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -57,6 +57,9 @@
 	Resumed       int `name:"handshakes that resumed a session"`
 	BadHandshakes int `name:"handshakes that failed"`
 
+	EngineHandshakes    int `name:"handshakes with engines"`
+	BadEngineHandshakes int `name:"handshakes with engines that failed"`
+
 	LongestTurn int `name:"longest turn of the loop in microseconds"`
 }
 
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -109,8 +109,8 @@
 		}
 		l.s.count.Accepted++
 		l.clients[c] = struct{}{}
-		if m := l.s.security.material; m != nil {
-			c.secure = tlsio.NewConn(m.Config)
+		if m := l.s.security.material; m != nil && m.Config != nil {
+			c.secure = tlsio.Server(m.Config)
 		}
 		c.ready(unix.EPOLLIN)
 	}
@@ -240,10 +240,8 @@
 	open    map[int32]*gateway.Request // by sequence number
 	address uint64                     // the client's, as a number
 
-	secure      *tlsio.Conn // nil without TLS
-	greeted     bool        // its handshake has been asked for
-	slot        bool        // and takes a place among those that go
-	shaken      bool        // and is over
+	greeted     bool // its handshake has been asked for
+	slot        bool // and takes a place among those that go
 	leaf        *x509.Certificate
 	certificate *identity.Certificate // what leaf stands for; nil without one
 	since       Micros                // of its connecting, its last message or its end
@@ -302,7 +300,7 @@
 			c.l.s.count.Malformed++
 			slog.Debug("client", "error", err)
 			c.hangUp()
-		case !ok && c.secure != nil && c.decrypt():
+		case !ok && c.more():
 		case !ok:
 			c.rest()
 			return
@@ -503,9 +501,6 @@
 		return
 	}
 	c.close()
-	if c.secure != nil {
-		c.secure.Close()
-	}
 	delete(c.l.clients, c)
 	c.cancel()
 }
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -75,6 +75,7 @@
 	job        *job // whose call is out; nil also while an answer that nobody waits for is to come
 	busy       bool // a call is out
 	connecting bool
+	shaking    bool   // a part of connecting, once the connection has come up
 	since      Micros // of the call, the dial or the last use
 	suspect    Micros // since when other answers have overtaken this one; 0: none has
 	part       Micros // since when the answer has come in part; 0: it has not
@@ -415,13 +416,15 @@
 // call writes the next call of the connection's job.
 func (c *conn) call() {
 	j := c.job
-	b := j.query.Call()
+	b, err := c.seal(j.query.Call())
 	c.busy, c.since, c.size, c.part, c.suspect = true, c.p.s.now, len(b), 0, 0
 	if !j.query.Dropping() {
 		j.asked = c.since
 	}
 	c.p.s.count.Calls++
-	_, err := c.out.Write(b)
+	if err == nil {
+		_, err = c.out.Write(b)
+	}
 	if err == nil {
 		err = c.flush()
 	}
@@ -436,6 +439,10 @@
 }
 
 func (c *conn) ready(events uint32) {
+	if c.shaking {
+		c.shake(events)
+		return
+	}
 	if c.connecting {
 		if err := dialled(c.fd); err != nil {
 			j := c.job
@@ -447,6 +454,10 @@
 			}
 			return
 		}
+		if c.p.shakes() {
+			c.greet()
+			return
+		}
 		c.connecting = false
 		c.call()
 		return
@@ -465,7 +476,11 @@
 	if events&^unix.EPOLLOUT == 0 {
 		return
 	}
-	more := c.fill()
+	more, err := c.fill()
+	if err != nil {
+		c.spoilt(err)
+		return
+	}
 	for !c.closed && c.in.Len() > 0 {
 		r, ok, err := rest.NextResponse(c.in)
 		if err != nil || ok && !c.busy {
--- a/internal/epoll/loop.go
+++ b/internal/epoll/loop.go
@@ -11,6 +11,7 @@
 
 	"chutechute/decide"
 	"chutechute/internal/ring"
+	"chutechute/internal/tlsio"
 )
 
 // Micros is a time or a span in microseconds.
@@ -94,6 +95,8 @@
 	in, out *ring.Buffer
 	want    uint32
 	closed  bool
+	secure  *tlsio.Conn // nil without TLS
+	shaken  bool        // its handshake is over
 }
 
 func newStream(l *loop, fd, maxIn, maxOut int, budget *ring.Budget) stream {
@@ -180,6 +183,9 @@
 		s.loop.drop(s.fd)
 		s.in.Free()
 		s.out.Free()
+		if s.secure != nil {
+			s.secure.Close()
+		}
 	}
 }
 
--- a/internal/epoll/secure.go
+++ b/internal/epoll/secure.go
@@ -21,6 +21,7 @@
 	files      *certs.Files
 	handshakes *identity.Handshakes
 	pool       *tlsio.Pool
+	outward    *tlsio.Pool   // for handshakes with engines, which clients' are not to hold up
 	warn       time.Duration // ahead of an expiry
 	warnAt     Micros        // next
 	scratch    []byte        // for what comes of any connection
@@ -36,7 +37,7 @@
 // watched. With an error nothing changes.
 func (s *Server) secure(cfg *config.Config, later func(func()), started *bool) (files []*keyfiles.File, force func(), err error) {
 	section, off := cfg.TLS(), func() { s.security.material = nil }
-	if !section.Enabled {
+	if !section.Enabled && !section.Engines.Enabled {
 		return nil, off, nil
 	}
 	set, err := section.Files()
@@ -64,6 +65,7 @@
 		s.security.files, s.security.warn = set, section.Warn()
 		if s.security.pool == nil {
 			s.security.pool, s.security.handshakes = tlsio.NewPool(share), identity.NewHandshakes(pending)
+			s.security.outward = tlsio.NewPool(1)
 			s.security.scratch = make([]byte, scratchSize)
 		}
 		s.renewed(material)
@@ -92,6 +94,9 @@
 
 // greet begins the handshake once the client's first message has come whole: who sends half of one, or noise, costs none.
 func (c *client) greet() {
+	if c.greeted || c.ending {
+		return
+	}
 	whole, err := c.secure.Hello()
 	if err != nil {
 		c.l.s.count.BadHandshakes++
@@ -155,72 +160,112 @@
 	return c.certificate
 }
 
-// fill reads what has come. On a connection with TLS that is records, which decrypt turns into messages.
+// fill reads what has come.
 func (c *client) fill() (more bool) {
 	if c.secure == nil {
 		return c.stream.fill()
 	}
-	b := c.l.s.security.scratch
-	for n := 0; n < mostChunks && !c.closed && !c.ending; n++ {
-		n, err := unix.Read(c.fd, b)
+	more, err := c.receive(c.l.s.security.scratch, c.greet)
+	c.broken(err)
+	return more
+}
+
+// more says whether a connection with TLS has had more to say.
+func (c *client) more() bool {
+	if c.secure == nil || c.closed || c.ending {
+		return false
+	}
+	got, err := c.decrypt()
+	c.broken(err)
+	return got && err == nil
+}
+
+// broken ends a connection whose records can't be read, once the peer has been told.
+func (c *client) broken(err error) {
+	if err != nil && !c.closed && !c.ending {
+		c.raw(nil)
+		c.l.s.count.Malformed++
+		c.hangUp()
+	}
+}
+
+// sealed is an answer as it goes over the connection.
+func (c *client) sealed(answer []byte) []byte {
+	b, err := c.seal(answer)
+	if err != nil {
+		c.end()
+	}
+	return b
+}
+
+// receive reads the records that have come and decrypts them into the ring; greet is called while the handshake goes on. More is
+// false at the stream's end.
+func (s *stream) receive(scratch []byte, greet func()) (more bool, err error) {
+	for n := 0; n < mostChunks && !s.closed; n++ {
+		n, err := unix.Read(s.fd, scratch)
 		switch {
 		case err == unix.EAGAIN:
-			return true
+			return true, nil
 		case err == unix.EINTR:
 			continue
 		case err != nil || n == 0:
-			return false
+			return false, nil
+		}
+		if err := s.secure.Feed(scratch[:n]); err != nil {
+			return true, err
 		}
-		if err := c.secure.Feed(b[:n]); err != nil {
-			c.l.s.count.Malformed++
-			c.hangUp()
-			return true
+		if !s.shaken {
+			greet()
 		}
-		if !c.greeted {
-			c.greet()
+		got, err := s.decrypt()
+		if err != nil {
+			return true, err
 		}
-		if c.shaken && !c.decrypt() && len(c.in.Space()) == 0 || n < len(b) {
-			return true
+		if s.shaken && !got && len(s.in.Space()) == 0 || n < len(scratch) {
+			return true, nil
 		}
 	}
-	return true
+	return true, nil
 }
 
-// decrypt moves what the client has said into the ring of messages; it says whether there was anything.
-func (c *client) decrypt() (got bool) {
-	if !c.shaken || c.closed || c.ending {
-		return false
+// decrypt moves what the peer has said into the ring; got says whether there was anything. What is to be said in return, an alert
+// or an answer to a change of keys, is added to what goes out.
+func (s *stream) decrypt() (got bool, err error) {
+	if !s.shaken || s.closed {
+		return false, nil
 	}
 	for {
-		space := c.in.Space()
+		space := s.in.Space()
 		if len(space) == 0 {
-			break
+			return got, nil
 		}
-		n, err := c.secure.Read(space)
-		c.in.Commit(n)
+		n, err := s.secure.Read(space)
+		s.in.Commit(n)
 		got = got || n > 0
-		if err != nil {
-			c.raw(c.secure.Output()) // an alert, or an answer to a change of keys
-			if !errors.Is(err, tlsio.ErrAgain) && !errors.Is(err, tlsio.ErrEnd) {
-				c.l.s.count.Malformed++
-				c.hangUp()
+		if err == nil {
+			continue
+		}
+		if out := s.secure.Output(); len(out) > 0 {
+			if _, err := s.out.Write(out); err != nil {
+				return got, err
 			}
-			break
 		}
+		if errors.Is(err, tlsio.ErrAgain) || errors.Is(err, tlsio.ErrEnd) {
+			return got, nil
+		}
+		return got, err
 	}
-	return got
 }
 
-// sealed is an answer as it goes over the connection.
-func (c *client) sealed(answer []byte) []byte {
-	if c.secure == nil {
-		return answer
+// seal is a message as it goes over the connection.
+func (s *stream) seal(b []byte) ([]byte, error) {
+	if s.secure == nil {
+		return b, nil
 	}
-	if err := c.secure.Write(answer); err != nil {
-		c.end()
-		return nil
+	if err := s.secure.Write(b); err != nil {
+		return nil, err
 	}
-	return c.secure.Output()
+	return s.secure.Output(), nil
 }
 
 // proofOf gathers what a call shows of who it comes from.
--- a/internal/tlsio/conn.go
+++ b/internal/tlsio/conn.go
@@ -1,4 +1,4 @@
-// Package tlsio is the server's side of TLS as a machine that is fed bytes and knows no socket, round crypto/tls.
+// Package tlsio is TLS, of either side, as a machine that is fed bytes and knows no socket, round crypto/tls.
 //
 // crypto/tls can't stop half way through a handshake, so each handshake runs on a goroutine of its own, which waits for
 // bytes in memory; how many there are and how much of the core they take is bounded by a Pool. Once it is over no goroutine is
@@ -46,11 +46,16 @@
 	done bool // the handshake is over, as the owner knows
 }
 
-// NewConn is a connection whose handshake has not begun; Pool.Start begins it.
-func NewConn(config *tls.Config) *Conn {
+// Server is the server's side of a connection whose handshake has not begun; Pool.Start begins it.
+func Server(config *tls.Config) *Conn { return newConn(tls.Server, config) }
+
+// Client is the client's side of one.
+func Client(config *tls.Config) *Conn { return newConn(tls.Client, config) }
+
+func newConn(side func(net.Conn, *tls.Config) *tls.Conn, config *tls.Config) *Conn {
 	c := &Conn{}
 	c.pipe.more.L = &c.pipe.mu
-	c.tls = tls.Server(&c.pipe, config)
+	c.tls = side(&c.pipe, config)
 	return c
 }
 
