--- a/cmd/chutechute/identity_test.go
+++ b/cmd/chutechute/identity_test.go
@@ -5,7 +5,6 @@
 	"crypto/x509"
 	"encoding/json"
 	"fmt"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -152,12 +151,7 @@
 func TestRightsAndTheLine(t *testing.T) {
 	o := newOffice(t)
 	release := make(chan bool)
-	r := start(t, 1, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
-		if c.Method == "POST" && c.Header.Get("Request-Id") == standin.ID(1) {
-			<-release
-		}
-		standin.Serve(w, standin.Row)
-	}, o.installed)
+	r := start(t, 1, standin.Held(standin.ID(1), release), o.installed)
 	c := r.Client()
 	booking, desk := o.sign("a", "booking", ""), o.sign("a", "desk-1", "")
 	first := with(c, 1, "load", "INSERT INTO s_1.t VALUES (1)", booking)
@@ -190,12 +184,7 @@
 func TestRevocationInService(t *testing.T) {
 	o := newOffice(t)
 	release := make(chan bool)
-	r := start(t, 1, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
-		if c.Method == "POST" && c.Header.Get("Request-Id") == standin.ID(1) {
-			<-release
-		}
-		standin.Serve(w, standin.Row)
-	}, o.installed)
+	r := start(t, 1, standin.Held(standin.ID(1), release), o.installed)
 	busy, idle := r.Client(), r.Client()
 	one, two := o.sign("a", "desk-1", "t1"), o.sign("a", "desk-1", "t2")
 	with(busy, 1, "lookup", "SELECT 1 FROM s_1.t", one)
--- a/cmd/chutechute/tls_test.go
+++ b/cmd/chutechute/tls_test.go
@@ -5,7 +5,6 @@
 	"crypto/x509"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
@@ -165,12 +164,7 @@
 func TestRevokedCertificates(t *testing.T) {
 	w := newTown(t, "require", townRights)
 	release := make(chan bool)
-	r := start(t, 1, func(r *standin.Rig, h http.ResponseWriter, c standin.Call) {
-		if c.Method == "POST" && c.Header.Get("Request-Id") == standin.ID(1) {
-			<-release
-		}
-		standin.Serve(h, standin.Row)
-	}, w.installed)
+	r := start(t, 1, standin.Held(standin.ID(1), release), w.installed)
 	config, leaf := w.client("spiffe://town/desk/4", w.ca)
 	config.ClientSessionCache = tls.NewLRUClientSessionCache(4)
 	busy, idle := w.must(r, config), w.must(r, config)
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -258,7 +258,7 @@
 		return
 	}
 	if events&unix.EPOLLOUT != 0 {
-		c.write(nil)
+		c.raw(nil)
 	}
 	if events&^unix.EPOLLOUT == 0 {
 		c.read()
--- a/internal/epoll/secure.go
+++ b/internal/epoll/secure.go
@@ -156,7 +156,7 @@
 		return nil
 	}
 	s := &c.l.s.security
-	c.certificate.Revoked = s.material != nil && s.material.Revoked.Has(c.leaf, time.UnixMicro(wall), s.files.StaleRefuses)
+	c.certificate.Revoked = s.material == nil || s.material.Revoked.Has(c.leaf, time.UnixMicro(wall), s.files.StaleRefuses)
 	return c.certificate
 }
 
@@ -257,11 +257,16 @@
 	}
 }
 
+var errUnshaken = errors.New("epoll: a message before the handshake's end")
+
 // seal is a message as it goes over the connection.
 func (s *stream) seal(b []byte) ([]byte, error) {
 	if s.secure == nil {
 		return b, nil
 	}
+	if !s.shaken { // crypto/tls would wait for the handshake, and the loop with it
+		return nil, errUnshaken
+	}
 	if err := s.secure.Write(b); err != nil {
 		return nil, err
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -82,3 +82,13 @@
 		io.WriteString(w, rows[page])
 	}
 }
+
+// Held serves at once, but for the start of one request, which waits until released.
+func Held(id string, released <-chan bool) Answer {
+	return func(_ *Rig, w http.ResponseWriter, c Call) {
+		if c.Method == "POST" && c.Header.Get("Request-Id") == id {
+			<-released
+		}
+		Serve(w, Row)
+	}
+}
