--- a/statement/reader.go
+++ b/statement/reader.go
@@ -116,11 +116,7 @@
 	if err != nil {
 		return err
 	}
-	if r.rules == nil {
-		r.shapes = newShapes(o.CacheBytes)
-	} else if o.CacheBytes != r.options.CacheBytes {
-		r.shapes.resize(o.CacheBytes)
-	}
+	r.shapes.resize(o.CacheBytes)
 	if !sameClasses(o.Classes, r.options.Classes) {
 		r.cost, r.memory = nil, nil
 		for _, c := range o.Classes {
@@ -234,6 +230,6 @@
 // Counts is what the reader has done so far.
 func (r *Reader) Counts() Counts {
 	c := r.count
-	c.Shapes, c.Bytes = r.shapes.count(), r.shapes.bytes()
+	c.Shapes, c.Bytes = r.shapes.held()
 	return c
 }
--- a/statement/shapes.go
+++ b/statement/shapes.go
@@ -43,38 +43,50 @@
 // A fingerprint finds an entry, and the shape itself confirms it: texts made to collide can't pass for one
 // another.
 type shapes struct {
-	cache *otter.Cache[uint64, *entry]
-}
-
-func newShapes(bytes int) shapes {
-	return shapes{otter.Must(&otter.Options[uint64, *entry]{
-		MaximumWeight: uint64(bytes),
-		Weigher:       func(_ uint64, e *entry) uint32 { return uint32(e.size()) },
-		// The cache is one loop's own: its upkeep is done in the calls themselves.
-		Executor: func(work func()) { work() },
-	})}
+	bytes int
+	cache *otter.Cache[uint64, *entry] // nil until there is a shape to keep: an idle program holds none
 }
 
 // find is the entry of a shape that was read; nil where there is none.
-func (s shapes) find(fingerprint uint64, scan *shape.Scan) *entry {
+func (s *shapes) find(fingerprint uint64, scan *shape.Scan) *entry {
+	if s.cache == nil {
+		return nil
+	}
 	if e, ok := s.cache.GetIfPresent(fingerprint); ok && e.shape == string(scan.Shape) {
 		return e
 	}
 	return nil
 }
 
-func (s shapes) keep(fingerprint uint64, e *entry) { s.cache.Set(fingerprint, e) }
+func (s *shapes) keep(fingerprint uint64, e *entry) {
+	if s.cache == nil {
+		s.cache = otter.Must(&otter.Options[uint64, *entry]{
+			MaximumWeight: uint64(s.bytes),
+			Weigher:       func(_ uint64, e *entry) uint32 { return uint32(e.size()) },
+			// The cache is one loop's own: its upkeep is done in the calls themselves.
+			Executor: func(work func()) { work() },
+		})
+	}
+	s.cache.Set(fingerprint, e)
+}
 
 // weigh weighs an entry again that has grown, if it is still here.
-func (s shapes) weigh(fingerprint uint64, e *entry) {
+func (s *shapes) weigh(fingerprint uint64, e *entry) {
 	if kept, ok := s.cache.GetEntryQuietly(fingerprint); ok && kept.Value == e {
 		s.cache.Set(fingerprint, e)
 	}
 }
 
-// bytes is what the entries hold together.
-func (s shapes) bytes() int { return int(s.cache.WeightedSize()) }
-
-func (s shapes) count() int { return s.cache.EstimatedSize() }
+// held is how many entries there are and what they hold together, in bytes.
+func (s *shapes) held() (count, bytes int) {
+	if s.cache == nil {
+		return 0, 0
+	}
+	return s.cache.EstimatedSize(), int(s.cache.WeightedSize())
+}
 
-func (s shapes) resize(bytes int) { s.cache.SetMaximum(uint64(bytes)) }
+func (s *shapes) resize(bytes int) {
+	if s.bytes = bytes; s.cache != nil {
+		s.cache.SetMaximum(uint64(bytes))
+	}
+}
