--- a/cmd/chutechute/cert.go
+++ b/cmd/chutechute-keys/cert.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"chutechute/internal/certs"
+	"chutechute/internal/cli"
 	"chutechute/internal/keyfiles"
 )
 
@@ -36,7 +37,7 @@
 		Long: `Dev writes ca.pem, ca.key, crl.pem and NAME.pem, NAME.key into a folder. An authority that is there already is used
 again. They are for trials and tests: the authority's key lies beside it.`,
 		Args: cobra.NoArgs,
-		RunE: does(func(cmd *cobra.Command, _ []string) error {
+		RunE: cli.Does(func(cmd *cobra.Command, _ []string) error {
 			if strings.ContainsAny(name, "/\\") || name == "" || name == "ca" || name == "crl" {
 				return fmt.Errorf("--name: %q is no file's name, or one of the authority's", name)
 			}
@@ -49,10 +50,10 @@
 			if err != nil {
 				return err
 			}
-			if err := writePair(leaf, at(name+".pem"), at(name+".key")); err != nil {
+			if err := leaf.Write(at(name+".pem"), at(name+".key")); err != nil {
 				return err
 			}
-			return show(cmd.OutOrStdout(), asJSON, map[string]any{"ca": at("ca.pem"), "crl": at("crl.pem"), "certificate": at(name + ".pem"),
+			return cli.Show(cmd.OutOrStdout(), asJSON, map[string]any{"ca": at("ca.pem"), "crl": at("crl.pem"), "certificate": at(name + ".pem"),
 				"key": at(name + ".key"), "expires": leaf.Certificate.NotAfter.UTC().Format(time.RFC3339)},
 				fmt.Sprintf("%s and %s, good until %s", at(name+".pem"), at(name+".key"), leaf.Certificate.NotAfter.UTC().Format(time.RFC3339)))
 		}),
@@ -82,17 +83,5 @@
 	if err := keyfiles.Write(crl, list, 0o644); err != nil {
 		return nil, err
 	}
-	return ca, writePair(&ca.Pair, cert, key)
-}
-
-func writePair(p *certs.Pair, cert, key string) error {
-	certText, keyText, err := p.PEM()
-	if err != nil {
-		return err
-	}
-	defer clear(keyText)
-	if err := keyfiles.Write(key, keyText, 0o600); err != nil {
-		return err
-	}
-	return keyfiles.Write(cert, certText, 0o644)
+	return ca, ca.Write(cert, key)
 }
--- a/cmd/chutechute/config.go
+++ b/cmd/chutechute/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"chutechute/internal/cli"
 	"chutechute/internal/config"
 )
 
@@ -24,7 +25,7 @@
 		Long: `Check reads the configuration that NODE_CONFIG names and the installation file, as the start of the front end
 does, and names the faulty key where one can't be used. Where only one of the two is given, that one is checked.`,
 		Args: cobra.NoArgs,
-		RunE: does(func(cmd *cobra.Command, _ []string) error {
+		RunE: cli.Does(func(cmd *cobra.Command, _ []string) error {
 			if _, _, err := o.read(); err != nil {
 				return err
 			}
@@ -35,7 +36,7 @@
 		Use:   "show",
 		Short: "Print the installation as it is evaluated, with defaults, and the node's limits",
 		Args:  cobra.NoArgs,
-		RunE: does(func(cmd *cobra.Command, _ []string) error {
+		RunE: cli.Does(func(cmd *cobra.Command, _ []string) error {
 			cfg, file, err := o.read()
 			if err != nil {
 				return err
--- a/cmd/chutechute/engine_tls_test.go
+++ b/cmd/chutechute/engine_tls_test.go
@@ -25,10 +25,10 @@
 	at := func(file string) string { return filepath.Join(dir, file) }
 	ca, err := certs.NewCA("engines", time.Hour)
 	require.NoError(t, err)
-	require.NoError(t, writePair(&ca.Pair, at("ca.pem"), at("ca.key")))
+	require.NoError(t, ca.Write(at("ca.pem"), at("ca.key")))
 	front, err := ca.Leaf(certs.Request{Name: "front", For: time.Hour})
 	require.NoError(t, err)
-	require.NoError(t, writePair(front, at("front.pem"), at("front.key")))
+	require.NoError(t, front.Write(at("front.pem"), at("front.key")))
 	require.NoError(t, os.WriteFile(at("i.jsonnet"), []byte(`{ tls: { engines: { enabled: true, cas: ['ca.pem'], name: '{id}.engines',
 		certificate: { certificate: 'front.pem', key: 'front.key' } } }, identity: { watch_s: 0.02 } }`), 0o600))
 	return func(r *standin.Rig) {
--- a/cmd/chutechute/identity.go
+++ b/cmd/chutechute/identity.go
@@ -1,16 +1,17 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"chutechute/identity"
 	"chutechute/identity/token"
+	"chutechute/internal/cli"
 	"chutechute/internal/config"
 	"chutechute/internal/keyfiles"
 )
@@ -28,19 +29,19 @@
 		Use:   "check",
 		Short: "Say whether the installation's identity section and its key files can be used",
 		Args:  cobra.NoArgs,
-		RunE: does(func(cmd *cobra.Command, _ []string) error {
+		RunE: cli.Does(func(cmd *cobra.Command, _ []string) error {
 			_, cfg, err := o.guard()
 			if err != nil {
 				return err
 			}
-			return show(cmd.OutOrStdout(), asJSON, map[string]any{"ok": true, "issuers": len(cfg.Callers.Issuers),
+			return cli.Show(cmd.OutOrStdout(), asJSON, map[string]any{"ok": true, "issuers": len(cfg.Callers.Issuers),
 				"callers": len(cfg.Callers.Callers), "rights": len(cfg.Callers.Rights)}, "ok")
 		}),
 	}, &cobra.Command{
 		Use:   "whoami",
 		Short: "Say which caller a token on standard input stands for",
 		Args:  cobra.NoArgs,
-		RunE: does(func(cmd *cobra.Command, _ []string) error {
+		RunE: cli.Does(func(cmd *cobra.Command, _ []string) error {
 			guard, _, err := o.guard()
 			if err != nil {
 				return err
@@ -49,18 +50,18 @@
 			if err != nil {
 				return err
 			}
-			caller, err := guard.Identify(strings.TrimSpace(string(text)), nil, 0, 0, wall())
+			caller, err := guard.Identify(strings.TrimSpace(string(text)), nil, 0, 0, time.Now().UnixMicro())
 			if err != nil {
 				return err
 			}
-			return show(cmd.OutOrStdout(), asJSON, map[string]any{"caller": caller.Name, "tenant": caller.Tenant},
+			return cli.Show(cmd.OutOrStdout(), asJSON, map[string]any{"caller": caller.Name, "tenant": caller.Tenant},
 				fmt.Sprintf("caller %s, tenant %s", caller.Name, caller.Tenant))
 		}),
 	}, &cobra.Command{
 		Use:   "rights CALLER [GROUP ...]",
 		Short: "Say what a caller may send, for tables of these groups",
 		Args:  cobra.MinimumNArgs(1),
-		RunE: does(func(cmd *cobra.Command, args []string) error {
+		RunE: cli.Does(func(cmd *cobra.Command, args []string) error {
 			guard, cfg, err := o.guard()
 			if err != nil {
 				return err
@@ -136,14 +137,5 @@
 			text += fmt.Sprintf("\n%-20s group %-6d %s", class, n, map[bool]string{true: "allowed", false: "denied"}[err == nil])
 		}
 	}
-	return show(out, asJSON, map[string]any{"caller": name, "tenant": caller.Tenant, "rights": list}, text)
-}
-
-// show prints a result as JSON or as text.
-func show(out io.Writer, asJSON bool, object any, text string) error {
-	if asJSON {
-		return json.NewEncoder(out).Encode(object)
-	}
-	_, err := fmt.Fprintln(out, text)
-	return err
+	return cli.Show(out, asJSON, map[string]any{"caller": name, "tenant": caller.Tenant, "rights": list}, text)
 }
--- a/cmd/chutechute/main.go
+++ b/cmd/chutechute/main.go
@@ -3,46 +3,16 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 
 	"github.com/spf13/cobra"
-)
 
-// Exit codes.
-const (
-	exitFailed = 1
-	exitUsage  = 2
+	"chutechute/internal/cli"
 )
 
-func main() {
-	if err := newRoot().Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "chutechute:", err)
-		var failed failure
-		if errors.As(err, &failed) {
-			os.Exit(exitFailed)
-		}
-		fmt.Fprintln(os.Stderr, "See 'chutechute help'.")
-		os.Exit(exitUsage)
-	}
-}
-
-// failure is an error of the work asked for. All others are of the way in which it was asked.
-type failure struct{ error }
-
-func (f failure) Unwrap() error { return f.error }
-
-// does is a command's work: its errors are failures.
-func does(work func(cmd *cobra.Command, args []string) error) func(*cobra.Command, []string) error {
-	return func(cmd *cobra.Command, args []string) error {
-		if err := work(cmd, args); err != nil {
-			return failure{err}
-		}
-		return nil
-	}
-}
+func main() { cli.Main(newRoot()) }
 
 // options are the flags that commands share.
 type options struct {
@@ -54,12 +24,10 @@
 func newRoot() *cobra.Command {
 	var o options
 	root := &cobra.Command{
-		Use:           "chutechute",
-		Short:         "A front end for query engines",
-		Long:          "chutechute takes queries from clients, decides when and on which engine each runs, and passes the results on.\nAlone it serves, as 'chutechute serve' does.",
-		Args:          cobra.NoArgs,
-		SilenceErrors: true,
-		SilenceUsage:  true,
+		Use:   "chutechute",
+		Short: "A front end for query engines",
+		Long:  "chutechute takes queries from clients, decides when and on which engine each runs, and passes the results on.\nAlone it serves, as 'chutechute serve' does.",
+		Args:  cobra.NoArgs,
 	}
 	root.PersistentFlags().StringVar(&o.installation, "installation", "",
 		"the installation `file`, as deploy/chutechute.jsonnet; all that it sets is off without it")
@@ -67,7 +35,8 @@
 	addLogFlags(root, &o)
 	addLogFlags(serve, &o)
 	root.RunE = serve.RunE
-	root.AddCommand(serve, newConfig(&o), newStatement(&o), newIdentity(&o), newKeys(), newCert(), newVersion())
+	root.AddCommand(serve, newConfig(&o), newStatement(&o), newIdentity(&o), newVersion(),
+		newBeside("keys", "Keep the keys that sign tokens"), newBeside("cert", "Make certificates for trials"))
 	return root
 }
 
--- a/cmd/chutechute/measure_test.go
+++ b/cmd/chutechute/measure_test.go
@@ -127,7 +127,7 @@
 	began := time.Now()
 	leaf, err := w.ca.Leaf(certs.Request{Name: "front", DNS: []string{"front"}, For: time.Hour})
 	require.NoError(t, err)
-	require.NoError(t, writePair(leaf, w.cert, w.key))
+	require.NoError(t, leaf.Write(w.cert, w.key))
 	for {
 		c := w.must(r, config)
 		if c.Conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Cmp(leaf.Certificate.SerialNumber) == 0 {
--- a/cmd/chutechute/serve.go
+++ b/cmd/chutechute/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"chutechute/internal/cli"
 	"chutechute/internal/config"
 	"chutechute/internal/epoll"
 )
@@ -27,7 +28,7 @@
 				return err
 			}
 			if err := serve(o.installation, log); err != nil {
-				return failure{err}
+				return cli.Fail(err)
 			}
 			return nil
 		},
--- a/cmd/chutechute/statement.go
+++ b/cmd/chutechute/statement.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"chutechute/internal/cli"
 	"chutechute/internal/config"
 	"chutechute/statement"
 	"chutechute/statement/syntax"
@@ -29,7 +30,7 @@
 		Long: `Explain reads statements that NUL bytes part, from files or from standard input, and prints for each what the
 front end would make of it when nothing was learned yet. Classes come from the rules of --installation, and from
 NODE_CONFIG's settings where that is set.`,
-		RunE: does(func(cmd *cobra.Command, files []string) error {
+		RunE: cli.Does(func(cmd *cobra.Command, files []string) error {
 			reader, classes, err := o.reader()
 			if err != nil {
 				return err
--- a/cmd/chutechute/tls_test.go
+++ b/cmd/chutechute/tls_test.go
@@ -366,7 +366,7 @@
 	require.NoError(t, err)
 	leaf, err := w.ca.Leaf(certs.Request{Name: "other", DNS: []string{"other"}, For: time.Hour})
 	require.NoError(t, err)
-	require.NoError(t, writePair(leaf, filepath.Join(w.dir, "other.pem"), filepath.Join(w.dir, "other.key")))
+	require.NoError(t, leaf.Write(filepath.Join(w.dir, "other.pem"), filepath.Join(w.dir, "other.key")))
 	more := strings.Replace(string(text), "key: 'key.pem' }", "key: 'key.pem' }, { certificate: 'other.pem', key: 'other.key' }", 1)
 	require.NoError(t, os.WriteFile(w.installation, []byte(more), 0o600))
 	r := start(t, 1, standin.Store(0, standin.Row), w.installed)
--- a/internal/certs/dev.go
+++ b/internal/certs/dev.go
@@ -17,6 +17,8 @@
 	"net/url"
 	"os"
 	"time"
+
+	"chutechute/internal/keyfiles"
 )
 
 // CA is an authority for trials: its key lies beside its certificate.
@@ -143,3 +145,16 @@
 func (p *Pair) TLS() tls.Certificate {
 	return tls.Certificate{Certificate: [][]byte{p.Certificate.Raw}, PrivateKey: p.key, Leaf: p.Certificate}
 }
+
+// Write writes the pair's two files, the key for its owner alone.
+func (p *Pair) Write(cert, key string) error {
+	certText, keyText, err := p.PEM()
+	if err != nil {
+		return err
+	}
+	defer clear(keyText)
+	if err := keyfiles.Write(key, keyText, 0o600); err != nil {
+		return err
+	}
+	return keyfiles.Write(cert, certText, 0o644)
+}
--- a/internal/standin/rig.go
+++ b/internal/standin/rig.go
@@ -61,7 +61,7 @@
 	}
 	remove = func() { os.RemoveAll(dir) }
 	program = filepath.Join(dir, "chutechute")
-	cmd := exec.Command("go", "build", "-o", dir+"/", ".", "../chutechute-eval")
+	cmd := exec.Command("go", "build", "-o", dir+"/", ".", "../chutechute-eval", "../chutechute-keys")
 	cmd.Env = append(os.Environ(), "CGO_ENABLED=0") // as the Makefile has it
 	if out, err := cmd.CombinedOutput(); err != nil {
 		remove()
