Take no 200 or 202 for the answer to a DELETE: it is a late copy

Peers send second copies of answers late there, and rest.Query took any answer to a DELETE for its arrival, so the key's next could start while the first still ran. Inferred from the code, not seen in a trace.

Change: 200 and 202 are answers to other calls; the DELETE goes again over another connection.

--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -1,6 +1,7 @@
 package epoll
 
 import (
+	"errors"
 	"log/slog"
 	"net/netip"
 
@@ -518,6 +519,11 @@
 	if j != nil {
 		result, ended, err = j.query.Take(r)
 	}
+	if errors.Is(err, rest.ErrStray) { // what the DELETE ends may still run: it goes again over another connection
+		c.p.s.count.Spoilt++
+		c.fail(false)
+		return
+	}
 	if err != nil {
 		c.spoilt(err)
 		return
--- a/internal/rest/query.go
+++ b/internal/rest/query.go
@@ -1,6 +1,7 @@
 package rest
 
 import (
+	"errors"
 	"fmt"
 	"strconv"
 	"strings"
@@ -52,6 +53,10 @@
 // NewProbe is a question for an engine's load.
 func NewProbe(host string) *Query { return &Query{host: host, state: probing} }
 
+// ErrStray says that an answer to a DELETE is none: a copy of an earlier answer, which has come late, says nothing of whether
+// the DELETE has arrived.
+var ErrStray = errors.New("rest: an answer to an earlier call")
+
 // Posting says whether the start has not been answered yet.
 func (q *Query) Posting() bool { return q.state == posting }
 
@@ -115,6 +120,8 @@
 		q.load = readLoad(r.Load)
 	}
 	switch {
+	case q.state == dropping && (r.Status == 200 || r.Status == 202):
+		return 0, false, ErrStray
 	case q.state == dropping:
 		return decide.Canceled, true, nil
 	case q.state == probing && r.Status == 200:
