A reload that fails goes on watching the files of before; one list of class names

Cause: the number of the watch in force was raised before the files of the new configuration could be read. Where that failed, all that the earlier watch read from then on was dropped: a rotated key would not have come into force.

Change: the number is raised once nothing can fail any more. The names of classes come from settings alone, for gateway and config both; a handshake's pool sets what it needs in one place.

--- a/cmd/chutechute/identity.go
+++ b/cmd/chutechute/identity.go
@@ -83,7 +83,7 @@
 	case cfg.Callers == nil:
 		return nil, nil, errors.New("identity is off: --installation names no file with identity.enabled")
 	}
-	guard, err := identity.New(*cfg.Callers, config.ClassNames(cfg.Settings), token.Verifier{})
+	guard, err := identity.New(*cfg.Callers, cfg.Settings.ClassNames(), token.Verifier{})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -126,7 +126,7 @@
 	}
 	var list []answer
 	text := "tenant " + caller.Tenant
-	for _, class := range config.ClassNames(cfg.Settings) {
+	for _, class := range cfg.Settings.ClassNames() {
 		for _, g := range groups {
 			n := 0
 			if _, err := fmt.Sscan(g, &n); err != nil {
--- a/cmd/chutechute/identity_test.go
+++ b/cmd/chutechute/identity_test.go
@@ -210,6 +210,25 @@
 	assert.Equal(t, "fault", idle.Read().What)
 }
 
+// A reload that fails for want of a key file changes nothing: the files of before are still taken over as they change.
+func TestFailedReloadGoesOnWatching(t *testing.T) {
+	o := newOffice(t)
+	r := start(t, 1, standin.Store(0, standin.Row), o.installed)
+	c := r.Client()
+	text, err := os.ReadFile(o.installation)
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(o.installation, []byte(strings.Replace(string(text), "k.jwks", "nowhere.jwks", 1)), 0o600))
+	r.Signal(syscall.SIGHUP)
+	r.AwaitLog("the old configuration stays in force")
+	o.rotate("b", 0, 0)
+	token, n := o.sign("b", "desk-1", ""), 0
+	require.Eventually(t, func() bool {
+		n++
+		with(c, n, "lookup", "SELECT 1 FROM s_1.t", token)
+		return c.Read().What == "answer"
+	}, standin.Patience, 50*time.Millisecond)
+}
+
 // Keys rotate again and again under load, while clients hold old and new keys: nobody is refused whose key holds, nor let in
 // whose key has ended. Who should pass at each moment is known from the times in the key set; within the moments
 // round an end either is right. CHUTECHUTE_LONG=1 goes on for a minute.
--- a/gateway/callers.go
+++ b/gateway/callers.go
@@ -19,10 +19,7 @@
 		c.callers.guard = nil
 		return nil
 	}
-	classes := make([]string, len(c.settings.Classes))
-	for i, one := range c.settings.Classes {
-		classes[i] = one.Name
-	}
+	classes := c.settings.ClassNames()
 	if c.callers.guard != nil {
 		return c.callers.guard.Apply(*o, classes)
 	}
--- a/internal/config/identity.go
+++ b/internal/config/identity.go
@@ -119,7 +119,7 @@
 	for _, c := range i.Ceilings {
 		o.Ceilings = append(o.Ceilings, identity.Ceiling{Callers: c.Callers, Rate: c.Rate, Burst: c.Burst, Open: c.Open})
 	}
-	if _, err := identity.New(*o, ClassNames(s), token.Verifier{}); err != nil {
+	if _, err := identity.New(*o, s.ClassNames(), token.Verifier{}); err != nil {
 		return nil, fmt.Errorf("installation: identity.%w", err)
 	}
 	return o, nil
@@ -139,14 +139,6 @@
 	return identity.Range{From: int(from), To: int(to)}, nil
 }
 
-// ClassNames is the names of a site's classes.
-func ClassNames(s *settings.Settings) (names []string) {
-	for _, c := range s.Classes {
-		names = append(names, c.Name)
-	}
-	return names
-}
-
 // Every is how often the files are looked at.
 func (i *Identity) Every() time.Duration {
 	if i.WatchS == 0 {
--- a/internal/epoll/keys.go
+++ b/internal/epoll/keys.go
@@ -37,8 +37,7 @@
 // nothing changes.
 func (s *Server) guarded(cfg *config.Config) error {
 	started := false
-	s.watches++
-	watch := s.watches
+	watch := s.watches + 1       // in force once nothing can fail any more: until then the earlier watch goes on
 	later := func(work func()) { // what an earlier watch has read may be older than what is in force
 		s.post(func() {
 			if s.watches == watch {
@@ -67,6 +66,7 @@
 	if err := s.core.IdentifyCallers(cfg.Callers); err != nil {
 		return err
 	}
+	s.watches = watch
 	force()
 	for _, work := range first {
 		work()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -122,6 +122,14 @@
 	return s, nil
 }
 
+// ClassNames is the names of the classes, in their order.
+func (s *Settings) ClassNames() (names []string) {
+	for _, c := range s.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
 func micros(s float64) decide.Micros { return decide.Micros(math.Round(s * 1e6)) }
 
 func (s *object) config() (decide.Config, error) {
--- a/internal/tlsio/pool.go
+++ b/internal/tlsio/pool.go
@@ -16,12 +16,9 @@
 // output, and done says whether the handshake is over, and how.
 func (p *Pool) Start(c *Conn, tell func(done bool, err error)) {
 	c.pipe.mu.Lock()
-	c.pipe.gate = &p.gate
+	c.pipe.gate, c.pipe.tell = &p.gate, func() { tell(false, nil) }
 	c.pipe.mu.Unlock()
 	go func() {
-		c.pipe.mu.Lock()
-		c.pipe.tell = func() { tell(false, nil) }
-		c.pipe.mu.Unlock()
 		err := c.shake(&p.gate)
 		tell(true, err)
 	}()
