--- /dev/null
+++ b/fleet/node.go
@@ -0,0 +1,332 @@
+// Package fleet is one front end among others: it puts together who is there (member), the record that they keep (ledger), and
+// the questions that this front end has for it. It is a stepped module: messages and time go in, messages and writes come
+// out. It does no I/O, reads no clock and starts nothing, so the same text runs in processes and in virtual time.
+//
+// How a record begins. A front end with an empty disk can't tell by itself whether the fleet is new or its own disk was lost.
+// So a record is founded only where every front end that the settings name is there and says that it belongs to none. One
+// survivor of an earlier record, or one front end that can't be heard and might be such a survivor, keeps all others from
+// founding a second beside it.
+package fleet
+
+import (
+	"slices"
+
+	"chutechute/ledger"
+	"chutechute/member"
+	"chutechute/peer"
+)
+
+// Micros is a time or a span in microseconds of this machine's clock, which is monotonic.
+type Micros = int64
+
+// Config is what a front end is told of its fleet.
+type Config struct {
+	Name        string
+	Zone        string
+	Incarnation uint64
+	Zones       map[string]string // of the others, by name
+	Members     member.Config
+	Copies      ledger.Config // its ID is this disk's number
+	Beat        Micros        // between heartbeats
+	Retry       Micros        // until a question is asked again
+	// Number draws a number that was never used, for a new record.
+	Number func() uint64
+}
+
+// Action is one of the types below, or a ledger.Save.
+type Action any
+
+// Tell sends a message to another front end.
+type Tell struct {
+	To   string
+	Kind peer.Kind
+	Bulk bool
+	Body []byte
+}
+
+// Node is one front end of a fleet.
+type Node struct {
+	cfg     Config
+	members *member.Set
+	replica *ledger.Replica
+	others  map[string]*status // the last heartbeat of each, by name
+	desk    desk
+	actions []Action
+	now     Micros
+	beatAt  Micros
+	founded []byte // the founding's word, to be said again until there is a leader
+	leaving bool
+	note    func(about string)
+	// Changed is told of each change in how another front end is seen.
+	Changed func(*member.Member)
+}
+
+// New builds a front end of a fleet. Note is told that something this front end waits for may have changed.
+func New(cfg Config, note func(about string)) *Node {
+	n := &Node{cfg: cfg, members: member.New(cfg.Members, cfg.Zones), replica: ledger.New(cfg.Copies),
+		others: map[string]*status{}, note: note, Changed: func(*member.Member) {}}
+	n.desk = desk{n: n, open: map[uint64]*question{}}
+	return n
+}
+
+// Open goes on with what this disk kept.
+func (n *Node) Open(now Micros, d *ledger.Disk) error {
+	n.now = now
+	return n.replica.Open(now, d)
+}
+
+// Replica is this front end's copy of the record, if it is one.
+func (n *Node) Replica() *ledger.Replica { return n.replica }
+
+// Members is how the others are seen.
+func (n *Node) Members() *member.Set { return n.members }
+
+// Leave says to the others that this front end will soon be gone.
+func (n *Node) Leave() { n.leaving = true }
+
+// Actions gives what is to be done and forgets it.
+func (n *Node) Actions() []Action {
+	n.drain()
+	list := n.actions
+	n.actions = nil
+	return list
+}
+
+// Receive takes a message that came over a link from the named front end's incarnation. An error says that it can't be read.
+func (n *Node) Receive(now Micros, from string, incarnation uint64, kind peer.Kind, body []byte) error {
+	n.now = now
+	switch kind {
+	case peer.Status:
+		s, err := decodeStatus(body)
+		if err != nil {
+			return err
+		}
+		if s.Incarnation != incarnation || !n.members.Heard(now, from, incarnation, s.Leaving, s.Reports) {
+			return nil
+		}
+		n.others[from] = &s
+		if s.Group != 0 && s.Group == n.replica.Group() {
+			n.replica.Compare(s.Index, s.Sum)
+		}
+	case peer.Ledger:
+		group, message, err := decodeCopied(body)
+		if err != nil {
+			return err
+		}
+		return n.replica.Receive(now, group, message)
+	case peer.Ask:
+		c, err := ledger.DecodeCommand(body)
+		if err != nil {
+			return err
+		}
+		if uint64(c.Asker) == incarnation {
+			n.replica.Ask(now, c)
+		}
+	case peer.Answer:
+		a, err := ledger.DecodeAnswer(body)
+		if err != nil {
+			return err
+		}
+		n.desk.answered(a)
+	case peer.Note:
+		n.note(string(body))
+	case peer.Found:
+		return n.found(body)
+	}
+	n.drain()
+	return nil
+}
+
+// found takes part in a new record, where this front end belongs to none.
+func (n *Node) found(body []byte) error {
+	w, err := decodeFounding(body)
+	if err != nil {
+		return err
+	}
+	members, err := ledger.DecodeMembers(w.Members)
+	if err != nil {
+		return err
+	}
+	if n.replica.Group() == 0 && w.Group != 0 {
+		n.founded = body
+		return n.replica.Found(n.now, w.Group, members)
+	}
+	return nil
+}
+
+// Lost tells that messages to a front end may not arrive.
+func (n *Node) Lost(name string) {
+	if s := n.others[name]; s != nil && s.Copy != 0 {
+		n.replica.Unreachable(s.Copy)
+	}
+}
+
+// Stored tells that a Save has been written, or why not.
+func (n *Node) Stored(now Micros, token uint64, err error) {
+	n.now = now
+	n.replica.Stored(now, token, err)
+	n.drain()
+}
+
+// Next is when Tick should be called at the latest.
+func (n *Node) Next() Micros { return min(n.beatAt, n.now+n.cfg.Copies.Tick) }
+
+// Tick lets time pass.
+func (n *Node) Tick(now Micros) {
+	n.now = now
+	for _, m := range n.members.Tick(now) {
+		n.Changed(m)
+	}
+	present := n.present()
+	n.replica.Tick(now, present, n.gone)
+	if now >= n.beatAt {
+		n.beatAt = now + n.cfg.Beat
+		n.beat()
+		n.begin(present)
+	}
+	n.desk.tick()
+	n.drain()
+}
+
+func (n *Node) gone(i ledger.Incarnation) bool { return n.members.Gone(uint64(i)) }
+
+// Gone says whether a process of the fleet is held for no more.
+func (n *Node) Gone(incarnation uint64) bool { return n.members.Gone(incarnation) }
+
+// present is the front ends that are heard now and have a disk that serves, this one too.
+func (n *Node) present() (list []ledger.Member) {
+	if n.replica.Err() == nil && !n.leaving {
+		list = append(list, ledger.Member{ID: n.replica.ID(), Name: n.cfg.Name, Zone: n.cfg.Zone})
+	}
+	for _, m := range n.members.List() {
+		if s := n.others[m.Name]; m.State == member.Alive && s != nil && s.Incarnation == m.Incarnation && s.Copy != 0 && !s.Leaving {
+			list = append(list, ledger.Member{ID: s.Copy, Name: m.Name, Zone: m.Zone})
+		}
+	}
+	return list
+}
+
+func (n *Node) beat() {
+	index, sum := n.replica.Applied()
+	s := status{Incarnation: n.cfg.Incarnation, Copy: n.replica.ID(), Group: n.replica.Group(), Leader: n.replica.Leader(),
+		Term: n.replica.Term(), Index: index, Sum: sum, Leaving: n.leaving, Voter: n.replica.Votes(), Reports: n.members.Reports()}
+	if n.replica.Err() != nil {
+		s.Copy = 0
+	}
+	body := s.encode()
+	for _, m := range n.members.List() {
+		n.actions = append(n.actions, Tell{To: m.Name, Kind: peer.Status, Body: body})
+	}
+}
+
+// begin founds a record where there surely is none, and says the word again to those who have not taken it in.
+func (n *Node) begin(present []ledger.Member) {
+	if n.founded != nil {
+		if n.replica.Leader() != 0 {
+			n.founded = nil
+			return
+		}
+		n.spread()
+		return
+	}
+	if n.replica.Group() != 0 || n.replica.Err() != nil || len(present) != len(n.cfg.Zones)+1 {
+		return
+	}
+	for _, m := range n.members.List() {
+		if n.others[m.Name].Group != 0 || m.Name < n.cfg.Name { // the first by name founds
+			return
+		}
+	}
+	first := choose(present, n.cfg.Copies.Copies)
+	w := founding{Group: n.cfg.Number(), Members: ledger.EncodeMembers(first)}
+	n.founded = w.encode()
+	if err := n.replica.Found(n.now, w.Group, first); err != nil {
+		n.founded = nil
+		return
+	}
+	n.spread()
+}
+
+func (n *Node) spread() {
+	for _, m := range n.members.List() {
+		if s := n.others[m.Name]; s != nil && s.Group == 0 {
+			n.actions = append(n.actions, Tell{To: m.Name, Kind: peer.Found, Body: n.founded})
+		}
+	}
+}
+
+// choose takes the first copies: by name, and from as many zones as there are.
+func choose(present []ledger.Member, copies int) (list []ledger.Member) {
+	rest := slices.Clone(present)
+	slices.SortFunc(rest, func(a, b ledger.Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	zones := map[string]int{}
+	for len(list) < copies && len(rest) > 0 {
+		best := 0
+		for i, m := range rest {
+			if zones[m.Zone] < zones[rest[best].Zone] {
+				best = i
+			}
+		}
+		zones[rest[best].Zone]++
+		list = append(list, rest[best])
+		rest = slices.Delete(rest, best, best+1)
+	}
+	return list
+}
+
+// NameOf is the front end that has the disk with that number; empty where none is known.
+func (n *Node) NameOf(copy uint64) string {
+	if copy == n.replica.ID() {
+		return n.cfg.Name
+	}
+	for _, m := range n.members.List() {
+		if s := n.others[m.Name]; s != nil && s.Copy == copy {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// nameOfProcess is the front end whose process that is; empty where none is known.
+func (n *Node) nameOfProcess(incarnation uint64) string {
+	for _, m := range n.members.List() {
+		if m.Incarnation == incarnation {
+			return m.Name
+		}
+	}
+	return ""
+}
+
+// drain turns what the copy wants into this front end's actions.
+func (n *Node) drain() {
+	for _, a := range n.replica.Actions() {
+		switch a := a.(type) {
+		case ledger.Send:
+			if to := n.NameOf(a.To); to != "" {
+				n.actions = append(n.actions, Tell{To: to, Kind: peer.Ledger, Bulk: a.Bulk, Body: copied(n.replica.Group(), a.Message)})
+			}
+		case ledger.Save:
+			n.actions = append(n.actions, a)
+		case ledger.Reply:
+			if uint64(a.To) == n.cfg.Incarnation {
+				n.desk.answered(a.Answer)
+			} else if to := n.nameOfProcess(uint64(a.To)); to != "" {
+				n.actions = append(n.actions, Tell{To: to, Kind: peer.Answer, Body: a.Answer.Encode()})
+			}
+		case ledger.Notify:
+			if !n.replica.Leads() {
+				continue // the leader's is enough
+			}
+			if uint64(a.To) == n.cfg.Incarnation {
+				n.note(a.About)
+			} else if to := n.nameOfProcess(uint64(a.To)); to != "" {
+				n.actions = append(n.actions, Tell{To: to, Kind: peer.Note, Body: []byte(a.About)})
+			}
+		}
+	}
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -79,7 +79,8 @@
 	completion *statement.Completion
 	from       identity.Caller
 	attempts   []*Attempt
-	out        int // attempts that have not ended
+	out        int    // attempts that have not ended
+	entry      *Entry // in the record; nil where none vouches for it
 }
 
 // Attempt is one send of a request to an engine.
@@ -88,8 +89,10 @@
 	Engine  string
 	Wait    Micros // how long the front end will wait
 	GrantMB float64
+	Until   Micros // no byte of its start is written later; 0: no such bound
 
 	number  int
+	asking  bool // the record has not said yet whether it may begin
 	at      Micros
 	due     *timer        // of its time-out; nil without one
 	reason  decide.Result // of giving it up; Done while it is not
@@ -126,6 +129,7 @@
 	acting     bool       // the module's actions are being carried out
 	late       []*Request // cancelled meanwhile
 	trace      trace
+	record     Record // nil where none vouches for loads
 }
 
 // New builds a front end's core.
@@ -208,8 +212,10 @@
 		event.Class, event.Unsafe, event.Single = read.Class, read.Unsafe, read.Single
 		event.Guessed, event.Measured = read.Guessed, true
 	}
-	c.events = append(c.events, event)
 	r.due = c.after(r.deadline, func() { c.expire(r) })
+	if !c.enter(now, r, event) {
+		c.events = append(c.events, event)
+	}
 	return r, nil
 }
 
@@ -228,6 +234,11 @@
 	if r.answered {
 		return
 	}
+	if r.entry.outlives() {
+		c.count.Cancelled++
+		r.caller = nobody{}
+		return
+	}
 	r.answered = true
 	c.count.Cancelled++
 	c.events = append(c.events, decide.Gone{ID: r.id})
@@ -241,6 +252,9 @@
 		return
 	}
 	c.count.Expired++
+	if c.expireEntry(r) {
+		return
+	}
 	c.events = append(c.events, decide.Gone{ID: r.id, Owed: true})
 	c.giveUp(r, decide.TimedOut)
 }
@@ -263,6 +277,10 @@
 		return
 	}
 	a.dropped, a.reason = true, reason
+	if a.asking { // nothing of it was handed on, and nothing will be
+		c.Ended(c.now, a, decide.NotSent, nil, nil)
+		return
+	}
 	c.engines.GiveUp(a)
 }
 
@@ -281,15 +299,22 @@
 	}
 	c.tally(result)
 	c.trace.ended(a, result, now-a.at)
-	if result == decide.Done && !a.answered {
-		a.answered = true
+	final := a.answered
+	switch {
+	case result == decide.Done && a.entry != nil:
+		final = true
+		c.settle(now, a, rows)
+	case a.entry != nil && !neverRan(result):
+		a.entry.ran = true
+	case result == decide.Done && !a.answered:
+		a.answered, final = true, true
 		c.count.Served++
 		c.statements.served(a.Request)
 		c.trace.answered(a.Request, "served", now)
 		a.caller.Served(rows)
 	}
 	c.events = append(c.events, decide.Outcome{ID: a.id, Attempt: a.number, Engine: a.Engine, Result: result,
-		Elapsed: now - a.at, Final: a.answered, Load: load})
+		Elapsed: now - a.at, Final: final, Load: load})
 	c.forget(a.Request)
 }
 
@@ -312,6 +337,9 @@
 	c.events = append(c.events, decide.List{Kind: kind, Entries: entries})
 }
 
+// Pending says whether events wait for the next step.
+func (c *Core) Pending() bool { return len(c.events) > 0 }
+
 // Idle says whether no request is open and no attempt is out.
 func (c *Core) Idle() bool { return len(c.open) == 0 && c.out == 0 }
 
@@ -361,15 +389,16 @@
 		}
 	case decide.Refuse:
 		if r := c.open[a.ID]; r != nil && !r.answered {
-			r.refuse(c, a.After)
+			if r.entry.doubtful() {
+				r.fail(c)
+			} else {
+				r.refuse(c, a.After)
+			}
 			c.forget(r)
 		}
 	case decide.Fail:
 		if r := c.open[a.ID]; r != nil && !r.answered {
-			r.answered = true
-			c.count.Failed++
-			c.trace.answered(r, "failed", c.now)
-			r.caller.Failed()
+			r.fail(c)
 			c.forget(r)
 		}
 	case decide.Probe:
@@ -391,6 +420,13 @@
 	r.caller.Refused(after)
 }
 
+func (r *Request) fail(c *Core) {
+	r.answered = true
+	c.count.Failed++
+	c.trace.answered(r, "failed", c.now)
+	r.caller.Failed()
+}
+
 func (c *Core) send(s decide.Send) {
 	r := c.open[s.ID]
 	if r == nil {
@@ -407,6 +443,10 @@
 	c.out++
 	c.count.Sent++
 	c.trace.sent(a)
+	if r.entry != nil {
+		c.begin(a)
+		return
+	}
 	c.engines.Start(a)
 }
 
@@ -418,6 +458,7 @@
 		c.held -= len(r.Statement)
 		c.callers.leave(r.from)
 		c.cancel(r.due)
+		c.leave(r)
 	}
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,8 @@
 	Statements *statement.Options
 	// Callers are the options for identifying callers; nil where that is off.
 	Callers *identity.Options
+	// Peers is how this front end works with others; nil where that is off.
+	Peers *Peers
 
 	installation *Installation
 	settings     []byte // as they stand in the file, but for white space
@@ -71,6 +73,9 @@
 		if c.Statements, err = c.installation.Statement.options(Classes(s), c.MemoryMB); err == nil {
 			c.Callers, err = c.installation.Identity.Options(s)
 		}
+		if err == nil {
+			c.Peers, err = c.installation.Fleet.Options(c.Name, s, c.MemoryMB)
+		}
 		if t := &c.installation.TLS; err == nil && (t.Enabled || t.Engines.Enabled) {
 			if _, err = t.Files(); err != nil {
 				err = fmt.Errorf("installation: %w", err)
--- a/internal/config/installation.go
+++ b/internal/config/installation.go
@@ -22,6 +22,7 @@
 	Statement Statement `json:"statement"`
 	Identity  Identity  `json:"identity"`
 	TLS       TLS       `json:"tls"`
+	Fleet     Fleet     `json:"fleet"`
 }
 
 // Statement sets how bare statements are read.
@@ -73,6 +74,7 @@
 	}
 	file.Identity.rooted(filepath.Dir(path))
 	file.TLS.rooted(filepath.Dir(path))
+	file.Fleet.rooted(filepath.Dir(path))
 	return file, nil
 }
 
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -47,6 +47,7 @@
 	heard   Micros // when it last answered anything
 	removed bool   // and forgotten once nothing of it is left
 	waiting []*job // for a connection, where no descriptor is left: in turn
+	now     func() Micros
 }
 
 // job is a query's way through its calls, over one connection after another.
@@ -98,7 +99,7 @@
 	for _, en := range event.Engines {
 		e := p.engines[en.Engine]
 		if e == nil {
-			e = &engine{name: en.Engine}
+			e = &engine{name: en.Engine, now: p.s.clock.now}
 			p.engines[en.Engine] = e
 		}
 		slog.Debug("listed", "engine", en.Engine, "addr", en.Addr, "zone", en.Zone, "state", en.State, "started", en.Started)
@@ -432,9 +433,21 @@
 	return now-c.suspect >= suspectFor
 }
 
+// late says that a start may not be written any more. It reads the clock anew: the process may have stood still since this
+// turn began, and others may hold the attempt for over by now.
+func (j *job) late() bool {
+	return j != nil && j.attempt != nil && j.attempt.Until != 0 && j.query.Posting() && j.engine.now() >= j.attempt.Until
+}
+
 // call writes the next call of the connection's job.
 func (c *conn) call() {
 	j := c.job
+	if j.late() {
+		c.job, j.conn = nil, nil
+		c.p.finish(j, decide.NotSent)
+		c.release(true)
+		return
+	}
 	b, err := c.seal(j.query.Call())
 	c.busy, c.since, c.size, c.part, c.suspect = true, c.p.s.now, len(b), 0, 0
 	if !j.query.Dropping() {
@@ -482,6 +495,10 @@
 		return
 	}
 	if events&unix.EPOLLOUT != 0 {
+		if j := c.job; j.late() && c.out.Len() > 0 { // what is left of its start stays unwritten
+			c.fail(false)
+			return
+		}
 		err := c.flush()
 		if c.job != nil && c.out.Len() < c.size {
 			c.job.posted = true
--- /dev/null
+++ b/internal/epoll/fleet.go
@@ -0,0 +1,201 @@
+package epoll
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+
+	"chutechute/fleet"
+	"chutechute/gateway"
+	"chutechute/internal/config"
+	"chutechute/internal/raftlog"
+	"chutechute/ledger"
+	"chutechute/ledger/loads"
+	"chutechute/ledger/store"
+	"chutechute/member"
+	"chutechute/peer"
+	"chutechute/vouch"
+)
+
+// peers is this front end among others: the links, the disk and the stepped module between them. The server has none where
+// no fleet is set.
+type peers struct {
+	s        *Server
+	cfg      *config.Peers
+	self     *peer.Identity
+	node     *fleet.Node
+	desk     *vouch.Desk
+	loads    *loads.Loads
+	store    *store.Store
+	writer   *store.Writer
+	storeErr error
+	out      map[string]*outLink
+	in       map[*inLink]struct{}
+	listener *peerListener
+	admin    *adminListener
+	jitter   uint64
+}
+
+// number draws a number that was never used: 62 bits, never zero.
+func number() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // it never fails
+	return binary.BigEndian.Uint64(b[:])>>2 | 1
+}
+
+func newPeers(s *Server, cfg *config.Peers) (*peers, error) {
+	p := &peers{s: s, cfg: cfg, out: map[string]*outLink{}, in: map[*inLink]struct{}{}, jitter: s.cfg.Seed | 1}
+	incarnation, disk := number(), (*ledger.Disk)(nil)
+	c := cfg.Node
+	c.Incarnation, c.Number = incarnation, number
+	c.Copies.ID, c.Copies.Logger = number(), raftlog.New()
+	if cfg.Folder != "" {
+		if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
+			return nil, fmt.Errorf("installation: fleet.folder: %w", err)
+		}
+		var err error
+		p.store, disk, err = store.Open(cfg.Folder, cfg.Site+"/"+cfg.Name, number)
+		switch {
+		case errors.Is(err, store.ErrForeign):
+			return nil, fmt.Errorf("installation: fleet.folder: %w", err)
+		case err != nil: // the front end serves on; it only is no copy
+			p.failed(err)
+		default:
+			c.Copies.ID = p.store.Number()
+			if p.store.SetAside != "" {
+				s.count.StoreErrors++
+				slog.Error("the record's file could not be trusted and was set aside; this is an empty disk now", "file", p.store.SetAside)
+			}
+		}
+	}
+	p.loads = loads.New(cfg.Loads)
+	c.Copies.Kinds = []ledger.Kind{p.loads}
+	p.node = fleet.New(c, func(about string) { p.desk.Note(s.now, about) })
+	p.node.Changed = func(m *member.Member) {
+		slog.Info("front end", "name", m.Name, "state", m.State.String(), "incarnation", hex(m.Incarnation))
+	}
+	if err := p.node.Open(s.now, disk); err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	if p.storeErr != nil {
+		p.node.Replica().Disable(p.storeErr)
+	}
+	v := cfg.Vouch
+	v.Incarnation = incarnation
+	p.desk = vouch.New(v, p.node)
+	p.self = &peer.Identity{Site: cfg.Site, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation, Copy: c.Copies.ID,
+		Oldest: peer.OldestVersion, Newest: peer.NewestVersion, Settings: cfg.Digest}
+	for name, addr := range cfg.Others {
+		p.out[name] = newOutLink(p, name, addr)
+	}
+	if p.store != nil {
+		p.writer = store.NewWriter(p.store, func(token uint64, err error) {
+			s.post(func() { p.written(token, err) })
+		})
+	}
+	s.core.UseRecord(p.desk)
+	slog.Info("fleet", "site", cfg.Site, "name", cfg.Name, "incarnation", hex(incarnation), "copy", hex(c.Copies.ID),
+		"folder", cfg.Folder)
+	return p, nil
+}
+
+func hex(n uint64) string { return fmt.Sprintf("%016x", n) }
+
+// failed notes that the disk serves no more.
+func (p *peers) failed(err error) {
+	p.storeErr = err
+	p.s.count.StoreErrors++
+	slog.Error("the record's disk failed: this front end is no copy any more", "error", err)
+}
+
+// written takes the writer's word.
+func (p *peers) written(token uint64, err error) {
+	if err != nil && p.storeErr == nil {
+		p.failed(err)
+	}
+	p.node.Stored(p.s.now, token, err)
+}
+
+// listen opens the door for the others, and the operators'.
+func (p *peers) listen() (err error) {
+	if p.listener, err = newPeerListener(p); err != nil {
+		return err
+	}
+	if p.cfg.Admin != "" {
+		p.admin, err = newAdminListener(p)
+	}
+	return err
+}
+
+// tick lets time pass.
+func (p *peers) tick() {
+	now := p.s.now
+	p.desk.At(now)
+	if p.s.life.Phase() >= gateway.Draining {
+		p.node.Leave()
+	}
+	for _, l := range p.out {
+		l.tick()
+	}
+	for l := range p.in {
+		l.tick()
+	}
+	if p.admin != nil {
+		p.admin.tick()
+	}
+	p.node.Tick(now)
+	p.desk.Tick(now)
+	p.pump()
+}
+
+// pump carries out what the node wants, until it wants nothing more.
+func (p *peers) pump() {
+	for {
+		list := p.node.Actions()
+		if len(list) == 0 {
+			return
+		}
+		for _, a := range list {
+			switch a := a.(type) {
+			case fleet.Tell:
+				p.out[a.To].push(a)
+			case ledger.Save:
+				p.save(a)
+			}
+		}
+	}
+}
+
+func (p *peers) save(a ledger.Save) {
+	switch {
+	case p.writer != nil:
+		p.writer.Add(a)
+	case p.storeErr != nil:
+		p.node.Stored(p.s.now, a.Token, p.storeErr)
+	default: // memory is all that this copy has
+		p.node.Stored(p.s.now, a.Token, nil)
+	}
+}
+
+// close writes what is queued, before a planned end.
+func (p *peers) close() {
+	if p.writer != nil {
+		if err := p.writer.Close(); err != nil {
+			slog.Warn("the record's file", "error", err)
+		}
+	}
+	if p.admin != nil {
+		p.admin.close()
+	}
+}
+
+// spread draws from a sequence that differs from process to process: a span from half to one and a half.
+func (p *peers) spread(span Micros) Micros {
+	p.jitter ^= p.jitter << 13
+	p.jitter ^= p.jitter >> 7
+	p.jitter ^= p.jitter << 17
+	return span/2 + Micros(p.jitter%uint64(span))
+}
--- /dev/null
+++ b/internal/epoll/links.go
@@ -0,0 +1,326 @@
+package epoll
+
+import (
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"chutechute/fleet"
+	"chutechute/internal/ring"
+	"chutechute/peer"
+)
+
+const (
+	linkOut     = 256 << 10 // bytes of frames that a link hands to its socket ahead
+	linkIn      = 64 << 10
+	linkUrgent  = 8 << 20 // bytes that wait for a link
+	linkDial    = 1000 * ms
+	linkShake   = 1000 * ms
+	linkStalled = 2000 * ms // a link that takes nothing for so long is made anew
+	linkRetry   = 50 * ms   // doubled with each failure, up to
+	linkRest    = 1000 * ms
+	mostLinks   = 4 // of one front end at a time, while old ones are noticed late; and all together
+)
+
+// outLink is the link to one front end, on which messages go there. It is made again whenever it breaks.
+type outLink struct {
+	stream
+	p          *peers
+	name       string
+	addr       netip.AddrPort
+	shake      *peer.Dialler
+	queue      peer.Queue
+	budget     ring.Budget
+	connecting bool
+	since      Micros // of the dial, or of the last byte that was taken
+	retry      Micros // when to dial again
+	failures   int
+	refused    string // the last reason for which a hello failed, so that it is logged once
+}
+
+func newOutLink(p *peers, name string, addr netip.AddrPort) *outLink {
+	l := &outLink{p: p, name: name, addr: addr, queue: peer.Queue{MostUrgent: linkUrgent, MostBulk: p.cfg.MostBulk}}
+	l.closed = true
+	l.budget.Most = linkOut + linkIn
+	return l
+}
+
+func (l *outLink) open() bool { return !l.closed && !l.connecting && l.shake.Open() }
+
+// push queues a message. Where the link is down it is lost, as it might be on the way: who needs it sends it again.
+func (l *outLink) push(t fleet.Tell) {
+	if !l.open() || !l.queue.Push(t.Kind, t.Bulk, t.Body) {
+		if l.open() {
+			l.p.s.count.PeerDropped++
+		}
+		if t.Kind == peer.Ledger {
+			l.p.node.Lost(l.name)
+		}
+		return
+	}
+	l.pour()
+}
+
+// pour hands to the socket what waits, as far as there is room.
+func (l *outLink) pour() {
+	if !l.open() {
+		return
+	}
+	before := l.out.Len()
+	for l.out.Len() < linkOut/2 {
+		frame := l.queue.Pop()
+		if frame == nil {
+			break
+		}
+		if _, err := l.out.Write(frame); err != nil {
+			l.fail(err)
+			return
+		}
+	}
+	if before == 0 {
+		l.since = l.p.s.now
+	}
+	l.send()
+}
+
+func (l *outLink) send() {
+	before := l.out.Len()
+	if err := l.flush(); err != nil {
+		l.fail(err)
+		return
+	}
+	if l.out.Len() < before || l.out.Len() == 0 {
+		l.since = l.p.s.now
+	}
+	l.watch(true)
+}
+
+func (l *outLink) dial() {
+	l.since = l.p.s.now
+	fd, err := dial(l.addr)
+	if err != nil {
+		l.later()
+		return
+	}
+	l.stream = newStream(l.p.s.loop, fd, linkIn, linkOut, &l.budget)
+	l.connecting, l.want = true, unix.EPOLLOUT
+	l.shake = &peer.Dialler{Self: l.p.self, To: l.name, Secret: l.p.cfg.Secret}
+	if err := l.p.s.loop.add(fd, l.want, l); err != nil {
+		l.fail(err)
+	}
+}
+
+func (l *outLink) later() {
+	l.failures++
+	l.retry = l.p.s.now + l.p.spread(min(linkRest, linkRetry<<min(l.failures, 5)))
+}
+
+// fail ends the link; what waited for it is gone.
+func (l *outLink) fail(err error) {
+	if l.shake != nil && !l.shake.Open() && !errors.Is(err, unix.ECONNREFUSED) && l.refused != err.Error() {
+		l.refused = err.Error()
+		slog.Warn("link", "to", l.name, "error", err)
+	}
+	l.close()
+	l.queue.Clear()
+	l.later()
+	l.p.node.Lost(l.name)
+}
+
+var (
+	errStalled = errors.New("peer: takes nothing")
+	errSilent  = errors.New("peer: no hello in time")
+	errEnded   = errors.New("peer: the other side ended the link")
+)
+
+func (l *outLink) tick() {
+	now := l.p.s.now
+	switch {
+	case l.closed && now >= l.retry:
+		l.dial()
+	case l.closed:
+	case !l.open() && now-l.since >= linkDial+linkShake:
+		l.fail(errSilent)
+	case l.open() && l.out.Len() > 0 && now-l.since >= linkStalled:
+		l.fail(errStalled)
+	}
+}
+
+func (l *outLink) ready(events uint32) {
+	if l.connecting {
+		if err := dialled(l.fd); err != nil {
+			l.fail(err)
+			return
+		}
+		l.connecting = false
+		l.watch(true)
+		return
+	}
+	if events&unix.EPOLLOUT != 0 {
+		l.send()
+		l.pour()
+	}
+	if l.closed || events&^unix.EPOLLOUT == 0 {
+		return
+	}
+	more := l.fill()
+	was := l.shake.Open()
+	l.shake.Feed(l.in.Bytes())
+	l.in.Discard(l.in.Len())
+	reply, err := l.shake.Take()
+	if err == nil && len(reply) > 0 {
+		if _, err = l.out.Write(reply); err == nil {
+			l.send()
+		}
+	}
+	switch {
+	case l.closed:
+	case err != nil:
+		l.fail(err)
+	case !more:
+		l.fail(errEnded)
+	case !was && l.shake.Open():
+		l.failures, l.refused = 0, ""
+		l.p.s.count.PeerLinks++
+		slog.Debug("link", "to", l.name, "incarnation", hex(l.shake.Other.Incarnation))
+		l.pour()
+	}
+}
+
+// peerListener accepts the links on which other front ends send.
+type peerListener struct {
+	p  *peers
+	fd int
+}
+
+func newPeerListener(p *peers) (*peerListener, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: socket: %w", err)
+	}
+	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
+		return nil, fmt.Errorf("fleet: SO_REUSEADDR: %w", err)
+	}
+	if err := unix.Bind(fd, sockaddr(p.cfg.Listen)); err != nil {
+		return nil, fmt.Errorf("fleet: bind %s: %w", p.cfg.Listen, err)
+	}
+	if err := unix.Listen(fd, backlog); err != nil {
+		return nil, fmt.Errorf("fleet: %s: %w", p.cfg.Listen, err)
+	}
+	l := &peerListener{p, fd}
+	return l, p.s.loop.add(fd, unix.EPOLLIN, l)
+}
+
+func (l *peerListener) ready(uint32) {
+	for {
+		fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		if err == unix.EINTR || err == unix.ECONNABORTED {
+			continue
+		}
+		if err != nil {
+			return
+		}
+		if len(l.p.in) >= mostLinks*(len(l.p.out)+1) {
+			unix.Close(fd)
+			l.p.s.count.PeerRejected++
+			continue
+		}
+		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
+		in := &inLink{p: l.p, since: l.p.s.now, shake: &peer.Listener{Self: l.p.self, Secret: l.p.cfg.Secret,
+			Known: func(name string) bool { return l.p.out[name] != nil }}}
+		in.budget.Most = 2 * linkIn
+		in.stream = newStream(l.p.s.loop, fd, linkIn, linkIn, &in.budget)
+		in.want = unix.EPOLLIN
+		if err := l.p.s.loop.add(fd, in.want, in); err != nil {
+			in.close()
+			continue
+		}
+		l.p.in[in] = struct{}{}
+		var nonce [16]byte
+		_, _ = rand.Read(nonce[:]) // it never fails
+		in.write(in.shake.Greet(nonce, l.p.cfg.MostBulk))
+	}
+}
+
+// inLink is a link on which another front end sends.
+type inLink struct {
+	stream
+	p      *peers
+	shake  *peer.Listener
+	budget ring.Budget
+	since  Micros // of its connecting, or of the last bytes
+}
+
+func (l *inLink) write(b []byte) {
+	if len(b) == 0 || l.closed {
+		return
+	}
+	_, err := l.out.Write(b)
+	if err == nil {
+		err = l.flush()
+	}
+	if err != nil {
+		l.end()
+		return
+	}
+	l.watch(true)
+}
+
+func (l *inLink) end() {
+	l.close()
+	delete(l.p.in, l)
+}
+
+// linkSilent is a link on which not even heartbeats come; the other side has made a new one, or is gone.
+const linkSilent = 10000 * ms
+
+func (l *inLink) tick() {
+	age := l.p.s.now - l.since
+	if !l.shake.Open() && age >= linkShake || age >= linkSilent {
+		l.end()
+	}
+}
+
+func (l *inLink) ready(events uint32) {
+	if events&unix.EPOLLOUT != 0 {
+		if err := l.flush(); err != nil {
+			l.end()
+			return
+		}
+	}
+	more := true
+	for round := 0; round < 16 && more && !l.closed; round++ { // what is left comes in the next turn
+		more = l.fill()
+		if l.in.Len() == 0 {
+			break
+		}
+		l.since = l.p.s.now
+		l.shake.Feed(l.in.Bytes())
+		l.in.Discard(l.in.Len())
+		reply, list, err := l.shake.Take()
+		l.write(reply)
+		for _, m := range list {
+			if err == nil {
+				err = l.p.node.Receive(l.p.s.now, l.shake.Other.Name, l.shake.Other.Incarnation, m.Kind, m.Body)
+			}
+		}
+		if err != nil {
+			l.p.s.count.PeerRejected++
+			slog.Warn("link closed for what came", "from", l.shake.Other.Name, "error", err)
+			l.end()
+			return
+		}
+	}
+	if l.closed {
+		return
+	}
+	if !more {
+		l.end()
+		return
+	}
+	l.watch(true)
+}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -48,6 +48,7 @@
 	reloading    sync.Mutex
 	watches      int             // so far
 	watch        *keyfiles.Watch // of the files that identity is fed from; nil where it is off
+	peers        *peers          // nil where no fleet is set
 }
 
 // New builds a front end; it does not listen yet. Counters are printed to log.
@@ -74,6 +75,11 @@
 	if err = s.guarded(cfg); err != nil {
 		return nil, fmt.Errorf("installation: %w", err)
 	}
+	if cfg.Peers != nil {
+		if s.peers, err = newPeers(s, cfg.Peers); err != nil {
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
@@ -99,6 +105,12 @@
 		return err
 	}
 	s.feed.connect()
+	if s.peers != nil {
+		if err := s.peers.listen(); err != nil {
+			return err
+		}
+		defer s.peers.close()
+	}
 	s.life.Serve()
 	slog.Info("serving", "name", s.cfg.Name, "listen", s.listener.addr)
 	for {
@@ -129,7 +141,7 @@
 	if at, ok := s.core.Next(); ok {
 		until = min(until, at)
 	}
-	if len(s.listener.again) > 0 {
+	if len(s.listener.again) > 0 || s.core.Pending() {
 		until = s.now
 	}
 	n, err := s.loop.wait(until - s.clock.now())
@@ -137,6 +149,9 @@
 		return err
 	}
 	s.now = s.clock.now()
+	if s.peers != nil {
+		s.peers.desk.At(s.now)
+	}
 	s.listener.leftOver()
 	s.loop.dispatch(n)
 	if s.now >= s.nextTick {
@@ -145,11 +160,20 @@
 		s.listener.tick()
 		s.feed.tick()
 		s.security.tick(s.now)
+		if s.peers != nil {
+			s.peers.tick()
+		}
 		if s.life.Expired(s.now) {
 			s.core.ExpireAll()
 		}
 	}
+	if s.peers != nil {
+		s.peers.pump()
+	}
 	s.core.Step(s.now)
+	if s.peers != nil {
+		s.peers.pump()
+	}
 	s.count.LongestTurn = max(s.count.LongestTurn, int(s.clock.now()-s.now))
 	return nil
 }
@@ -212,6 +236,9 @@
 		s.count.BadProofs, s.count.Forbidden = i.Missing+i.Unsigned+i.Negative+i.Expired+i.Unmapped, i.Forbidden+i.Foreign
 		s.count.OverCeiling = i.Over + i.Busy
 	}
+	if p := s.peers; p != nil {
+		s.count.Noted, s.count.Adopted, s.count.Shared, s.count.Conflicts = p.node.Asked(), p.desk.Adopted, p.desk.Waited, p.desk.Conflicts
+	}
 	s.count.Print(s.log)
 }
 
--- a/internal/standin/client.go
+++ b/internal/standin/client.go
@@ -44,22 +44,33 @@
 
 // Send sends a message of a kind and gives its sequence number; the arguments are whole fields.
 func (c *Client) Send(kind byte, name string, args ...[]byte) int32 {
+	require.NoError(c.T, c.TrySend(kind, name, args...))
+	return c.Seq
+}
+
+// TrySend sends a message to a front end that may be gone.
+func (c *Client) TrySend(kind byte, name string, args ...[]byte) error {
 	c.Seq++
 	m := append([]byte{0x80, 1, 0, kind}, text(name)...)
 	m = binary.BigEndian.AppendUint32(m, uint32(c.Seq))
 	m = append(append(m, bytes.Join(args, nil)...), 0)
 	_, err := c.Conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(m))), m...))
-	require.NoError(c.T, err)
-	return c.Seq
+	return err
 }
 
 // Ask sends a request: fields as name, value, name, value.
 func (c *Client) Ask(statement string, fields ...string) int32 {
+	require.NoError(c.T, c.TryAsk(statement, fields...))
+	return c.Seq
+}
+
+// TryAsk sends a request to a front end that may be gone.
+func (c *Client) TryAsk(statement string, fields ...string) error {
 	m := []byte{13, 0, 1, 11, 11, 0, 0, 0, byte(len(fields) / 2)}
 	for _, f := range fields {
 		m = append(m, text(f)...)
 	}
-	return c.Send(1, "call", m, append([]byte{11, 0, 2}, text(statement)...))
+	return c.TrySend(1, "call", m, append([]byte{11, 0, 2}, text(statement)...))
 }
 
 // ID is a request's id.
@@ -85,17 +96,27 @@
 // Read reads the next message from the front end.
 func (c *Client) Read() Reply {
 	c.T.Helper()
+	p, err := c.TryRead()
+	require.NoError(c.T, err)
+	return p
+}
+
+// TryRead reads the next message from a front end that may be gone.
+func (c *Client) TryRead() (Reply, error) {
 	var size uint32
-	require.NoError(c.T, binary.Read(c.Conn, binary.BigEndian, &size))
+	if err := binary.Read(c.Conn, binary.BigEndian, &size); err != nil {
+		return Reply{}, err
+	}
 	b := make([]byte, size)
-	_, err := io.ReadFull(c.Conn, b)
-	require.NoError(c.T, err)
+	if _, err := io.ReadFull(c.Conn, b); err != nil {
+		return Reply{}, err
+	}
 	n := 8 + int(binary.BigEndian.Uint32(b[4:]))
 	p := Reply{Seq: int32(binary.BigEndian.Uint32(b[n:])), Raw: string(b[n+4:]), What: "exception"}
 	if b[3] == 2 {
 		p.What = []string{"answer", "shed", "fault"}[b[n+6]]
 	}
-	return p
+	return p, nil
 }
 
 // Body is the rows of an answer.
--- /dev/null
+++ b/internal/standin/fleet.go
@@ -0,0 +1,368 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Fleet is several front ends as processes, each on a loopback address of its own, with a relay for every way from one to
+// another, and the engines that they share. Clients and engines note what they see.
+type Fleet struct {
+	T       *testing.T
+	Program string
+	Fronts  []*Front
+	Workers []*Worker
+	Record  *Record
+	Random  *Random
+	Seed    uint64
+	Dir     string
+	Lasting bool           // the record is kept in folders
+	Section map[string]any // what the fleet's section sets besides
+	Args    []string
+	relays  map[[2]int]*Relay
+	journal net.Listener
+	calls   atomic.Int64
+	script  *strings.Builder
+	began   time.Time
+}
+
+// Front is one front end of a fleet.
+type Front struct {
+	F       *Fleet
+	N       int
+	Name    string
+	Zone    string
+	Listen  string // for clients
+	Peer    string // for other front ends
+	Folder  string
+	Admin   string
+	Cmd     *exec.Cmd
+	Log     *LockedBuffer
+	Program string
+	Starts  int
+	alive   bool
+}
+
+var nets atomic.Int64
+
+// address gives a loopback address of its own with ports that are free on it: no others use it, so none can take them.
+func address(n int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+(pid>>8)%200, pid&255, n)
+}
+
+func port(t *testing.T, ip string) string {
+	l, err := net.Listen("tcp4", ip+":0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// NewFleet prepares a fleet; change may set it up further before its front ends start.
+func NewFleet(t *testing.T, program string, fronts int, change ...func(*Fleet)) *Fleet {
+	f := &Fleet{T: t, Program: program, Record: &Record{}, Seed: 20261201, Dir: t.TempDir(), relays: map[[2]int]*Relay{},
+		Section: map[string]any{}, script: &strings.Builder{}, began: time.Now()}
+	var err error
+	f.journal, err = net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { f.journal.Close() })
+	go f.tell()
+	for i := range fronts {
+		ip := address(int(nets.Add(1))%250 + 1)
+		name := fmt.Sprintf("n%d", i+1)
+		f.Fronts = append(f.Fronts, &Front{F: f, N: i, Name: name, Zone: string(rune('a' + i%3)), Listen: port(t, ip), Peer: port(t, ip),
+			Folder: filepath.Join(f.Dir, "disk-"+name), Admin: filepath.Join(f.Dir, name+".sock")})
+	}
+	for _, c := range change {
+		c(f)
+	}
+	f.Random = NewRandom(f.Seed)
+	seen := &Seen{keys: map[string]time.Time{}}
+	for i := range 2 {
+		w := NewWorker(fmt.Sprintf("s-%08x", i+1), f.Record, seen)
+		t.Cleanup(w.Close)
+		f.Workers = append(f.Workers, w)
+	}
+	for i := range f.Fronts {
+		for j := range f.Fronts {
+			if i != j {
+				r, err := NewRelay(f.Fronts[j].Peer, f.Random)
+				require.NoError(t, err)
+				t.Cleanup(r.Close)
+				f.relays[[2]int{i, j}] = r
+			}
+		}
+	}
+	for _, n := range f.Fronts {
+		n.Start()
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			t.Logf("seed %d, script:\n%s", f.Seed, f.script)
+			for _, n := range f.Fronts {
+				s, _ := json.Marshal(n.Status())
+				t.Logf("status of %s: %s", n.Name, s)
+			}
+		}
+		for _, n := range f.Fronts {
+			n.stop()
+		}
+		if t.Failed() {
+			for _, n := range f.Fronts {
+				t.Logf("log of %s:\n%s", n.Name, n.Log)
+			}
+		}
+	})
+	return f
+}
+
+// tell is the journal service: it has nothing to tell.
+func (f *Fleet) tell() {
+	for {
+		conn, err := f.journal.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			for {
+				if _, err := conn.Write([]byte{0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0}); err != nil {
+					return
+				}
+				time.Sleep(time.Second)
+			}
+		}()
+	}
+}
+
+// Did adds a line to the script of faults, which a failing test prints.
+func (f *Fleet) Did(format string, args ...any) {
+	fmt.Fprintf(f.script, "%8.3f s  %s\n", time.Since(f.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// Start starts the front end's process, under its name and addresses.
+func (n *Front) Start() {
+	t := n.F.T
+	settings := map[string]any{}
+	require.NoError(t, json.Unmarshal([]byte(Settings), &settings))
+	settings["balancers"] = len(n.F.Fronts)
+	var targets, members []any
+	for _, w := range n.F.Workers {
+		targets = append(targets, map[string]any{"uid": w.Name, "endpoint": w.Addr.String(), "az": "a", "model": "k",
+			"pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0})
+	}
+	for _, o := range n.F.Fronts {
+		addr := n.Peer
+		if o != n {
+			addr = n.F.relays[[2]int{n.N, o.N}].Addr
+		}
+		members = append(members, map[string]any{"name": o.Name, "address": addr, "zone": o.Zone})
+	}
+	n.Starts++
+	section := map[string]any{"enabled": true, "site": "test", "members": members, "admin": n.Admin}
+	if n.F.Lasting {
+		section["folder"] = n.Folder
+	}
+	for k, v := range n.F.Section {
+		section[k] = v
+	}
+	config := map[string]any{"name": n.Name, "listen": n.Listen, "seed": fmt.Sprintf("%x", 100*n.N+n.Starts),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "journal": n.F.journal.Addr().String(),
+		"settings": settings, "known": map[string]any{"pos": 41, "entries": []any{map[string]any{"pos": 41,
+			"hosts": map[string]any{"rev": 1, "all": true, "targets": targets}}}}}
+	write := func(name string, v any) string {
+		path := filepath.Join(n.F.Dir, n.Name+"-"+name+".json")
+		text, err := json.Marshal(v)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(path, text, 0o600))
+		return path
+	}
+	program := n.F.Program
+	if n.Program != "" {
+		program = n.Program
+	}
+	n.Cmd = exec.Command(program, append([]string{"serve", "--installation", write("installation",
+		map[string]any{"fleet": section})}, n.F.Args...)...)
+	n.Cmd.Env = []string{"NODE_CONFIG=" + write("config", config)}
+	if n.Log == nil {
+		n.Log = &LockedBuffer{}
+	}
+	before := strings.Count(n.Log.String(), "msg=serving")
+	n.Cmd.Stderr = n.Log
+	require.NoError(t, n.Cmd.Start())
+	n.alive = true
+	require.Eventually(t, func() bool { return strings.Count(n.Log.String(), "msg=serving") > before }, Patience, time.Millisecond,
+		"%s does not serve: %s", n.Name, n.Log)
+}
+
+func (n *Front) stop() {
+	if n.alive {
+		n.alive = false
+		_ = n.Cmd.Process.Signal(syscall.SIGCONT)
+		_ = n.Cmd.Process.Kill()
+		_ = n.Cmd.Wait()
+	}
+}
+
+// Kill ends the process at once; empty loses its disk too.
+func (n *Front) Kill(empty bool) {
+	n.F.Did("kill %s, disk emptied: %v", n.Name, empty)
+	n.stop()
+	if empty {
+		require.NoError(n.F.T, os.RemoveAll(n.Folder))
+	}
+}
+
+// Stop has the process stand still; Continue lets it go on.
+func (n *Front) Stop() {
+	n.F.Did("stop %s", n.Name)
+	require.NoError(n.F.T, n.Cmd.Process.Signal(syscall.SIGSTOP))
+}
+
+// Continue lets a process go on that stands still.
+func (n *Front) Continue() {
+	n.F.Did("continue %s", n.Name)
+	require.NoError(n.F.T, n.Cmd.Process.Signal(syscall.SIGCONT))
+}
+
+// Way is the relay from one front end to another.
+func (f *Fleet) Way(from, to *Front) *Relay { return f.relays[[2]int{from.N, to.N}] }
+
+// Part cuts all ways between two sides, or heals them.
+func (f *Fleet) Part(cut bool, a, b []*Front) {
+	for _, x := range a {
+		for _, y := range b {
+			f.Did("cut %s-%s: %v", x.Name, y.Name, cut)
+			f.Way(x, y).Cut(cut)
+			f.Way(y, x).Cut(cut)
+		}
+	}
+}
+
+// Status is what a front end says of itself on its operators' socket; nil where it does not answer.
+func (n *Front) Status() map[string]any {
+	conn, err := net.DialTimeout("unix", n.Admin, time.Second)
+	if err != nil {
+		return nil
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := fmt.Fprintln(conn, "status"); err != nil {
+		return nil
+	}
+	var v map[string]any
+	if err := json.NewDecoder(conn).Decode(&v); err != nil {
+		return nil
+	}
+	return v
+}
+
+// Leader waits until some front end leads with that many copies, all of them on the disks of processes that run now, and
+// gives it.
+func (f *Fleet) Leader(copies int) *Front {
+	f.T.Helper()
+	var leader *Front
+	require.Eventually(f.T, func() bool {
+		leader = nil
+		disks := map[any]bool{}
+		var voters []any
+		for _, n := range f.Fronts {
+			s := n.Status()
+			if !n.alive || s == nil {
+				continue
+			}
+			disks[s["copy"]] = true
+			if s["role"] != "leader" {
+				continue
+			}
+			leader, voters = n, nil
+			for _, c := range s["copies"].([]any) {
+				if v := c.(map[string]any); v["votes"] == true {
+					voters = append(voters, v["copy"])
+				}
+			}
+		}
+		for _, v := range voters {
+			if !disks[v] {
+				return false
+			}
+		}
+		return leader != nil && len(voters) == copies
+	}, Patience, 20*time.Millisecond)
+	return leader
+}
+
+// NewCall is a call's id that was not used yet.
+func (f *Fleet) NewCall() string { return ID(int(f.calls.Add(1))) }
+
+// Try is one try of a load.
+type Try struct {
+	Once, Key, Statement string
+	TTL                  time.Duration
+}
+
+// Load sends a load to a front end and gives what came of it: answer, shed, fault, or lost where the connection ended.
+func (f *Fleet) Load(n *Front, try Try) Reply {
+	call := f.NewCall()
+	f.Record.Add(Event{What: "asked", Front: n.Name, Call: call, Once: try.Once, Key: try.Key, Body: try.Statement})
+	p, err := f.try(n, call, try)
+	if err != nil {
+		p.What = "lost"
+	}
+	body := ""
+	if p.What == "answer" {
+		body = p.Body()
+	}
+	f.Record.Add(Event{What: "answered", Front: n.Name, Call: call, Once: try.Once, Key: try.Key, Detail: p.What, Body: body})
+	return p
+}
+
+func (f *Fleet) try(n *Front, call string, try Try) (Reply, error) {
+	conn, err := net.DialTimeout("tcp4", n.Listen, time.Second)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(try.TTL + time.Second))
+	c := &Client{T: f.T, Conn: conn}
+	fields := []string{"call", call, "op", "load", "ttl", fmt.Sprint(try.TTL.Milliseconds()), "dedupe", try.Once, "work", "10.0"}
+	if try.Key != "" {
+		fields = append(fields, "row", try.Key)
+	}
+	if err := c.TryAsk(try.Statement, fields...); err != nil {
+		return Reply{}, err
+	}
+	return c.TryRead()
+}
+
+// Until waits until the record shows an event, and gives it.
+func (f *Fleet) Until(match func(Event) bool) (found Event) {
+	f.T.Helper()
+	require.Eventually(f.T, func() bool {
+		for _, e := range f.Record.Events() {
+			if match(e) {
+				found = e
+				return true
+			}
+		}
+		return false
+	}, Patience, time.Millisecond)
+	return found
+}
+
+// Logged counts the lines of a front end's log that match.
+func (n *Front) Logged(pattern string) int {
+	return len(regexp.MustCompile(pattern).FindAllString(n.Log.String(), -1))
+}
--- /dev/null
+++ b/ledger/kind.go
@@ -0,0 +1,31 @@
+package ledger
+
+// Micros is a time or a span in microseconds of one machine's own clock.
+type Micros = int64
+
+// Incarnation names one run of one front end's process. It is drawn anew at each start and never comes again.
+type Incarnation uint64
+
+// Kind is one sort of record and its part of the replicated state. Apply, Restore and Snapshot are deterministic: what they
+// do follows from the committed commands alone. Now is a local reading for Due, and no part of the state.
+type Kind interface {
+	ID() uint32
+	Name() string
+	// Version is the newest form of commands that this build applies.
+	Version() uint32
+	// Apply carries out a committed command and gives the answer to who asked.
+	Apply(at Applied, asker Incarnation, body []byte) (answer []byte)
+	// Snapshot adds the whole state to b; Restore takes one over, and empties the state where b is empty.
+	Snapshot(b []byte) []byte
+	Restore(b []byte, now Micros) error
+	// Due gives the commands that time alone calls for, by this machine's own spans. The leader proposes them.
+	Due(now Micros, gone func(Incarnation) bool) [][]byte
+}
+
+// Applied tells a kind where in the record it stands.
+type Applied struct {
+	Index uint64
+	Now   Micros
+	// Note tells a front end that something it waits for may have changed. It may be lost.
+	Note func(to Incarnation, about string)
+}
--- /dev/null
+++ b/ledger/loads/loads.go
@@ -0,0 +1,454 @@
+// Package loads is the record of keyed loads, a kind of the ledger: who took them, in which order those of one key stand,
+// what was begun and how it ended. It is a state machine without I/O, clock or map order; every copy applies the same
+// committed commands to it.
+//
+// In terms of what clients and engines see in true time, with M the time at which a command is committed:
+//
+//  1. No attempt of a load reaches an engine unless a Start of its owner, in the epoch in force, was committed before. So
+//     after a load was adopted (epoch + 1), has an outcome, or was taken out, nothing of the earlier owner begins: a Start
+//     that it still asks for is denied, whatever it believes.
+//  2. A load with a committed Start is never adopted. Whoever finds one waits for its outcome; its owner alone goes on.
+//  3. A load has one outcome: the first committed. It and its rows are what every later repeat is told, until it is forgotten.
+//  4. Of one key, a Start is granted only to the load that stands first in the order of commits; it leaves the line with its
+//     outcome only, which its owner commits once no attempt of it runs any more, or with a Lapse.
+//  5. A Lapse rests on spans only: the owner begins and asks for a load no later than the client's time, counted from before
+//     the Take was asked for, and engines end a query 2 s unasked. The leader counts from when it applied the Take, which is
+//     later, adds the stated drift and the 2 s, and only then proposes.
+package loads
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+
+	"chutechute/internal/proto"
+	"chutechute/ledger"
+)
+
+const (
+	second = 1_000_000 // microseconds
+
+	// unasked is how long an engine goes on with a query that nobody asks for, one call that is out included.
+	unasked = 2_350_000
+	// drift is the bound on how much faster one machine's clock may run than another's, as one part in so many.
+	drift = 100
+	// overhead is what a record takes besides its texts, in bytes.
+	overhead = 400
+	// MostRows is the most that an outcome's rows may take, by the protocol.
+	MostRows = 48_000
+)
+
+// Options are the bounds of the record. All copies of one group have the same.
+type Options struct {
+	Bytes  int           // that records may take, with room for their outcomes
+	Keep   ledger.Micros // how long an outcome is kept
+	Orphan ledger.Micros // how long a load whose owner is gone keeps its place with nothing begun
+}
+
+// load is one record.
+type load struct {
+	once, key, tenant, class string
+	digest                   []byte
+	call                     string
+	ttl                      uint64
+	place                    uint64
+	owner                    ledger.Incarnation
+	epoch                    uint64
+	phase                    Phase
+	starts                   []start
+	rows                     []byte
+	watchers                 []ledger.Incarnation
+	changed                  uint64
+
+	taken, at ledger.Micros // by this machine's clock: of the last Take that counts, of the last change; no part of the state
+	orphan    ledger.Micros // since when its owner is gone, by this machine
+}
+
+// start is an attempt that may have begun.
+type start struct {
+	attempt uint64
+	engine  string
+	call    string
+	owner   ledger.Incarnation
+}
+
+// Loads is the record.
+type Loads struct {
+	o     Options
+	once  map[string]*load
+	order []*load            // by place
+	lines map[string][]*load // of each key, by place: those that are not over
+	bytes int
+}
+
+// New is an empty record.
+func New(o Options) *Loads {
+	return &Loads{o: o, once: map[string]*load{}, lines: map[string][]*load{}}
+}
+
+// ID is the kind's number in commands and snapshots.
+func (s *Loads) ID() uint32 { return 1 }
+
+// Name is the kind's name.
+func (s *Loads) Name() string { return "loads" }
+
+// Version is the form of its commands.
+func (s *Loads) Version() uint32 { return 1 }
+
+// Len is how many loads are noted, and Bytes what they take.
+func (s *Loads) Len() int { return len(s.order) }
+
+// Bytes is the room that is taken or kept back for outcomes.
+func (s *Loads) Bytes() int { return s.bytes }
+
+// size is the room of a load; one without an outcome keeps back what that may take.
+func (l *load) size() int {
+	n := overhead + len(l.once) + len(l.key) + len(l.tenant) + len(l.class) + len(l.digest)
+	if l.phase.Over() {
+		return n + len(l.rows)
+	}
+	return n + MostRows
+}
+
+// Apply carries out a committed command.
+func (s *Loads) Apply(at ledger.Applied, asker ledger.Incarnation, body []byte) []byte {
+	c, err := Decode(body)
+	if err != nil {
+		return nil
+	}
+	l := s.once[c.Once]
+	status := OK
+	switch c.Op {
+	case Take:
+		l, status = s.take(at, asker, c, l)
+	case Start:
+		status = s.start(at, asker, c, l)
+	case Finish:
+		l, status = s.finish(at, asker, c, l)
+	case Look:
+		if l == nil {
+			status = Unknown
+		}
+	case Lapse:
+		if l != nil && l.changed == c.Changed && !l.phase.Over() {
+			if l.phase == Started {
+				s.over(at, l, Failed, nil)
+			} else {
+				s.remove(at, l)
+			}
+		}
+		return nil
+	case Forget:
+		if l != nil && l.changed == c.Changed && l.phase.Over() {
+			s.remove(at, l)
+		}
+		return nil
+	default:
+		return nil
+	}
+	v := View{Status: status}
+	if l != nil && status != Conflict {
+		v.Phase, v.Owner, v.Epoch, v.Place, v.Call, v.Rows = l.phase, uint64(l.owner), l.epoch, l.place, l.call, l.rows
+		v.Turn = s.first(l)
+	}
+	return v.Encode()
+}
+
+func (s *Loads) first(l *load) bool { return l.key == "" || !l.phase.Over() && s.lines[l.key][0] == l }
+
+func (s *Loads) take(at ledger.Applied, asker ledger.Incarnation, c *Command, l *load) (*load, Status) {
+	if l != nil {
+		switch {
+		case !bytes.Equal(l.digest, c.Digest) || l.key != c.Key || l.class != c.Class:
+			return l, Conflict
+		case l.phase.Over():
+		case l.owner == asker:
+			if l.phase == Waiting && l.call != c.Call { // another try of it, whose client waits for longer
+				l.call, l.ttl, l.changed, l.taken, l.at = c.Call, c.TTL, at.Index, at.Now, at.Now
+			}
+		case l.phase == Waiting && c.Adopt:
+			at.Note(l.owner, l.once)
+			l.owner, l.call, l.ttl = asker, c.Call, c.TTL
+			l.epoch++
+			l.changed, l.taken, l.at, l.orphan = at.Index, at.Now, at.Now, 0
+		case !slices.Contains(l.watchers, asker):
+			l.watchers = append(l.watchers, asker)
+			at.Note(l.owner, l.once) // who holds it no more says so
+		}
+		return l, OK
+	}
+	l = &load{once: c.Once, key: c.Key, tenant: c.Tenant, class: c.Class, digest: c.Digest, call: c.Call, ttl: c.TTL,
+		place: at.Index, owner: asker, epoch: 1, phase: Waiting, changed: at.Index, taken: at.Now, at: at.Now}
+	if s.bytes+l.size() > s.o.Bytes {
+		return nil, Full
+	}
+	s.add(l)
+	return l, OK
+}
+
+func (s *Loads) add(l *load) {
+	s.once[l.once] = l
+	s.order = append(s.order, l)
+	s.bytes += l.size()
+	if l.key != "" && !l.phase.Over() {
+		s.lines[l.key] = append(s.lines[l.key], l)
+	}
+}
+
+func (s *Loads) start(at ledger.Applied, asker ledger.Incarnation, c *Command, l *load) Status {
+	switch {
+	case l == nil:
+		return Unknown
+	case l.phase.Over() || l.owner != asker || l.epoch != c.Epoch:
+		return Denied
+	case !s.first(l):
+		return NotYet
+	case slices.ContainsFunc(l.starts, func(t start) bool { return t.attempt == c.Attempt }):
+		return OK // asked again
+	}
+	l.starts = append(l.starts, start{c.Attempt, c.Engine, c.Call, asker})
+	l.phase, l.changed, l.at = Started, at.Index, at.Now
+	return OK
+}
+
+func (s *Loads) finish(at ledger.Applied, asker ledger.Incarnation, c *Command, l *load) (*load, Status) {
+	switch {
+	case l == nil:
+		return nil, Unknown
+	case l.phase.Over():
+		return l, OK // the first stays
+	case l.owner != asker || l.epoch != c.Epoch:
+		return l, Denied
+	case c.Outcome == None:
+		s.remove(at, l)
+		return nil, OK
+	case c.Outcome == Served && len(c.Rows) > MostRows:
+		s.over(at, l, Failed, nil)
+	case c.Outcome == Served || c.Outcome == Failed:
+		s.over(at, l, c.Outcome, c.Rows)
+	default:
+		return l, Denied
+	}
+	return l, OK
+}
+
+// over gives a load its outcome.
+func (s *Loads) over(at ledger.Applied, l *load, outcome Phase, rows []byte) {
+	s.bytes -= l.size()
+	s.leave(at, l)
+	l.phase, l.rows, l.changed, l.at = outcome, rows, at.Index, at.Now
+	s.bytes += l.size()
+	s.tell(at, l)
+}
+
+// remove takes a load out of the record.
+func (s *Loads) remove(at ledger.Applied, l *load) {
+	s.bytes -= l.size()
+	if !l.phase.Over() {
+		s.leave(at, l)
+		at.Note(l.owner, l.once)
+		s.tell(at, l)
+	}
+	delete(s.once, l.once)
+	if i, ok := slices.BinarySearchFunc(s.order, l.place, byPlace); ok {
+		s.order = slices.Delete(s.order, i, i+1)
+	}
+}
+
+func byPlace(l *load, place uint64) int {
+	switch {
+	case l.place < place:
+		return -1
+	case l.place > place:
+		return 1
+	}
+	return 0
+}
+
+// leave takes a load out of its key's line; the next may begin.
+func (s *Loads) leave(at ledger.Applied, l *load) {
+	if l.key == "" {
+		return
+	}
+	line := s.lines[l.key]
+	i := slices.Index(line, l)
+	line = slices.Delete(line, i, i+1)
+	if len(line) == 0 {
+		delete(s.lines, l.key)
+		return
+	}
+	s.lines[l.key] = line
+	if i == 0 {
+		at.Note(line[0].owner, line[0].once)
+	}
+}
+
+// tell notes those who wait with a load.
+func (s *Loads) tell(at ledger.Applied, l *load) {
+	for _, w := range l.watchers {
+		at.Note(w, l.once)
+	}
+	l.watchers = nil
+}
+
+// mostDue bounds the commands of one call of Due.
+const mostDue = 256
+
+// Due gives what has lapsed and what may be forgotten, by this machine's clock.
+func (s *Loads) Due(now ledger.Micros, gone func(ledger.Incarnation) bool) (list [][]byte) {
+	for _, l := range s.order {
+		if len(list) >= mostDue {
+			break
+		}
+		c := Command{Once: l.once, Changed: l.changed}
+		life := ledger.Micros(l.ttl) + ledger.Micros(l.ttl)/drift + second/2
+		switch {
+		case l.phase.Over() && now-l.at >= s.o.Keep:
+			c.Op = Forget
+		case l.phase == Started && now-l.taken >= life+unasked:
+			c.Op = Lapse
+		case l.phase == Waiting && now-l.taken >= life:
+			c.Op = Lapse
+		case l.phase == Waiting && gone(l.owner):
+			if l.orphan == 0 {
+				l.orphan = now
+			}
+			if now-l.orphan < s.o.Orphan {
+				continue
+			}
+			c.Op = Lapse
+		default:
+			l.orphan = 0
+			continue
+		}
+		list = append(list, c.Encode())
+	}
+	return list
+}
+
+// Snapshot adds all records, by place.
+func (s *Loads) Snapshot(b []byte) []byte {
+	for _, l := range s.order {
+		b = proto.Message(b, 1, l.encode())
+	}
+	return b
+}
+
+func (l *load) encode() []byte {
+	var b []byte
+	b = proto.String(b, 1, l.once)
+	b = proto.String(b, 2, l.key)
+	b = proto.String(b, 3, l.tenant)
+	b = proto.String(b, 4, l.class)
+	b = proto.Bytes(b, 5, l.digest)
+	b = proto.String(b, 6, l.call)
+	b = proto.Uint(b, 7, l.ttl)
+	b = proto.Uint(b, 8, l.place)
+	b = proto.Uint(b, 9, uint64(l.owner))
+	b = proto.Uint(b, 10, l.epoch)
+	b = proto.Uint(b, 11, uint64(l.phase))
+	for _, t := range l.starts {
+		var m []byte
+		m = proto.Uint(m, 1, t.attempt)
+		m = proto.String(m, 2, t.engine)
+		m = proto.String(m, 3, t.call)
+		m = proto.Uint(m, 4, uint64(t.owner))
+		b = proto.Message(b, 12, m)
+	}
+	b = proto.Bytes(b, 13, l.rows)
+	for _, w := range l.watchers {
+		b = proto.Uint(b, 14, uint64(w))
+	}
+	return proto.Uint(b, 15, l.changed)
+}
+
+// Restore takes a snapshot over. Its spans begin now, which is later than they did: nothing lapses early.
+func (s *Loads) Restore(b []byte, now ledger.Micros) error {
+	*s = *New(s.o)
+	return proto.Each(b, func(f proto.Field) error {
+		l := &load{taken: now, at: now}
+		if err := proto.Each(f.Data, l.decode); err != nil {
+			return err
+		}
+		s.add(l)
+		return nil
+	})
+}
+
+func (l *load) decode(f proto.Field) error {
+	switch f.Number {
+	case 1:
+		l.once = f.Text()
+	case 2:
+		l.key = f.Text()
+	case 3:
+		l.tenant = f.Text()
+	case 4:
+		l.class = f.Text()
+	case 5:
+		l.digest = f.Copy()
+	case 6:
+		l.call = f.Text()
+	case 7:
+		l.ttl = f.Uint
+	case 8:
+		l.place = f.Uint
+	case 9:
+		l.owner = ledger.Incarnation(f.Uint)
+	case 10:
+		l.epoch = f.Uint
+	case 11:
+		l.phase = Phase(f.Uint)
+	case 12:
+		var t start
+		err := proto.Each(f.Data, func(f proto.Field) error {
+			switch f.Number {
+			case 1:
+				t.attempt = f.Uint
+			case 2:
+				t.engine = f.Text()
+			case 3:
+				t.call = f.Text()
+			case 4:
+				t.owner = ledger.Incarnation(f.Uint)
+			}
+			return nil
+		})
+		l.starts = append(l.starts, t)
+		return err
+	case 13:
+		l.rows = f.Copy()
+	case 14:
+		l.watchers = append(l.watchers, ledger.Incarnation(f.Uint))
+	case 15:
+		l.changed = f.Uint
+	}
+	return nil
+}
+
+// Shown is a record as operators see it.
+type Shown struct {
+	Once   string   `json:"dedupe"`
+	Key    string   `json:"key,omitempty"`
+	Class  string   `json:"class"`
+	Phase  string   `json:"phase"`
+	Owner  string   `json:"owner"`
+	Epoch  uint64   `json:"epoch"`
+	Place  uint64   `json:"place"`
+	Starts []string `json:"starts,omitempty"`
+	Bytes  int      `json:"bytes"`
+}
+
+// Show is all records, by place.
+func (s *Loads) Show() (list []Shown) {
+	list = []Shown{}
+	for _, l := range s.order {
+		v := Shown{Once: l.once, Key: l.key, Class: l.class, Phase: l.phase.String(), Owner: fmt.Sprintf("%016x", uint64(l.owner)),
+			Epoch: l.epoch, Place: l.place, Bytes: len(l.rows)}
+		for _, t := range l.starts {
+			v.Starts = append(v.Starts, fmt.Sprintf("%d on %s as %s", t.attempt, t.engine, t.call))
+		}
+		list = append(list, v)
+	}
+	return list
+}
--- /dev/null
+++ b/ledger/loads/message.go
@@ -0,0 +1,176 @@
+package loads
+
+import "chutechute/internal/proto"
+
+// Op is what a command asks for.
+type Op uint64
+
+// The commands.
+const (
+	Take   Op = iota + 1 // a load was taken: note it, or attach to the one that is there
+	Start                // may this attempt begin?
+	Finish               // its outcome
+	Lapse                // by the leader: its time is over for certain
+	Forget               // by the leader: its outcome was kept long enough
+	Look                 // how it stands, as of this place in the order of commits
+)
+
+// Phase is how far a load is.
+type Phase uint64
+
+// The phases.
+const (
+	None    Phase = iota // not noted
+	Waiting              // taken; nothing of it has begun
+	Started              // an attempt may have begun
+	Served               // over, with its rows
+	Failed               // over, and may have run
+)
+
+// Over says whether the load has its outcome.
+func (p Phase) Over() bool { return p >= Served }
+
+func (p Phase) String() string {
+	return [...]string{"none", "waiting", "started", "served", "failed"}[min(p, Failed)]
+}
+
+// Command is one command on loads. Epoch and Changed tell a stale one.
+type Command struct {
+	Op                       Op
+	Once, Key, Tenant, Class string
+	Digest                   []byte // of the statement
+	Call                     string
+	TTL                      uint64 // microseconds that its client waits, from before it was asked
+	Adopt                    bool   // take it over where nothing has begun
+	Epoch                    uint64
+	Attempt                  uint64
+	Engine                   string
+	Outcome                  Phase // None: it never ran, and is taken out
+	Rows                     []byte
+	Changed                  uint64
+}
+
+// Encode gives the command's bytes.
+func (c *Command) Encode() []byte {
+	b := make([]byte, 0, 128+len(c.Rows))
+	b = proto.Uint(b, 1, uint64(c.Op))
+	b = proto.String(b, 2, c.Once)
+	b = proto.String(b, 3, c.Key)
+	b = proto.String(b, 4, c.Tenant)
+	b = proto.String(b, 5, c.Class)
+	b = proto.Bytes(b, 6, c.Digest)
+	b = proto.String(b, 7, c.Call)
+	b = proto.Uint(b, 8, c.TTL)
+	b = proto.Bool(b, 9, c.Adopt)
+	b = proto.Uint(b, 10, c.Epoch)
+	b = proto.Uint(b, 11, c.Attempt)
+	b = proto.String(b, 12, c.Engine)
+	b = proto.Uint(b, 13, uint64(c.Outcome))
+	b = proto.Bytes(b, 14, c.Rows)
+	return proto.Uint(b, 15, c.Changed)
+}
+
+// Decode reads a command.
+func Decode(b []byte) (*Command, error) {
+	c := &Command{}
+	err := proto.Each(b, func(f proto.Field) error {
+		switch f.Number {
+		case 1:
+			c.Op = Op(f.Uint)
+		case 2:
+			c.Once = f.Text()
+		case 3:
+			c.Key = f.Text()
+		case 4:
+			c.Tenant = f.Text()
+		case 5:
+			c.Class = f.Text()
+		case 6:
+			c.Digest = f.Copy()
+		case 7:
+			c.Call = f.Text()
+		case 8:
+			c.TTL = f.Uint
+		case 9:
+			c.Adopt = f.Uint != 0
+		case 10:
+			c.Epoch = f.Uint
+		case 11:
+			c.Attempt = f.Uint
+		case 12:
+			c.Engine = f.Text()
+		case 13:
+			c.Outcome = Phase(f.Uint)
+		case 14:
+			c.Rows = f.Copy()
+		case 15:
+			c.Changed = f.Uint
+		}
+		return nil
+	})
+	return c, err
+}
+
+// Status says what became of a command.
+type Status uint64
+
+// The statuses.
+const (
+	OK       Status = iota + 1
+	Denied          // not the owner, of another epoch, or over: see the rest of the view
+	NotYet          // others of its key come first
+	Conflict        // the same idempotency key with another statement or key
+	Full            // no room for another load and its outcome
+	Unknown         // not noted
+)
+
+// View is how a load stands, as the answer to a command on it.
+type View struct {
+	Status Status
+	Phase  Phase
+	Owner  uint64 // incarnation
+	Epoch  uint64
+	Place  uint64 // in the order of commits
+	Turn   bool   // nothing of its key stands before it
+	Call   string // of the try that its owner holds
+	Rows   []byte
+}
+
+// Encode gives the view's bytes.
+func (v *View) Encode() []byte {
+	b := make([]byte, 0, 64+len(v.Rows))
+	b = proto.Uint(b, 1, uint64(v.Status))
+	b = proto.Uint(b, 2, uint64(v.Phase))
+	b = proto.Uint(b, 3, v.Owner)
+	b = proto.Uint(b, 4, v.Epoch)
+	b = proto.Uint(b, 5, v.Place)
+	b = proto.Bool(b, 6, v.Turn)
+	b = proto.String(b, 7, v.Call)
+	return proto.Bytes(b, 8, v.Rows)
+}
+
+// DecodeView reads one.
+func DecodeView(b []byte) (v View, err error) {
+	err = proto.Each(b, func(f proto.Field) error {
+		switch f.Number {
+		case 1:
+			v.Status = Status(f.Uint)
+		case 2:
+			v.Phase = Phase(f.Uint)
+		case 3:
+			v.Owner = f.Uint
+		case 4:
+			v.Epoch = f.Uint
+		case 5:
+			v.Place = f.Uint
+		case 6:
+			v.Turn = f.Uint != 0
+		case 7:
+			v.Call = f.Text()
+		case 8:
+			v.Rows = f.Copy()
+		}
+		return nil
+	})
+	return v, err
+}
--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,177 @@
+// Package member says which front ends of a fleet are there, as this one sees it. Its view steers: whom to ask, whom to
+// replace, when to look after a load. Nothing is ever made safe by it alone, since silence is not death: a front end that is
+// held for dead may be stopped, cut off one way, or only slow.
+//
+// Each front end tells all others, in each heartbeat, how long ago it heard each of the rest. So who is not heard here and is
+// heard elsewhere is cut off and not dead, without a question; and one heartbeat that comes through anywhere refutes a
+// suspicion everywhere. One thing is certain: an incarnation whose name has come back with another is gone.
+//
+// It is a stepped module without I/O, clock, goroutines or map order.
+package member
+
+import "slices"
+
+// Micros is a time or a span in microseconds of this machine's clock.
+type Micros = int64
+
+// State is how a front end is seen.
+type State int
+
+// The states.
+const (
+	Unseen  State = iota // never heard since this process began
+	Alive                // heard here of late
+	Cut                  // not heard here, but elsewhere
+	Suspect              // heard nowhere for a while
+	Dead                 // heard nowhere for long
+	Left                 // it said that it leaves, and was not heard since
+)
+
+func (s State) String() string {
+	return [...]string{"unseen", "alive", "cut", "suspect", "dead", "left"}[s]
+}
+
+// Config sets the spans.
+type Config struct {
+	Suspect Micros // of silence
+	Dead    Micros // of silence everywhere
+	// Pause is a gap between two ticks above which this process was stopped: what it has not heard meanwhile says nothing.
+	Pause Micros
+}
+
+// Report is how long ago a front end heard another.
+type Report struct {
+	Name        string
+	Incarnation uint64
+	Age         Micros
+}
+
+// Member is another front end.
+type Member struct {
+	Name        string
+	Zone        string
+	Incarnation uint64 // the last that was heard; 0: none was
+	State       State
+
+	heard   Micros // here
+	told    Micros // elsewhere, by what others say
+	leaving bool
+	past    []uint64 // earlier incarnations: they never come again
+}
+
+// mostPast bounds the earlier incarnations that are remembered of one name.
+const mostPast = 64
+
+// Set is the fleet's other front ends.
+type Set struct {
+	cfg    Config
+	list   []*Member // by name
+	byName map[string]*Member
+	now    Micros
+}
+
+// New begins with those that the settings name; zones by name.
+func New(cfg Config, zones map[string]string) *Set {
+	s := &Set{cfg: cfg, byName: map[string]*Member{}}
+	for name, zone := range zones {
+		m := &Member{Name: name, Zone: zone}
+		s.list = append(s.list, m)
+		s.byName[name] = m
+	}
+	slices.SortFunc(s.list, func(a, b *Member) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
+
+// Heard takes a heartbeat. It is false for one of an incarnation that is gone, which must not count.
+func (s *Set) Heard(now Micros, name string, incarnation uint64, leaving bool, reports []Report) bool {
+	m := s.byName[name]
+	if m == nil || slices.Contains(m.past, incarnation) {
+		return false
+	}
+	if m.Incarnation != incarnation {
+		if m.Incarnation != 0 {
+			m.past = append(m.past, m.Incarnation)
+			if len(m.past) > mostPast {
+				m.past = m.past[1:]
+			}
+		}
+		m.Incarnation, m.told = incarnation, 0
+	}
+	m.heard, m.leaving = now, leaving
+	for _, r := range reports {
+		if o := s.byName[r.Name]; o != nil && o != m && o.Incarnation == r.Incarnation && r.Age >= 0 {
+			o.told = max(o.told, now-r.Age)
+		}
+	}
+	return true
+}
+
+// Tick lets time pass, and gives those whose state has changed.
+func (s *Set) Tick(now Micros) (changed []*Member) {
+	if gap := now - s.now; s.now != 0 && gap > s.cfg.Pause {
+		for _, m := range s.list {
+			if m.Incarnation != 0 {
+				m.heard, m.told = m.heard+gap, m.told+gap
+			}
+		}
+	}
+	s.now = now
+	for _, m := range s.list {
+		if state := s.state(m); state != m.State {
+			m.State = state
+			changed = append(changed, m)
+		}
+	}
+	return changed
+}
+
+func (s *Set) state(m *Member) State {
+	here, anywhere := s.now-m.heard, s.now-max(m.heard, m.told)
+	switch {
+	case m.Incarnation == 0:
+		return Unseen
+	case here < s.cfg.Suspect:
+		return Alive
+	case m.leaving && anywhere >= s.cfg.Suspect:
+		return Left
+	case anywhere < s.cfg.Suspect:
+		return Cut
+	case anywhere < s.cfg.Dead:
+		return Suspect
+	}
+	return Dead
+}
+
+// Reports is what this front end tells the others of whom it hears.
+func (s *Set) Reports() (list []Report) {
+	for _, m := range s.list {
+		if m.Incarnation != 0 {
+			list = append(list, Report{m.Name, m.Incarnation, s.now - m.heard})
+		}
+	}
+	return list
+}
+
+// List is all others, by name.
+func (s *Set) List() []*Member { return s.list }
+
+// Of is one other; nil for a name that is not of the fleet.
+func (s *Set) Of(name string) *Member { return s.byName[name] }
+
+// Gone says whether a process is held for no more: its name has another, it has left, or it is heard nowhere for long.
+func (s *Set) Gone(incarnation uint64) bool {
+	for _, m := range s.list {
+		if m.Incarnation == incarnation {
+			return m.State == Dead || m.State == Left
+		}
+		if slices.Contains(m.past, incarnation) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/peer/queue.go
@@ -0,0 +1,77 @@
+package peer
+
+// Queue holds what a link has to send: what is urgent first, and between two parts of a bulk message too, so that bulk never
+// delays a heartbeat. Both sides are bounded; what finds no room is dropped and counted, as a link may lose it anyway.
+type Queue struct {
+	// MostUrgent and MostBulk bound the bytes that wait.
+	MostUrgent, MostBulk int
+	Dropped              int
+
+	urgent, bulk   [][]byte // frames
+	urgentN, bulkN int      // bytes
+	status         int      // place, from 1, of the status that waits: a newer one takes it; 0 without one
+}
+
+// Push adds a message; false says that there was no room.
+func (q *Queue) Push(kind Kind, bulk bool, body []byte) bool {
+	size := len(body) + header*(1+len(body)/MostBody)
+	if bulk && q.bulkN+size > q.MostBulk || !bulk && q.urgentN+size > q.MostUrgent {
+		q.Dropped++
+		return false
+	}
+	if kind == Status && q.status > 0 {
+		frame := AppendFrame(nil, kind, 0, false, body)
+		q.urgentN += len(frame) - len(q.urgent[q.status-1])
+		q.urgent[q.status-1] = frame
+		return true
+	}
+	for offset := 0; ; offset += MostBody {
+		part := body[offset:]
+		more := len(part) > MostBody
+		if more {
+			part = part[:MostBody]
+		}
+		frame := AppendFrame(nil, kind, offset, more, part)
+		if bulk {
+			q.bulk, q.bulkN = append(q.bulk, frame), q.bulkN+len(frame)
+		} else {
+			q.urgent, q.urgentN = append(q.urgent, frame), q.urgentN+len(frame)
+			if kind == Status {
+				q.status = len(q.urgent)
+			}
+		}
+		if !more {
+			return true
+		}
+	}
+}
+
+// Pop gives the next frame; nil where none waits.
+func (q *Queue) Pop() []byte {
+	if len(q.urgent) > 0 {
+		frame := q.urgent[0]
+		q.urgent, q.urgentN = q.urgent[1:], q.urgentN-len(frame)
+		q.status = max(0, q.status-1)
+		if len(q.urgent) == 0 {
+			q.urgent = nil
+		}
+		return frame
+	}
+	if len(q.bulk) == 0 {
+		return nil
+	}
+	frame := q.bulk[0]
+	q.bulk, q.bulkN = q.bulk[1:], q.bulkN-len(frame)
+	if len(q.bulk) == 0 {
+		q.bulk = nil
+	}
+	return frame
+}
+
+// Len is the bytes that wait.
+func (q *Queue) Len() int { return q.urgentN + q.bulkN }
+
+// Clear drops all that waits: its connection is gone.
+func (q *Queue) Clear() {
+	q.urgent, q.bulk, q.urgentN, q.bulkN, q.status = nil, nil, 0, 0, 0
+}
--- /dev/null
+++ b/vouch/vouch.go
@@ -0,0 +1,353 @@
+// Package vouch takes one front end's keyed loads through the fleet's record: it notes them, waits for their turn, asks
+// before an attempt begins, has outcomes kept before clients hear of them, and has a repeat wait with the load that is there.
+// It is the gateway's Record, and a stepped module: no I/O, no clock, no goroutines, no map order.
+//
+// What it sees to, beside what package loads states of the record:
+//
+//  1. Rows are told to a client only as the record has them: those of the first outcome that was committed.
+//  2. A load that this front end can't start any more (denied, adopted, its client's time over) is never started by it later:
+//     a grant that comes then is not used, and the record is told that nothing ran.
+//  3. Refused is told only where no attempt of the load, as far as this front end can know, may have begun; and of the
+//     refused call itself nothing ever will.
+package vouch
+
+import (
+	"crypto/sha256"
+	"log/slog"
+
+	"chutechute/gateway"
+	"chutechute/ledger"
+	"chutechute/ledger/loads"
+)
+
+// Micros is a time or a span in microseconds of this machine's clock.
+type Micros = gateway.Micros
+
+// Asker puts questions to the record; see fleet.Node.
+type Asker interface {
+	Ask(now Micros, kind, version uint32, body []byte, done func(ledger.Answer)) (id uint64)
+	Cancel(id uint64)
+	Gone(incarnation uint64) bool
+}
+
+// Config sets the spans.
+type Config struct {
+	Incarnation uint64
+	Poll        Micros // between looks at a load that others hold, or whose turn has not come
+	Patience    Micros // how long an outcome is offered to the record
+	Full        Micros // when a load turned away for want of room may come back
+}
+
+// Desk is one front end's loads.
+type Desk struct {
+	cfg   Config
+	ask   Asker
+	now   Micros
+	holds map[string]*hold
+	order []*hold // those of holds, in the order in which they came
+	// Conflicts counts repeats with another statement, Adopted loads taken over, Waited repeats that waited with another's.
+	Conflicts, Adopted, Waited, Kept int
+}
+
+// hold is one load here, with all requests for it.
+type hold struct {
+	once    string
+	digest  []byte
+	entries []*gateway.Entry
+	runner  *gateway.Entry // whose request the core has
+	mine    bool
+	epoch   uint64
+	phase   loads.Phase
+	clean   bool   // it was seen as this front end's with nothing begun: what began since is of its runners
+	asking  uint64 // the Take that is out; 0 without one
+	ending  bool   // a Finish is out
+	endedAt Micros
+	end     uint64 // its question
+	poll    Micros
+	waited  bool
+	call    string // the last Take's
+	gone    bool
+}
+
+// New is a desk without loads.
+func New(cfg Config, ask Asker) *Desk {
+	return &Desk{cfg: cfg, ask: ask, holds: map[string]*hold{}}
+}
+
+// At sets the time for what comes before the next Tick.
+func (d *Desk) At(now Micros) { d.now = now }
+
+func digest(statement []byte) []byte {
+	sum := sha256.Sum256(statement)
+	return sum[:16]
+}
+
+// Enter notes a load that was taken.
+func (d *Desk) Enter(now Micros, e *gateway.Entry) {
+	d.now = now
+	call := e.Call()
+	h := d.holds[call.Once]
+	if h != nil {
+		e.Slot = h
+		h.entries = append(h.entries, e)
+		return // a conflict shows in the next tick, between the core's steps
+	}
+	h = &hold{once: call.Once, digest: digest(call.Statement), entries: []*gateway.Entry{e}}
+	e.Slot = h
+	d.holds[call.Once] = h
+	d.order = append(d.order, h)
+	d.take(h, false)
+}
+
+func (d *Desk) put(c *loads.Command, done func(v loads.View, ok bool)) uint64 {
+	return d.ask.Ask(d.now, 1, 1, c.Encode(), func(a ledger.Answer) {
+		v, err := loads.DecodeView(a.Body)
+		done(v, err == nil && a.Result == ledger.Committed)
+	})
+}
+
+// take notes the load, or sees how it stands.
+func (d *Desk) take(h *hold, adopt bool) {
+	if h.asking != 0 || h.ending || len(h.entries) == 0 {
+		return
+	}
+	h.poll = d.now + d.cfg.Poll
+	e := h.entries[0]
+	call := e.Call()
+	h.call = call.ID
+	h.asking = d.put(&loads.Command{Op: loads.Take, Once: h.once, Key: call.Key, Tenant: call.Tenant, Class: call.Class,
+		Digest: h.digest, Call: call.ID, TTL: uint64(max(1, e.Deadline()-d.now)), Adopt: adopt},
+		func(v loads.View, ok bool) {
+			h.asking = 0
+			d.taken(h, v, ok, adopt)
+		})
+}
+
+func (d *Desk) taken(h *hold, v loads.View, ok, adopt bool) {
+	mine := ok && v.Status == loads.OK && v.Owner == d.cfg.Incarnation
+	if mine && adopt && !h.mine && v.Phase == loads.Waiting {
+		d.Adopted++
+		slog.Info("load adopted", "dedupe", h.once, "epoch", v.Epoch)
+	}
+	h.mine, h.epoch, h.phase = mine, v.Epoch, v.Phase
+	h.clean = mine && (h.clean || v.Phase == loads.Waiting)
+	if len(h.entries) == 0 { // all have left meanwhile
+		if mine && v.Phase == loads.Waiting {
+			d.finish(h, loads.None, nil)
+			return
+		}
+		d.close(h)
+		return
+	}
+	switch {
+	case !ok:
+		d.turnAll(h, d.cfg.Full)
+	case v.Status == loads.Conflict:
+		d.Conflicts++
+		slog.Warn("refused: the idempotency key stands for another statement, key or class", "dedupe", h.once,
+			"call", h.entries[0].Call().ID)
+		d.turnAll(h, d.cfg.Full)
+	case v.Status == loads.Full:
+		slog.Warn("refused: the record has no room for another load", "dedupe", h.once)
+		d.turnAll(h, d.cfg.Full)
+	case v.Phase.Over():
+		d.over(h, v.Phase == loads.Served, v.Rows)
+	case mine && v.Phase == loads.Waiting && v.Turn && v.Call != h.entries[0].Call().ID:
+		d.take(h, false) // who asked first has left; the record has to know how long the next one waits
+	case mine && v.Phase == loads.Waiting && v.Turn:
+		h.runner = h.entries[0]
+		h.runner.Mine()
+	case mine && v.Phase == loads.Started && h.clean && h.runner == nil:
+		d.finish(h, loads.None, nil) // its runner left before anything ran; the next one begins anew
+	case !mine:
+		if !h.waited {
+			h.waited = true
+			d.Waited++
+		}
+		if v.Phase == loads.Waiting && d.ask.Gone(v.Owner) {
+			d.take(h, true)
+		}
+	}
+}
+
+// Begin asks whether an attempt may begin.
+func (d *Desk) Begin(now Micros, e *gateway.Entry, attempt int, engine string, granted func(Micros, bool)) {
+	d.now = now
+	h := e.Slot.(*hold)
+	d.put(&loads.Command{Op: loads.Start, Once: h.once, Epoch: h.epoch, Attempt: uint64(attempt), Engine: engine,
+		Call: e.Call().ID}, func(v loads.View, ok bool) {
+		if h.runner != e || h.gone {
+			return
+		}
+		h.phase = v.Phase
+		if ok && v.Status == loads.OK {
+			granted(d.now, true)
+			return
+		}
+		h.mine, h.clean, h.runner = false, false, nil
+		granted(d.now, false)
+		e.Yield()
+		d.take(h, false)
+	})
+}
+
+// Keep notes a load's rows as its outcome.
+func (d *Desk) Keep(now Micros, e *gateway.Entry, rows []byte) {
+	d.now = now
+	d.drop(e)
+	h := e.Slot.(*hold)
+	h.entries = append(h.entries, e) // it hears what is kept, if it still waits
+	d.finish(h, loads.Served, rows)
+}
+
+// Leave ends a request's part in a load.
+func (d *Desk) Leave(now Micros, e *gateway.Entry, ran bool) {
+	d.now = now
+	h := e.Slot.(*hold)
+	d.drop(e)
+	runs := h.runner == e
+	if runs {
+		h.runner = nil
+	}
+	switch {
+	case h.ending || h.gone || h.asking != 0 && len(h.entries) == 0:
+	case runs && ran:
+		d.finish(h, loads.Failed, nil)
+	case runs && h.phase == loads.Waiting && len(h.entries) > 0:
+		d.take(h, false) // the place in the line is kept by the next who asks
+	case h.mine && (runs || len(h.entries) == 0):
+		d.finish(h, loads.None, nil)
+	case len(h.entries) == 0:
+		d.close(h)
+	}
+}
+
+// Doubt says whether some attempt of the load may have begun.
+func (d *Desk) Doubt(e *gateway.Entry) bool {
+	h := e.Slot.(*hold)
+	return h.phase == loads.Started && !(h.mine && h.clean) || h.phase.Over() || h.ending
+}
+
+// drop takes a request out of its load.
+func (d *Desk) drop(e *gateway.Entry) {
+	h := e.Slot.(*hold)
+	for i, other := range h.entries {
+		if other == e {
+			h.entries = append(h.entries[:i:i], h.entries[i+1:]...)
+			return
+		}
+	}
+}
+
+// finish commits an outcome; None takes the load out, as nothing of it ran.
+func (d *Desk) finish(h *hold, outcome loads.Phase, rows []byte) {
+	if h.ending {
+		return
+	}
+	h.ending, h.endedAt = true, d.now
+	h.end = d.put(&loads.Command{Op: loads.Finish, Once: h.once, Epoch: h.epoch, Outcome: outcome, Rows: rows},
+		func(v loads.View, ok bool) {
+			h.ending, h.mine, h.clean, h.runner = false, false, false, nil
+			switch {
+			case ok && v.Phase.Over():
+				d.Kept++
+				d.over(h, v.Phase == loads.Served, v.Rows)
+			case outcome == loads.None && len(h.entries) > 0: // it was taken out; a repeat came meanwhile
+				h.phase = loads.None
+				d.take(h, false)
+			case outcome == loads.None:
+				d.close(h)
+			default: // lapsed, and forgotten since
+				d.over(h, false, nil)
+			}
+		})
+}
+
+// over tells all who wait for a load, and lets go of it.
+func (d *Desk) over(h *hold, served bool, rows []byte) {
+	entries := h.entries
+	h.entries = nil
+	d.close(h)
+	for _, e := range entries {
+		e.Over(d.now, served, rows)
+	}
+}
+
+func (d *Desk) turnAll(h *hold, after Micros) {
+	entries := h.entries
+	h.entries = nil
+	d.close(h)
+	for _, e := range entries {
+		e.Turn(d.now, after)
+	}
+}
+
+// close lets go of a load.
+func (d *Desk) close(h *hold) {
+	if h.gone {
+		return
+	}
+	h.gone = true
+	delete(d.holds, h.once)
+	for i, other := range d.order {
+		if other == h {
+			d.order = append(d.order[:i:i], d.order[i+1:]...)
+			break
+		}
+	}
+}
+
+// Note tells that a load may have changed.
+func (d *Desk) Note(now Micros, once string) {
+	d.now = now
+	if h := d.holds[once]; h != nil {
+		if h.runner == nil {
+			d.take(h, false)
+		}
+		return
+	}
+	// The record may hold this front end for its owner by a command that was repeated late.
+	d.put(&loads.Command{Op: loads.Look, Once: once}, func(v loads.View, ok bool) {
+		if ok && v.Phase == loads.Waiting && v.Owner == d.cfg.Incarnation && d.holds[once] == nil {
+			d.put(&loads.Command{Op: loads.Finish, Once: once, Epoch: v.Epoch, Outcome: loads.None}, func(loads.View, bool) {})
+		}
+	})
+}
+
+// Tick lets time pass.
+func (d *Desk) Tick(now Micros) {
+	d.now = now
+	for _, h := range append([]*hold(nil), d.order...) {
+		d.sort(h)
+		switch {
+		case h.gone:
+		case h.ending && now-h.endedAt >= d.cfg.Patience:
+			d.ask.Cancel(h.end)
+			d.over(h, false, nil)
+		case h.runner == nil && now >= h.poll:
+			d.take(h, false)
+		}
+	}
+}
+
+// sort turns away the requests for a load that have another statement.
+func (d *Desk) sort(h *hold) {
+	var wrong []*gateway.Entry
+	for _, e := range h.entries {
+		if !e.Checked {
+			e.Checked = true
+			if string(digest(e.Call().Statement)) != string(h.digest) {
+				wrong = append(wrong, e)
+			}
+		}
+	}
+	for _, e := range wrong {
+		d.Conflicts++
+		slog.Warn("refused: the idempotency key stands for another statement", "dedupe", h.once, "call", e.Call().ID)
+		d.drop(e)
+		e.Turn(d.now, d.cfg.Full)
+	}
+}
+
+// Len is how many loads are held here.
+func (d *Desk) Len() int { return len(d.order) }
