Exercise: whole fleets in virtual time under random faults, checked by what clients and engines saw

Need: what the copies promise has to hold under faults nobody thought of, and thousands of them. Change: exercise plays the real core, decisions, record, members and desk of 3 to 5 front ends over a network, disks, clocks and engines that one seed drives; internal/history holds the checks, which the process tests share. A key's loads are noted one after the other at one front end, so that messages that overtake one another do not change their order.

--- /dev/null
+++ b/exercise/engine.go
@@ -0,0 +1,185 @@
+package exercise
+
+import (
+	"fmt"
+
+	"chutechute/decide"
+	"chutechute/gateway"
+	"chutechute/internal/history"
+)
+
+const (
+	unasked = 2 * second
+	window  = 25 * second
+	poll    = 250 * ms
+)
+
+// engine runs what it is sent until it ends, is deleted, or nobody has asked for it for 2 s. It drops repeats of a key.
+type engine struct {
+	s    *Sim
+	name string
+	runs map[string]*run
+}
+
+type run struct {
+	job   *job
+	asked Micros
+	over  bool
+	good  bool
+	rows  string
+}
+
+// job is an attempt on its way through its calls.
+type job struct {
+	p       *process
+	a       *gateway.Attempt
+	e       *engine
+	written bool
+	arrived bool
+	dropped bool
+	done    bool
+}
+
+// pool is a process's side of its engines.
+type pool struct{ p *process }
+
+// Start sends an attempt to its engine, once a connection is up.
+func (o pool) Start(a *gateway.Attempt) {
+	p := o.p
+	s := p.f.s
+	var e *engine
+	for _, other := range s.engines {
+		if other.name == a.Engine {
+			e = other
+		}
+	}
+	j := &job{p: p, a: a, e: e}
+	p.jobs[a] = j
+	dial := s.between(0, 2*ms)
+	if s.chance(20) {
+		dial = s.between(0, 200*ms)
+	}
+	s.after(dial, func() { p.does(j.write) })
+}
+
+// write is the last moment before the start goes out.
+func (j *job) write() {
+	if j.done {
+		return
+	}
+	if j.a.Until != 0 && j.p.f.local() >= j.a.Until {
+		j.end(decide.NotSent, nil)
+		return
+	}
+	j.written = true
+	s := j.p.f.s
+	s.after(s.between(200, 3*ms), j.arrive)
+}
+
+// arrive is the start's arrival, whatever has become of who sent it.
+func (j *job) arrive() {
+	s, e := j.p.f.s, j.e
+	j.arrived = true
+	once := j.a.Once
+	if last, known := s.seen[once]; known && s.now-last < window {
+		s.Record.Add(history.Event{What: history.Repeat, Engine: e.name, Call: j.a.ID, Once: once})
+		s.after(s.between(200, 2*ms), func() { j.p.does(func() { j.end(decide.Errored, nil) }) })
+		return
+	}
+	s.seen[once] = s.now
+	r := &run{job: j, asked: s.now, rows: fmt.Sprintf("%s\t%s\t%s\n", j.a.ID, once, e.name)}
+	e.runs[j.a.ID] = r
+	s.Record.Add(history.Event{What: history.Began, Engine: e.name, Call: j.a.ID, Once: once, Key: j.a.Key})
+	var span Micros
+	fmt.Sscanf(string(j.a.Statement), "INSERT INTO s_1.t -- ms=%d", &span)
+	good := !s.chance(12)
+	s.after(span*ms, func() {
+		if !r.over {
+			e.over(r, history.Ended, good)
+		}
+	})
+	if j.dropped {
+		s.after(s.between(200, 2*ms), func() { j.p.does(j.deletes) })
+	}
+	e.ask(r)
+}
+
+// ask is one question after a query: it keeps the query alive as long as its front end asks.
+func (e *engine) ask(r *run) {
+	j, s := r.job, e.s
+	asks := j.p.f.proc == j.p && !j.p.paused && !j.done
+	if asks {
+		r.asked = s.now
+	}
+	switch {
+	case r.over && asks:
+		s.after(s.between(200, 2*ms), func() { j.p.does(func() { j.answer(r) }) })
+		return
+	case r.over && (j.p.f.proc != j.p || j.done):
+		return
+	case !r.over && s.now-r.asked >= unasked:
+		e.over(r, history.Unasked, false)
+	}
+	s.after(poll, func() { e.ask(r) })
+}
+
+func (e *engine) over(r *run, how string, good bool) {
+	r.over, r.good = true, good
+	e.s.Record.Add(history.Event{What: how, Engine: e.name, Call: r.job.a.ID, Once: r.job.a.Once, Key: r.job.a.Key})
+	if how == history.Ended { // a question is out, if anybody asks
+		e.s.after(e.s.between(100, poll), func() {
+			if j := r.job; j.p.f.proc == j.p && !j.done {
+				j.p.does(func() { j.answer(r) })
+			}
+		})
+	}
+}
+
+// answer brings a query's end to its front end.
+func (j *job) answer(r *run) {
+	if r.good {
+		j.end(decide.Done, []byte(r.rows))
+	} else {
+		j.end(decide.Errored, nil)
+	}
+}
+
+// GiveUp ends an attempt early.
+func (o pool) GiveUp(a *gateway.Attempt) {
+	j := o.p.jobs[a]
+	switch {
+	case j == nil || j.dropped:
+	case !j.written:
+		j.end(decide.NotSent, nil)
+	default:
+		j.dropped = true
+		if j.arrived { // a DELETE waits until the start was answered
+			j.deletes()
+		}
+	}
+}
+
+func (j *job) deletes() {
+	s := j.p.f.s
+	s.after(s.between(200, 3*ms), func() {
+		if r := j.e.runs[j.a.ID]; r != nil && !r.over {
+			j.e.over(r, history.Deleted, false)
+		}
+		s.after(s.between(200, 2*ms), func() { j.p.does(func() { j.end(decide.Canceled, nil) }) })
+	})
+}
+
+// Probe is answered at once: engines are idle enough.
+func (o pool) Probe(name string) {
+	o.p.core.Probed(name, decide.Done, ms, nil)
+}
+
+func (j *job) end(result decide.Result, rows []byte) {
+	if j.done {
+		return
+	}
+	j.done = true
+	delete(j.p.jobs, j.a)
+	j.p.core.Ended(j.p.f.local(), j.a, result, rows, nil)
+	j.p.f.s.after(0, func() { j.p.does(j.p.turn) })
+}
--- /dev/null
+++ b/exercise/front.go
@@ -0,0 +1,358 @@
+package exercise
+
+import (
+	"fmt"
+
+	"go.etcd.io/raft/v3/raftpb"
+
+	"chutechute/decide"
+	"chutechute/fleet"
+	"chutechute/gateway"
+	"chutechute/internal/counters"
+	"chutechute/internal/raftlog"
+	"chutechute/ledger"
+	"chutechute/ledger/loads"
+	"chutechute/member"
+	"chutechute/peer"
+	"chutechute/vouch"
+)
+
+// Front is one front end: its name and its disk, and the process that runs now, if one does.
+type Front struct {
+	s      *Sim
+	n      int
+	Name   string
+	zone   string
+	offset Micros  // of its clock
+	rate   float64 // of its clock
+	disk   *disk
+	proc   *process
+}
+
+// disk is what outlives a process.
+type disk struct {
+	number uint64
+	kept   ledger.Disk
+}
+
+// process is one run of a front end's program.
+type process struct {
+	f           *Front
+	incarnation uint64
+	core        *gateway.Core
+	node        *fleet.Node
+	desk        *vouch.Desk
+	count       counters.Set
+	paused      bool
+	waiting     []func() // what comes while it stands still
+	jobs        map[*gateway.Attempt]*job
+	writes      []ledger.Save
+	wake        Micros // when the next turn for a timer of the core is due, by its clock
+}
+
+const (
+	tick    = 50 * ms
+	suspect = 600 * ms
+	dead    = 3 * second
+	replace = 6 * second
+	turn    = 25 * ms
+	keep    = 60 * second
+)
+
+// Up says whether the front end's process runs and does not stand still.
+func (f *Front) Up() bool { return f.proc != nil && !f.proc.paused }
+
+// local is the front end's clock.
+func (f *Front) local() Micros { return f.offset + Micros(float64(f.s.now)*f.rate) }
+
+// Start begins a process.
+func (f *Front) Start() {
+	s := f.s
+	if f.proc != nil {
+		return
+	}
+	p := &process{f: f, incarnation: s.rng.Uint64()>>2 | 1, jobs: map[*gateway.Attempt]*job{}}
+	if f.disk == nil || !s.o.Lasting {
+		f.disk = &disk{number: s.rng.Uint64()>>2 | 1}
+	}
+	zones := map[string]string{}
+	for _, o := range s.Fronts {
+		if o != f {
+			zones[o.Name] = o.zone
+		}
+	}
+	cfg := fleet.Config{Name: f.Name, Zone: f.zone, Incarnation: p.incarnation, Zones: zones, Beat: 2 * tick, Retry: 4 * tick,
+		Members: member.Config{Suspect: suspect, Dead: dead, Pause: suspect / 2},
+		Number:  func() uint64 { return s.rng.Uint64()>>2 | 1 },
+		Copies: ledger.Config{ID: f.disk.number, Copies: s.o.Copies, Tick: tick, Replace: replace, LogBytes: 16 << 10,
+			Logger: raftlog.New(), Kinds: []ledger.Kind{loads.New(loads.Options{Bytes: 4 << 20, Keep: keep, Orphan: 3 * second})}}}
+	p.node = fleet.New(cfg, func(about string) { p.desk.Note(f.local(), about) })
+	p.desk = vouch.New(vouch.Config{Incarnation: p.incarnation, Poll: 8 * tick, Patience: keep, Full: second / 2}, p.node)
+	var err error
+	if p.core, err = gateway.New(s.site, s.rng.Uint64(), gateway.Bounds{Open: 10000, Held: 1 << 24}, pool{p}, &p.count); err != nil {
+		s.fail(err)
+		return
+	}
+	p.core.UseRecord(p.desk)
+	if err := p.node.Open(f.local(), &f.disk.kept); err != nil {
+		s.fail(err)
+		return
+	}
+	var list []decide.Entry
+	for _, e := range s.engines {
+		list = append(list, decide.Entry{Engine: e.name, Zone: s.site.Zones[0], Kind: s.site.Kinds[0].Name})
+	}
+	p.core.Listed(decide.ListComplete, list)
+	f.proc = p
+	p.ticks()
+}
+
+// Kill ends the process; empty takes its disk too.
+func (f *Front) Kill(empty bool) {
+	if f.proc == nil {
+		return
+	}
+	f.s.did("kill %s, disk emptied: %v", f.Name, empty)
+	f.proc = nil
+	if empty {
+		f.disk = nil
+	}
+}
+
+// Pause has the process stand still; Resume lets it go on, with all that came meanwhile.
+func (f *Front) Pause() {
+	if f.Up() {
+		f.s.did("stop %s", f.Name)
+		f.proc.paused = true
+	}
+}
+
+// Resume lets a process go on that stands still.
+func (f *Front) Resume() {
+	p := f.proc
+	if p == nil || !p.paused {
+		return
+	}
+	f.s.did("continue %s", f.Name)
+	p.paused = false
+	waiting := p.waiting
+	p.waiting = nil
+	for _, do := range waiting {
+		do()
+	}
+	p.turn()
+}
+
+// does runs something in the process, at once or when it goes on; nothing where the process has ended.
+func (p *process) does(do func()) {
+	switch {
+	case p.f.proc != p:
+	case p.paused:
+		p.waiting = append(p.waiting, func() { p.does(do) })
+	default:
+		p.desk.At(p.f.local())
+		do()
+	}
+}
+
+// ticks has time pass for the process.
+func (p *process) ticks() {
+	if p.f.proc != p {
+		return
+	}
+	p.does(func() {
+		now := p.f.local()
+		p.node.Tick(now)
+		p.desk.Tick(now)
+		p.turn()
+	})
+	p.f.s.after(turn, p.ticks)
+}
+
+// turn is one turn of the loop.
+func (p *process) turn() {
+	if p.f.proc != p || p.paused {
+		return
+	}
+	now := p.f.local()
+	p.desk.At(now)
+	p.pump()
+	p.core.Step(now)
+	p.pump()
+	if p.core.Pending() {
+		p.core.Step(now)
+		p.pump()
+	}
+	if next, ok := p.core.Next(); ok && next < now+turn && (p.wake <= now || next < p.wake) {
+		p.wake = next
+		p.f.s.after(Micros(float64(next-now)/p.f.rate)+1, func() { p.does(p.turn) })
+	}
+}
+
+// pump carries out what the node wants.
+func (p *process) pump() {
+	for {
+		list := p.node.Actions()
+		if len(list) == 0 {
+			return
+		}
+		for _, a := range list {
+			switch a := a.(type) {
+			case fleet.Tell:
+				p.tell(a)
+			case ledger.Save:
+				p.save(a)
+			}
+		}
+	}
+}
+
+// tell sends a message: it may be lost, late or doubled.
+func (p *process) tell(t fleet.Tell) {
+	s := p.f.s
+	var to *Front
+	for _, o := range s.Fronts {
+		if o.Name == t.To {
+			to = o
+		}
+	}
+	if s.cuts[[2]int{p.f.n, to.n}] {
+		if t.Kind == peer.Ledger {
+			s.after(0, func() { p.does(func() { p.node.Lost(t.To) }) })
+		}
+		return
+	}
+	arrive := func() {
+		q := to.proc
+		if q == nil || s.cuts[[2]int{p.f.n, to.n}] {
+			return
+		}
+		q.does(func() {
+			s.fail(q.node.Receive(to.local(), p.f.Name, p.incarnation, t.Kind, t.Body))
+			q.turn()
+		})
+	}
+	delay := s.between(100, s.delays)
+	if s.late && s.chance(50) {
+		delay += s.between(0, 20*second)
+	}
+	s.after(delay, arrive)
+	if s.twice && s.chance(4) {
+		s.after(delay+s.between(0, 50*ms), arrive)
+	}
+}
+
+// save writes to the disk: what is under way when the process ends is lost, what was done before is kept.
+func (p *process) save(a ledger.Save) {
+	s := p.f.s
+	p.writes = append(p.writes, a)
+	if len(p.writes) == 1 {
+		s.after(s.syncs(), p.written)
+	}
+}
+
+func (s *Sim) syncs() Micros {
+	switch {
+	case !s.o.Lasting:
+		return 0
+	case s.chance(500):
+		return s.between(0, 2*second)
+	}
+	return s.between(200, 4*ms)
+}
+
+func (p *process) written() {
+	if p.f.proc != p {
+		return
+	}
+	batch := p.writes
+	p.writes = nil
+	d := p.f.disk
+	for _, a := range batch { // one commit
+		d.write(a)
+	}
+	for _, a := range batch {
+		p.does(func() { p.node.Stored(p.f.local(), a.Token, nil) })
+	}
+	p.does(p.turn)
+	if len(p.writes) > 0 {
+		p.f.s.after(p.f.s.syncs(), p.written)
+	}
+}
+
+// write is what package store does to its file.
+func (d *disk) write(a ledger.Save) {
+	k := &d.kept
+	if k.Group == 0 {
+		k.Group = a.Group
+	}
+	if a.Snapshot != nil && a.Snapshot.GetMetadata().GetIndex() != 0 {
+		k.Snapshot = a.Snapshot
+		var rest []*raftpb.Entry
+		for _, e := range k.Entries {
+			if !a.Reset && e.GetIndex() > a.Snapshot.GetMetadata().GetIndex() {
+				rest = append(rest, e)
+			}
+		}
+		k.Entries = rest
+	}
+	if a.State != nil {
+		k.State = a.State
+	}
+	if len(a.Entries) > 0 {
+		first := a.Entries[0].GetIndex()
+		for i, e := range k.Entries {
+			if e.GetIndex() >= first {
+				k.Entries = k.Entries[:i:i]
+				break
+			}
+		}
+		k.Entries = append(k.Entries, a.Entries...)
+	}
+}
+
+// Leads says whether the front end holds itself for the leader, with full copies whose disks are there.
+func (f *Front) Leads() bool {
+	if !f.Up() || !f.proc.node.Replica().Leads() {
+		return false
+	}
+	voters, learners := f.proc.node.Replica().Members()
+	return len(voters) == f.s.o.Copies && len(learners) == 0
+}
+
+// Whole says whether all copies of the record are there, as their leader sees it: one more disk may be lost.
+func (s *Sim) Whole() bool {
+	for _, f := range s.Fronts {
+		if !f.Leads() {
+			continue
+		}
+		voters, _ := f.proc.node.Replica().Members()
+		index, _ := f.proc.node.Replica().Applied()
+		for _, v := range voters {
+			there := false
+			for _, o := range s.Fronts {
+				if o.disk != nil && o.disk.number == v.ID && o.Up() {
+					at, _ := o.proc.node.Replica().Applied()
+					there = at+16 >= index && o.proc.node.Replica().Term() == f.proc.node.Replica().Term()
+				}
+			}
+			if !there {
+				return false
+			}
+		}
+		return true
+	}
+	return false
+}
+
+// String says how a front end stands, for a failing test.
+func (f *Front) String() string {
+	if f.proc == nil {
+		return f.Name + ": down"
+	}
+	r := f.proc.node.Replica()
+	index, sum := r.Applied()
+	voters, learners := r.Members()
+	return fmt.Sprintf("%s: paused=%v leads=%v votes=%v term=%d applied=%d sum=%x voters=%v learners=%v held=%d err=%v", f.Name, f.proc.paused,
+		r.Leads(), r.Votes(), r.Term(), index, sum, voters, learners, f.proc.desk.Len(), r.Err())
+}
--- /dev/null
+++ b/exercise/sim.go
@@ -0,0 +1,150 @@
+// Package exercise plays a whole fleet in one process and in virtual time: the real gateway.Core with its decision module, the
+// record, the members and the desk of each front end, unchanged, over a network, disks, clocks and engines of its own that
+// one seed drives. What clients and engines see is noted with true times, and package history checks it.
+//
+// Nothing here waits or reads a clock. Events are kept in one queue by time and, at one time, in the order in which they were
+// set, so that a seed gives the same history again, as long as the caller has made the consensus library's randomness a
+// function of the seed too (testing/cryptotest).
+package exercise
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+
+	"chutechute/internal/history"
+	"chutechute/internal/settings"
+)
+
+// Micros is a time or a span in microseconds of true time.
+type Micros = int64
+
+const (
+	ms     Micros = 1000
+	second        = 1000 * ms
+)
+
+// Options describe a fleet.
+type Options struct {
+	Fronts  int
+	Engines int
+	Lasting bool // disks outlive processes, unless a fault takes them
+	Copies  int
+	Drift   float64 // the most by which a clock is fast or slow, as a share
+	Seed    uint64
+	// Site is the settings of the site, as the configuration has them.
+	Site []byte
+}
+
+// Sim is one fleet.
+type Sim struct {
+	o       Options
+	rng     *rand.Rand
+	now     Micros
+	seq     uint64
+	queue   queue
+	site    *settings.Settings
+	Fronts  []*Front
+	engines []*engine
+	seen    map[string]Micros // the keys that engines have run lately
+	Record  history.Record
+	cuts    map[[2]int]bool // ways between front ends
+	calls   int
+	loads   int
+	Steps   int
+	delays  Micros // the most that a message takes, while nothing is wrong
+	twice   bool
+	late    bool
+	Script  []string // the faults so far
+	failed  error
+}
+
+// New builds a fleet; its front ends start at time 0.
+func New(o Options) (*Sim, error) {
+	site, err := settings.Parse(o.Site)
+	if err != nil {
+		return nil, err
+	}
+	site.Gateways = o.Fronts
+	s := &Sim{o: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), site: site, seen: map[string]Micros{}, cuts: map[[2]int]bool{},
+		delays: 2 * ms}
+	s.Record.Now = func() int64 { return s.now }
+	for i := range o.Engines {
+		s.engines = append(s.engines, &engine{s: s, name: fmt.Sprintf("s-%08x", i+1), runs: map[string]*run{}})
+	}
+	for i := range o.Fronts {
+		f := &Front{s: s, n: i, Name: fmt.Sprintf("n%d", i+1), zone: string(rune('a' + i%3)), offset: s.between(0, 1000*second),
+			rate: 1 + o.Drift*(2*s.rng.Float64()-1)}
+		s.Fronts = append(s.Fronts, f)
+	}
+	for _, f := range s.Fronts {
+		f.Start()
+	}
+	return s, s.failed
+}
+
+// between draws a span.
+func (s *Sim) between(least, most Micros) Micros {
+	if most <= least {
+		return least
+	}
+	return least + s.rng.Int64N(most-least)
+}
+
+// chance is true once in n times.
+func (s *Sim) chance(n int) bool { return s.rng.IntN(n) == 0 }
+
+type item struct {
+	at  Micros
+	seq uint64
+	do  func()
+}
+
+type queue []item
+
+func (q queue) Len() int { return len(q) }
+func (q queue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *queue) Push(x any)   { *q = append(*q, x.(item)) }
+func (q *queue) Pop() any {
+	last := len(*q) - 1
+	x := (*q)[last]
+	(*q)[last] = item{}
+	*q = (*q)[:last]
+	return x
+}
+
+// after sets an event.
+func (s *Sim) after(span Micros, do func()) {
+	s.seq++
+	heap.Push(&s.queue, item{s.now + max(0, span), s.seq, do})
+}
+
+// Run plays for a span of true time.
+func (s *Sim) Run(span Micros) error {
+	until := s.now + span
+	for len(s.queue) > 0 && s.queue[0].at <= until && s.failed == nil {
+		next := heap.Pop(&s.queue).(item)
+		s.now = next.at
+		s.Steps++
+		next.do()
+	}
+	s.now = until
+	return s.failed
+}
+
+// Now is the true time.
+func (s *Sim) Now() Micros { return s.now }
+
+func (s *Sim) fail(err error) {
+	if s.failed == nil && err != nil {
+		s.failed = fmt.Errorf("at %.6f: %w", float64(s.now)/float64(second), err)
+	}
+}
+
+// did notes a fault.
+func (s *Sim) did(format string, args ...any) {
+	s.Script = append(s.Script, fmt.Sprintf("%10.6f %s", float64(s.now)/float64(second), fmt.Sprintf(format, args...)))
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -15,6 +15,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"chutechute/internal/history"
 )
 
 // Fleet is several front ends as processes, each on a loopback address of its own, with a relay for every way from one to
@@ -24,7 +26,7 @@
 	Program string
 	Fronts  []*Front
 	Workers []*Worker
-	Record  *Record
+	Record  *history.Record
 	Random  *Random
 	Seed    uint64
 	Dir     string
@@ -72,8 +74,9 @@
 
 // NewFleet prepares a fleet; change may set it up further before its front ends start.
 func NewFleet(t *testing.T, program string, fronts int, change ...func(*Fleet)) *Fleet {
-	f := &Fleet{T: t, Program: program, Record: &Record{}, Seed: 20261201, Dir: t.TempDir(), relays: map[[2]int]*Relay{},
+	f := &Fleet{T: t, Program: program, Seed: 20261201, Dir: t.TempDir(), relays: map[[2]int]*Relay{},
 		Section: map[string]any{}, script: &strings.Builder{}, began: time.Now()}
+	f.Record = &history.Record{Now: func() int64 { return time.Since(f.began).Microseconds() }}
 	var err error
 	f.journal, err = net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -304,6 +307,18 @@
 	return leader
 }
 
+// Check fails the test for each rule that what clients and engines saw breaks.
+func (f *Fleet) Check() {
+	f.T.Helper()
+	events := f.Record.Events()
+	for _, b := range history.Check(events) {
+		f.T.Errorf("%s", b)
+		for _, e := range history.Around(events, b, 20) {
+			f.T.Logf("  %s", e)
+		}
+	}
+}
+
 // NewCall is a call's id that was not used yet.
 func (f *Fleet) NewCall() string { return ID(int(f.calls.Add(1))) }
 
@@ -316,16 +331,16 @@
 // Load sends a load to a front end and gives what came of it: answer, shed, fault, or lost where the connection ended.
 func (f *Fleet) Load(n *Front, try Try) Reply {
 	call := f.NewCall()
-	f.Record.Add(Event{What: "asked", Front: n.Name, Call: call, Once: try.Once, Key: try.Key, Body: try.Statement})
+	f.Record.Add(history.Event{What: history.Asked, Front: n.Name, Call: call, Once: try.Once, Key: try.Key, Body: try.Statement})
 	p, err := f.try(n, call, try)
 	if err != nil {
-		p.What = "lost"
+		p.What = history.Lost
 	}
 	body := ""
-	if p.What == "answer" {
+	if p.What == history.Answer {
 		body = p.Body()
 	}
-	f.Record.Add(Event{What: "answered", Front: n.Name, Call: call, Once: try.Once, Key: try.Key, Detail: p.What, Body: body})
+	f.Record.Add(history.Event{What: history.Answered, Front: n.Name, Call: call, Once: try.Once, Key: try.Key, Detail: p.What, Body: body})
 	return p
 }
 
@@ -348,7 +363,7 @@
 }
 
 // Until waits until the record shows an event, and gives it.
-func (f *Fleet) Until(match func(Event) bool) (found Event) {
+func (f *Fleet) Until(match func(history.Event) bool) (found history.Event) {
 	f.T.Helper()
 	require.Eventually(f.T, func() bool {
 		for _, e := range f.Record.Events() {
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -11,46 +11,9 @@
 	"strings"
 	"sync"
 	"time"
-)
-
-// Event is one thing that a client or an engine of a fleet saw, with its true time.
-type Event struct {
-	At     time.Time
-	What   string // asked, answered (Detail: answer, shed, fault or lost), began, repeat, ended, gave up, deleted
-	Front  string // that a client asked
-	Engine string
-	Call   string
-	Once   string
-	Key    string
-	Detail string
-	Body   string
-}
-
-func (e Event) String() string {
-	return fmt.Sprintf("%s %-9s front=%s engine=%s call=%s once=%s key=%s %s %.40q", e.At.Format("05.000000"), e.What, e.Front,
-		e.Engine, e.Call, e.Once, e.Key, e.Detail, e.Body)
-}
-
-// Record is what was seen, in the order of its true times.
-type Record struct {
-	mu   sync.Mutex
-	list []Event
-}
-
-// Add notes an event as of now.
-func (r *Record) Add(e Event) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	e.At = time.Now()
-	r.list = append(r.list, e)
-}
 
-// Events is all so far.
-func (r *Record) Events() []Event {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]Event(nil), r.list...)
-}
+	"chutechute/internal/history"
+)
 
 const (
 	unasked = 2 * time.Second  // after which an engine gives a query up
@@ -64,7 +27,7 @@
 type Worker struct {
 	Name   string
 	Addr   *net.TCPAddr
-	record *Record
+	record *history.Record
 	seen   *Seen
 	server *httptest.Server
 
@@ -90,7 +53,7 @@
 }
 
 // NewWorker begins an engine.
-func NewWorker(name string, record *Record, seen *Seen) *Worker {
+func NewWorker(name string, record *history.Record, seen *Seen) *Worker {
 	w := &Worker{Name: name, record: record, seen: seen, runs: map[string]*run{}}
 	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
 	w.Addr = w.server.Listener.Addr().(*net.TCPAddr)
@@ -124,7 +87,7 @@
 	w.mu.Unlock()
 	if req.Method == "DELETE" {
 		if r != nil {
-			w.end(r, "deleted", false)
+			w.end(r, history.Deleted, false)
 		}
 		out.WriteHeader(204)
 		return
@@ -147,7 +110,7 @@
 		}
 		w.seen.mu.Unlock()
 		if repeat {
-			w.record.Add(Event{What: "repeat", Engine: w.Name, Call: call, Once: once})
+			w.record.Add(history.Event{What: history.Repeat, Engine: w.Name, Call: call, Once: once})
 			out.WriteHeader(500)
 			return
 		}
@@ -160,7 +123,7 @@
 		changed: make(chan struct{}), stop: make(chan struct{})}
 	w.mu.Lock()
 	w.runs[call] = r
-	w.record.Add(Event{What: "began", Engine: w.Name, Call: call, Once: once, Body: statement})
+	w.record.Add(history.Event{What: history.Began, Engine: w.Name, Call: call, Once: once, Body: statement})
 	w.mu.Unlock()
 	go w.run(r, time.Duration(ms)*time.Millisecond)
 	w.answer(out, r)
@@ -176,14 +139,14 @@
 		case <-r.stop:
 			return
 		case <-finished:
-			w.end(r, "ended", true)
+			w.end(r, history.Ended, true)
 			return
 		case <-look.C:
 			w.mu.Lock()
 			idle := r.asking == 0 && time.Since(r.asked) >= unasked
 			w.mu.Unlock()
 			if idle {
-				w.end(r, "gave up", false)
+				w.end(r, history.Unasked, false)
 				return
 			}
 		}
@@ -199,7 +162,7 @@
 	r.over, r.good = true, good
 	close(r.changed)
 	close(r.stop)
-	w.record.Add(Event{What: how, Engine: w.Name, Call: r.call, Once: r.once})
+	w.record.Add(history.Event{What: how, Engine: w.Name, Call: r.call, Once: r.once})
 }
 
 func (w *Worker) answer(out http.ResponseWriter, r *run) {
--- a/vouch/vouch.go
+++ b/vouch/vouch.go
@@ -52,7 +52,9 @@
 // hold is one load here, with all requests for it.
 type hold struct {
 	once    string
+	key     string
 	digest  []byte
+	noted   bool // the record has said how it stands
 	entries []*gateway.Entry
 	runner  *gateway.Entry // whose request the core has
 	mine    bool
@@ -92,7 +94,7 @@
 		h.entries = append(h.entries, e)
 		return // a conflict shows in the next tick, between the core's steps
 	}
-	h = &hold{once: call.Once, digest: digest(call.Statement), entries: []*gateway.Entry{e}}
+	h = &hold{once: call.Once, key: call.Key, digest: digest(call.Statement), entries: []*gateway.Entry{e}}
 	e.Slot = h
 	d.holds[call.Once] = h
 	d.order = append(d.order, h)
@@ -108,7 +110,7 @@
 
 // take notes the load, or sees how it stands.
 func (d *Desk) take(h *hold, adopt bool) {
-	if h.asking != 0 || h.ending || len(h.entries) == 0 {
+	if h.asking != 0 || h.ending || len(h.entries) == 0 || d.behind(h) {
 		return
 	}
 	h.poll = d.now + d.cfg.Poll
@@ -123,7 +125,42 @@
 		})
 }
 
+// behind says whether an earlier load of the key has not been noted yet: what one front end takes stands in the record's
+// line in that order, whatever becomes of messages.
+func (d *Desk) behind(h *hold) bool {
+	if h.noted || h.key == "" {
+		return false
+	}
+	for _, other := range d.order {
+		if other == h {
+			return false
+		}
+		if other.key == h.key && !other.noted {
+			return true
+		}
+	}
+	return false
+}
+
+// next has the load noted that waited for this one of its key.
+func (d *Desk) next(h *hold) {
+	if h.key == "" {
+		return
+	}
+	for _, other := range d.order {
+		if other != h && other.key == h.key && !other.noted {
+			d.take(other, false)
+			return
+		}
+	}
+}
+
 func (d *Desk) taken(h *hold, v loads.View, ok, adopt bool) {
+	first := !h.noted
+	h.noted = true
+	if first {
+		defer d.next(h)
+	}
 	mine := ok && v.Status == loads.OK && v.Owner == d.cfg.Incarnation
 	if mine && adopt && !h.mine && v.Phase == loads.Waiting {
 		d.Adopted++
@@ -219,6 +256,9 @@
 		d.finish(h, loads.None, nil)
 	case len(h.entries) == 0:
 		d.close(h)
+		if !h.noted {
+			d.next(h)
+		}
 	}
 }
 
