--- a/exercise/client.go
+++ b/exercise/client.go
@@ -25,6 +25,7 @@
 }
 
 func (w *wait) tell(how string, body []byte) {
+	w.s.after(0, func() { w.s.at("kept", w.f) })
 	// The answer crosses the network.
 	w.s.after(w.s.between(100, 2*ms), func() { w.end(how, string(body)) })
 }
@@ -34,6 +35,7 @@
 		return
 	}
 	w.done = true
+	defer w.s.at("told", w.f)
 	w.s.Record.Add(history.Event{What: history.Answered, Front: w.f.Name, Call: w.call, Once: w.try.Once, Key: w.try.Key, Detail: how,
 		Body: body})
 	w.told(how)
@@ -72,6 +74,7 @@
 				s.fail(err)
 			}
 			p.turn()
+			s.at("taken", f)
 		})
 	})
 	s.after(try.TTL+100*ms, func() { // it waits no longer
--- a/exercise/copies_test.go
+++ b/exercise/copies_test.go
@@ -17,10 +17,10 @@
 const second = 1_000_000
 
 // play runs one random history and gives what it broke.
-func play(t *testing.T, seed uint64) (*exercise.Sim, []history.Breach) {
+func play(t *testing.T, seed uint64, variant *exercise.Variant) (*exercise.Sim, []history.Breach) {
 	cryptotest.SetGlobalRandom(t, seed)
-	o := exercise.Options{Fronts: 3 + int(seed%3), Engines: 2, Copies: 3, Lasting: seed%2 == 0, Drift: 0.004, Seed: seed,
-		Site: []byte(standin.Settings)}
+	o := exercise.Options{Fronts: 3 + int(seed%3), Engines: 2, Copies: 3, Lasting: seed%2 == 0, Drift: 0.004, Seed: seed, Crash: 150,
+		Variant: variant, Site: []byte(standin.Settings)}
 	if seed%7 == 0 {
 		o.Fronts, o.Copies = 5, 5
 	}
@@ -63,7 +63,7 @@
 	}
 	for seed := first; seed < first+uint64(n); seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			s, breaches := play(t, seed)
+			s, breaches := play(t, seed, nil)
 			require.Empty(t, breaches, "%s", shown(s, breaches))
 			require.Zero(t, s.Open(), "loads are stuck: %s", shown(s, nil))
 		})
--- a/exercise/engine.go
+++ b/exercise/engine.go
@@ -55,6 +55,7 @@
 	}
 	j := &job{p: p, a: a, e: e}
 	p.jobs[a] = j
+	s.after(0, func() { s.at("granted", p.f) })
 	dial := s.between(0, 2*ms)
 	if s.chance(20) {
 		dial = s.between(0, 200*ms)
@@ -67,7 +68,7 @@
 	if j.done {
 		return
 	}
-	if j.a.Until != 0 && j.p.f.local() >= j.a.Until {
+	if !j.p.f.s.o.Variant.NoUntil && j.a.Until != 0 && j.p.f.local() >= j.a.Until {
 		j.end(decide.NotSent, nil)
 		return
 	}
@@ -80,6 +81,7 @@
 func (j *job) arrive() {
 	s, e := j.p.f.s, j.e
 	j.arrived = true
+	s.after(s.between(0, ms), func() { s.at("begun", j.p.f) })
 	once := j.a.Once
 	if last, known := s.seen[once]; known && s.now-last < window {
 		s.Record.Add(history.Event{What: history.Repeat, Engine: e.name, Call: j.a.ID, Once: once})
@@ -126,6 +128,7 @@
 func (e *engine) over(r *run, how string, good bool) {
 	r.over, r.good = true, good
 	e.s.Record.Add(history.Event{What: how, Engine: e.name, Call: r.job.a.ID, Once: r.job.a.Once, Key: r.job.a.Key})
+	e.s.after(e.s.between(0, 5*ms), func() { e.s.at("over", r.job.p.f) })
 	if how == history.Ended { // a question is out, if anybody asks
 		e.s.after(e.s.between(100, poll), func() {
 			if j := r.job; j.p.f.proc == j.p && !j.done {
--- a/exercise/faults.go
+++ b/exercise/faults.go
@@ -33,6 +33,7 @@
 // Heal ends all faults.
 func (s *Sim) Heal() {
 	s.did("heal")
+	s.calm = true
 	clear(s.cuts)
 	s.delays, s.twice, s.late = 2*ms, false, false
 	for _, f := range s.Fronts {
@@ -44,7 +45,7 @@
 func (s *Sim) fault() {
 	f := s.Fronts[s.rng.IntN(len(s.Fronts))]
 	o := s.Fronts[s.rng.IntN(len(s.Fronts))]
-	switch s.rng.IntN(12) {
+	switch s.rng.IntN(13) {
 	case 0, 1:
 		if f.proc == nil {
 			return
@@ -89,6 +90,13 @@
 	case 10:
 		s.late = !s.late
 		s.did("messages come late: %v", s.late)
+	case 12: // all at one instant; only disks outlive that
+		if s.o.Lasting {
+			for _, x := range s.Fronts {
+				x.Kill(false)
+				s.after(s.between(50*ms, second), x.Start)
+			}
+		}
 	case 11: // the leader
 		for _, x := range s.Fronts {
 			if x.Up() && x.proc.node.Replica().Leads() {
--- a/exercise/front.go
+++ b/exercise/front.go
@@ -25,6 +25,7 @@
 	zone   string
 	offset Micros  // of its clock
 	rate   float64 // of its clock
+	number uint64  // of the last disk
 	disk   *disk
 	proc   *process
 }
@@ -39,6 +40,7 @@
 type process struct {
 	f           *Front
 	incarnation uint64
+	born        Micros // true time
 	core        *gateway.Core
 	node        *fleet.Node
 	desk        *vouch.Desk
@@ -63,7 +65,10 @@
 func (f *Front) Up() bool { return f.proc != nil && !f.proc.paused }
 
 // local is the front end's clock.
-func (f *Front) local() Micros { return f.offset + Micros(float64(f.s.now)*f.rate) }
+func (f *Front) local() Micros { return f.at(f.s.now) }
+
+// at is what the front end's clock shows at a true time.
+func (f *Front) at(t Micros) Micros { return f.offset + Micros(float64(t)*f.rate) }
 
 // Start begins a process.
 func (f *Front) Start() {
@@ -71,9 +76,18 @@
 	if f.proc != nil {
 		return
 	}
-	p := &process{f: f, incarnation: s.rng.Uint64()>>2 | 1, jobs: map[*gateway.Attempt]*job{}}
+	p := &process{f: f, born: s.now, incarnation: s.rng.Uint64()>>2 | 1, jobs: map[*gateway.Attempt]*job{}}
 	if f.disk == nil || !s.o.Lasting {
-		f.disk = &disk{number: s.rng.Uint64()>>2 | 1}
+		number := s.rng.Uint64()>>2 | 1
+		if s.o.Variant.SameNumber && f.number != 0 {
+			number = f.number
+		}
+		f.number = number
+		f.disk = &disk{number: number}
+	}
+	kind := ledger.Kind(loads.New(loads.Options{Bytes: 4 << 20, Keep: keep, Orphan: 3 * second}))
+	if s.o.Variant.Kind != nil {
+		kind = s.o.Variant.Kind(kind)
 	}
 	zones := map[string]string{}
 	for _, o := range s.Fronts {
@@ -85,7 +99,7 @@
 		Members: member.Config{Suspect: suspect, Dead: dead, Pause: suspect / 2},
 		Number:  func() uint64 { return s.rng.Uint64()>>2 | 1 },
 		Copies: ledger.Config{ID: f.disk.number, Copies: s.o.Copies, Tick: tick, Replace: replace, LogBytes: 16 << 10,
-			Logger: raftlog.New(), Kinds: []ledger.Kind{loads.New(loads.Options{Bytes: 4 << 20, Keep: keep, Orphan: 3 * second})}}}
+			Logger: raftlog.New(), Kinds: []ledger.Kind{kind}}}
 	p.node = fleet.New(cfg, func(about string) { p.desk.Note(f.local(), about) })
 	p.desk = vouch.New(vouch.Config{Incarnation: p.incarnation, Poll: 8 * tick, Patience: keep, Full: second / 2}, p.node)
 	var err error
@@ -93,7 +107,11 @@
 		s.fail(err)
 		return
 	}
-	p.core.UseRecord(p.desk)
+	record := gateway.Record(p.desk)
+	if s.o.Variant.Record != nil {
+		record = s.o.Variant.Record(record)
+	}
+	p.core.UseRecord(record)
 	if err := p.node.Open(f.local(), &f.disk.kept); err != nil {
 		s.fail(err)
 		return
@@ -228,7 +246,8 @@
 			return
 		}
 		q.does(func() {
-			s.fail(q.node.Receive(to.local(), p.f.Name, p.incarnation, t.Kind, t.Body))
+			link := fleet.Link{From: p.f.Name, Incarnation: p.incarnation, Greeted: to.at(max(p.born, q.born))}
+			s.fail(q.node.Receive(to.local(), link, t.Kind, t.Body))
 			q.turn()
 		})
 	}
@@ -245,6 +264,9 @@
 // save writes to the disk: what is under way when the process ends is lost, what was done before is kept.
 func (p *process) save(a ledger.Save) {
 	s := p.f.s
+	if s.o.Variant.EarlyWord {
+		p.node.Stored(p.f.local(), a.Token, nil)
+	}
 	p.writes = append(p.writes, a)
 	if len(p.writes) == 1 {
 		s.after(s.syncs(), p.written)
@@ -272,7 +294,7 @@
 		d.write(a)
 	}
 	for _, a := range batch {
-		p.does(func() { p.node.Stored(p.f.local(), a.Token, nil) })
+		p.does(func() { p.node.Stored(p.f.local(), a.Token, nil) }) // a second time says nothing
 	}
 	p.does(p.turn)
 	if len(p.writes) > 0 {
@@ -353,6 +375,6 @@
 	r := f.proc.node.Replica()
 	index, sum := r.Applied()
 	voters, learners := r.Members()
-	return fmt.Sprintf("%s: paused=%v leads=%v votes=%v term=%d applied=%d sum=%x voters=%v learners=%v held=%d err=%v", f.Name, f.proc.paused,
-		r.Leads(), r.Votes(), r.Term(), index, sum, voters, learners, f.proc.desk.Len(), r.Err())
+	return fmt.Sprintf("%s: paused=%v leads=%v votes=%v term=%d applied=%d sum=%x voters=%v learners=%v held=%+v err=%v", f.Name, f.proc.paused,
+		r.Leads(), r.Votes(), r.Term(), index, sum, voters, learners, f.proc.desk.Show(), r.Err())
 }
--- /dev/null
+++ b/exercise/mutants_test.go
@@ -0,0 +1,104 @@
+package exercise_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"chutechute/exercise"
+	"chutechute/gateway"
+	"chutechute/internal/history"
+	"chutechute/ledger"
+	"chutechute/ledger/loads"
+)
+
+// answers changes what a kind answers: the state stays right, and what is told is wrong.
+type answers struct {
+	ledger.Kind
+	change func(asker ledger.Incarnation, c *loads.Command, v *loads.View)
+}
+
+func (a answers) Apply(at ledger.Applied, asker ledger.Incarnation, body []byte) []byte {
+	out := a.Kind.Apply(at, asker, body)
+	c, err := loads.Decode(body)
+	v, err2 := loads.DecodeView(out)
+	if err != nil || err2 != nil || len(out) == 0 {
+		return out
+	}
+	a.change(asker, c, &v)
+	return v.Encode()
+}
+
+func telling(change func(asker ledger.Incarnation, c *loads.Command, v *loads.View)) *exercise.Variant {
+	return &exercise.Variant{Kind: func(k ledger.Kind) ledger.Kind { return answers{k, change} }}
+}
+
+// hasty has loads lapse long before their time.
+type hasty struct{ ledger.Kind }
+
+func (h hasty) Due(now ledger.Micros, gone func(ledger.Incarnation) bool) [][]byte {
+	return h.Kind.Due(now+60*second, gone)
+}
+
+// bold begins attempts without asking; blunt tells rows before they are kept.
+type bold struct{ gateway.Record }
+
+func (b bold) Begin(now gateway.Micros, _ *gateway.Entry, _ int, _ string, granted func(gateway.Micros, bool)) {
+	granted(now, true)
+}
+
+type blunt struct{ gateway.Record }
+
+func (b blunt) Keep(now gateway.Micros, e *gateway.Entry, rows []byte) {
+	b.Record.Keep(now, e, rows)
+	e.Over(now, true, rows)
+}
+
+// Each broken variant breaks a rule that the checks see, within a few histories; what they see is the rule meant.
+func TestChecksSeeBrokenVariants(t *testing.T) {
+	for _, m := range []struct {
+		name    string
+		variant *exercise.Variant
+		sees    string
+	}{
+		{"begins without a committed start", &exercise.Variant{Record: func(r gateway.Record) gateway.Record { return bold{r} }}, ""},
+		{"tells rows before they are kept", &exercise.Variant{Record: func(r gateway.Record) gateway.Record { return blunt{r} }}, ""},
+		{"grants a start out of turn", telling(func(_ ledger.Incarnation, c *loads.Command, v *loads.View) {
+			if c.Op == loads.Take {
+				v.Turn = true
+			}
+			if c.Op == loads.Start && v.Status == loads.NotYet {
+				v.Status = loads.OK
+			}
+		}), "two loads of a key at once"},
+		{"lets a started load be adopted", telling(func(asker ledger.Incarnation, c *loads.Command, v *loads.View) {
+			if v.Phase == loads.Started && v.Owner != uint64(asker) && (c.Op == loads.Take || c.Op == loads.Start) {
+				v.Phase, v.Owner, v.Status, v.Turn, v.Call = loads.Waiting, uint64(asker), loads.OK, true, c.Call
+			}
+		}), ""},
+		{"lets the first of a line go too early", &exercise.Variant{Kind: func(k ledger.Kind) ledger.Kind { return hasty{k} }}, ""},
+		{"votes under the name of a lost disk", &exercise.Variant{SameNumber: true}, ""},
+		{"tells of a write before it is there", &exercise.Variant{EarlyWord: true}, ""},
+	} {
+		t.Run(m.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 40; seed++ {
+				var breaches []history.Breach
+				t.Run("", func(t *testing.T) {
+					defer func() {
+						if p := recover(); p != nil { // the library itself may find that its log can't be
+							breaches = []history.Breach{{Rule: "panic"}}
+						}
+					}()
+					_, breaches = play(t, seed, m.variant)
+				})
+				for _, b := range breaches {
+					if m.sees == "" || b.Rule == m.sees {
+						t.Logf("seen at seed %d: %s", seed, b.Rule)
+						return
+					}
+				}
+			}
+			assert.Fail(t, "nothing was seen")
+		})
+	}
+}
--- a/exercise/sim.go
+++ b/exercise/sim.go
@@ -12,8 +12,10 @@
 	"fmt"
 	"math/rand/v2"
 
+	"chutechute/gateway"
 	"chutechute/internal/history"
 	"chutechute/internal/settings"
+	"chutechute/ledger"
 )
 
 // Micros is a time or a span in microseconds of true time.
@@ -30,12 +32,24 @@
 	Engines int
 	Lasting bool // disks outlive processes, unless a fault takes them
 	Copies  int
+	Crash   int     // a front end dies at one in so many of the points that matter; 0 for never
 	Drift   float64 // the most by which a clock is fast or slow, as a share
 	Seed    uint64
+	// Variant breaks something on purpose; nil for the program as it is.
+	Variant *Variant
 	// Site is the settings of the site, as the configuration has them.
 	Site []byte
 }
 
+// Variant is a fleet that breaks a rule on purpose, by which the checks are shown to see it.
+type Variant struct {
+	Record     func(gateway.Record) gateway.Record
+	Kind       func(ledger.Kind) ledger.Kind
+	SameNumber bool // an emptied disk keeps its number: the copy votes under the name that it had
+	EarlyWord  bool // a write is told before it is there
+	NoUntil    bool // the last moment to begin is not looked at
+}
+
 // Sim is one fleet.
 type Sim struct {
 	o       Options
@@ -55,12 +69,16 @@
 	delays  Micros // the most that a message takes, while nothing is wrong
 	twice   bool
 	late    bool
+	calm    bool     // nothing fails any more
 	Script  []string // the faults so far
 	failed  error
 }
 
 // New builds a fleet; its front ends start at time 0.
 func New(o Options) (*Sim, error) {
+	if o.Variant == nil {
+		o.Variant = &Variant{}
+	}
 	site, err := settings.Parse(o.Site)
 	if err != nil {
 		return nil, err
@@ -144,6 +162,20 @@
 	}
 }
 
+// at is a point that matters in a load's life; a front end may die there, with its disk where the record bears that.
+func (s *Sim) at(point string, f *Front) {
+	if s.o.Crash == 0 || s.calm || f.proc == nil || !s.chance(s.o.Crash) {
+		return
+	}
+	empty := s.Whole() && (!s.o.Lasting || s.chance(2))
+	if !s.o.Lasting && !empty {
+		return
+	}
+	s.did("at %s:", point)
+	f.Kill(empty)
+	s.after(s.between(50*ms, 4*second), f.Start)
+}
+
 // did notes a fault.
 func (s *Sim) did(format string, args ...any) {
 	s.Script = append(s.Script, fmt.Sprintf("%10.6f %s", float64(s.now)/float64(second), fmt.Sprintf(format, args...)))
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -92,8 +92,15 @@
 	return list
 }
 
-// Receive takes a message that came over a link from the named front end's incarnation. An error says that it can't be read.
-func (n *Node) Receive(now Micros, from string, incarnation uint64, kind peer.Kind, body []byte) error {
+// Link is where a message came from: the front end's name, the incarnation that has proven itself, and when it was challenged.
+type Link struct {
+	From        string
+	Incarnation uint64
+	Greeted     Micros
+}
+
+// Receive takes a message that came over a link. An error says that it can't be read.
+func (n *Node) Receive(now Micros, l Link, kind peer.Kind, body []byte) error {
 	n.now = now
 	switch kind {
 	case peer.Status:
@@ -101,10 +108,10 @@
 		if err != nil {
 			return err
 		}
-		if s.Incarnation != incarnation || !n.members.Heard(now, from, incarnation, s.Leaving, s.Reports) {
+		if s.Incarnation != l.Incarnation || !n.members.Heard(now, l.From, l.Incarnation, l.Greeted, s.Leaving, s.Reports) {
 			return nil
 		}
-		n.others[from] = &s
+		n.others[l.From] = &s
 		if s.Group != 0 && s.Group == n.replica.Group() {
 			n.replica.Compare(s.Index, s.Sum)
 		}
@@ -119,7 +126,7 @@
 		if err != nil {
 			return err
 		}
-		if uint64(c.Asker) == incarnation {
+		if uint64(c.Asker) == l.Incarnation {
 			n.replica.Ask(now, c)
 		}
 	case peer.Answer:
--- a/internal/epoll/links.go
+++ b/internal/epoll/links.go
@@ -230,7 +230,7 @@
 			continue
 		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
-		in := &inLink{p: l.p, since: l.p.s.now, shake: &peer.Listener{Self: l.p.self, Secret: l.p.cfg.Secret,
+		in := &inLink{p: l.p, since: l.p.s.now, link: fleet.Link{Greeted: l.p.s.clock.now()}, shake: &peer.Listener{Self: l.p.self, Secret: l.p.cfg.Secret,
 			Known: func(name string) bool { return l.p.out[name] != nil }}}
 		in.budget.Most = 2 * linkIn
 		in.stream = newStream(l.p.s.loop, fd, linkIn, linkIn, &in.budget)
@@ -253,6 +253,7 @@
 	shake  *peer.Listener
 	budget ring.Budget
 	since  Micros // of its connecting, or of the last bytes
+	link   fleet.Link
 }
 
 func (l *inLink) write(b []byte) {
@@ -305,7 +306,8 @@
 		l.write(reply)
 		for _, m := range list {
 			if err == nil {
-				err = l.p.node.Receive(l.p.s.now, l.shake.Other.Name, l.shake.Other.Incarnation, m.Kind, m.Body)
+				l.link.From, l.link.Incarnation = l.shake.Other.Name, l.shake.Other.Incarnation
+				err = l.p.node.Receive(l.p.s.now, l.link, m.Kind, m.Body)
 			}
 		}
 		if err != nil {
--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -126,7 +126,7 @@
 			asked[e.Call] = e
 		}
 	}
-	for _, check := range []func([]Event, []Run, map[string]Event) []Breach{overlap, afterOutcome, oneOutcome, refused, lines} {
+	for _, check := range []func([]Event, []Run, map[string]Event) []Breach{overlap, afterOutcome, oneOutcome, found, refused, lines} {
 		list = append(list, check(events, runs, asked)...)
 	}
 	return list
@@ -186,6 +186,27 @@
 	return list
 }
 
+// keeps is how long at least an outcome can be found, in microseconds.
+const keeps = 50_000_000
+
+// found: who asks for a load whose rows were told is told them too, or is turned away for now, but never that it may have run.
+func found(events []Event, _ []Run, asked map[string]Event) (list []Breach) {
+	told := map[string]Event{}
+	for _, e := range events {
+		if e.What != Answered {
+			continue
+		}
+		t, known := told[e.Once]
+		switch {
+		case e.Detail == Answer && !known:
+			told[e.Once] = e
+		case e.Detail == Fault && known && asked[e.Call].At > t.At && e.At < t.At+keeps:
+			list = append(list, Breach{"what was told can't be found", []Event{t, asked[e.Call], e}})
+		}
+	}
+	return list
+}
+
 // refused: of a call that was refused nothing ever reaches an engine.
 func refused(events []Event, runs []Run, _ map[string]Event) (list []Breach) {
 	shed := map[string]Event{}
--- a/member/member.go
+++ b/member/member.go
@@ -4,7 +4,10 @@
 //
 // Each front end tells all others, in each heartbeat, how long ago it heard each of the rest. So who is not heard here and is
 // heard elsewhere is cut off and not dead, without a question; and one heartbeat that comes through anywhere refutes a
-// suspicion everywhere. One thing is certain: an incarnation whose name has come back with another is gone.
+// suspicion everywhere. One thing is certain: an incarnation whose name has come back with another is gone. Which of two came
+// later does not follow from the order of their messages, as those of a dead process may still be on their way. It follows
+// from the links: a process that answered a challenge lived after that was made here, and no two of one name live at once, so
+// the one whose challenge was made later is the later one.
 //
 // It is a stepped module without I/O, clock, goroutines or map order.
 package member
@@ -54,6 +57,7 @@
 	State       State
 
 	heard   Micros // here
+	greeted Micros // when the newest link of this incarnation was challenged
 	told    Micros // elsewhere, by what others say
 	leaving bool
 	past    []uint64 // earlier incarnations: they never come again
@@ -87,12 +91,14 @@
 	return s
 }
 
-// Heard takes a heartbeat. It is false for one of an incarnation that is gone, which must not count.
-func (s *Set) Heard(now Micros, name string, incarnation uint64, leaving bool, reports []Report) bool {
+// Heard takes a heartbeat that came over a link whose challenge was made here at the time greeted. It is false for one of an
+// incarnation that is gone, which must not count.
+func (s *Set) Heard(now Micros, name string, incarnation uint64, greeted Micros, leaving bool, reports []Report) bool {
 	m := s.byName[name]
-	if m == nil || slices.Contains(m.past, incarnation) {
+	if m == nil || slices.Contains(m.past, incarnation) || m.Incarnation != incarnation && m.Incarnation != 0 && greeted <= m.greeted {
 		return false
 	}
+	m.greeted = max(m.greeted, greeted)
 	if m.Incarnation != incarnation {
 		if m.Incarnation != 0 {
 			m.past = append(m.past, m.Incarnation)
--- a/vouch/vouch.go
+++ b/vouch/vouch.go
@@ -391,3 +391,27 @@
 
 // Len is how many loads are held here.
 func (d *Desk) Len() int { return len(d.order) }
+
+// Held is a load held here, as operators see it.
+type Held struct {
+	Once     string `json:"dedupe"`
+	Key      string `json:"key,omitempty"`
+	Requests int    `json:"requests"`
+	Mine     bool   `json:"mine"`
+	Phase    string `json:"phase"`
+	Epoch    uint64 `json:"epoch"`
+	Runs     bool   `json:"runs"`   // the decision module has it
+	Asking   bool   `json:"asking"` // a question about it has no answer yet
+	Ending   bool   `json:"ending"` // its outcome is being kept
+	Noted    bool   `json:"noted"`
+}
+
+// Show is all loads held here, in the order in which they came.
+func (d *Desk) Show() []Held {
+	list := []Held{}
+	for _, h := range d.order {
+		list = append(list, Held{h.once, h.key, len(h.entries), h.mine, h.phase.String(), h.epoch, h.runner != nil, h.asking != 0,
+			h.ending, h.noted})
+	}
+	return list
+}
