--- /dev/null
+++ b/cmd/chutechute/fleet.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"chutechute/internal/cli"
+	"chutechute/internal/config"
+	"chutechute/internal/epoll"
+)
+
+// adminWait bounds an operator's question.
+const adminWait = 5 * time.Second
+
+func newFleet(o *options) *cobra.Command {
+	var asJSON bool
+	var socket, name string
+	cmd := &cobra.Command{
+		Use:   "fleet",
+		Short: "Ask a front end about its fleet",
+		Long: `Fleet asks the front end that runs on this machine, over the operators' socket that the installation file names
+(fleet.admin), or over the one given.`,
+		Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return errors.New("fleet: status, members or ledger?") },
+	}
+	cmd.PersistentFlags().BoolVar(&asJSON, "json", false, "print JSON")
+	cmd.PersistentFlags().StringVar(&socket, "socket", "", "the operators' `path`, in place of the installation's")
+	cmd.PersistentFlags().StringVar(&name, "name", "", "the front end's name, where the path holds {name}; NODE_NAME otherwise")
+	ask := func(question string, into any) error {
+		path, err := o.adminPath(socket, name)
+		if err != nil {
+			return err
+		}
+		return askAdmin(path, question, into)
+	}
+	add := func(use, short, question string, print func(cmd *cobra.Command, text []byte) error) {
+		cmd.AddCommand(&cobra.Command{Use: use, Short: short, Args: cobra.NoArgs,
+			RunE: cli.Does(func(cmd *cobra.Command, _ []string) error {
+				var text json.RawMessage
+				if err := ask(question, &text); err != nil {
+					return err
+				}
+				if asJSON {
+					_, err := fmt.Fprintln(cmd.OutOrStdout(), string(text))
+					return err
+				}
+				return print(cmd, text)
+			})})
+	}
+	add("status", "How this front end and the record stand", "status", printStatus)
+	add("members", "Which front ends are there, as this one sees them", "status", printMembers)
+	add("ledger", "The loads on record", "ledger", printLedger)
+	return cmd
+}
+
+// adminPath is the operators' socket of the front end.
+func (o *options) adminPath(socket, name string) (string, error) {
+	if socket != "" {
+		return socket, nil
+	}
+	if o.installation == "" {
+		return "", errors.New("neither --socket nor --installation is given")
+	}
+	file, err := config.ReadInstallation(o.installation)
+	if err != nil {
+		return "", err
+	}
+	if file.Fleet.Admin == "" {
+		return "", errors.New("installation: fleet.admin: missing")
+	}
+	if name == "" {
+		name = os.Getenv("NODE_NAME")
+	}
+	return strings.ReplaceAll(file.Fleet.Admin, "{name}", name), nil
+}
+
+func askAdmin(path, question string, into any) error {
+	conn, err := net.DialTimeout("unix", path, adminWait)
+	if err != nil {
+		return fmt.Errorf("no front end answers: %w", err)
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(time.Now().Add(adminWait)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintln(conn, question); err != nil {
+		return err
+	}
+	if err := json.NewDecoder(bufio.NewReader(conn)).Decode(into); err != nil {
+		return fmt.Errorf("the front end's answer: %w", err)
+	}
+	return nil
+}
+
+// table prints rows in columns.
+func table(cmd *cobra.Command, rows func(line func(cells ...any))) error {
+	w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+	rows(func(cells ...any) {
+		for i, c := range cells {
+			if i > 0 {
+				fmt.Fprint(w, "\t")
+			}
+			fmt.Fprint(w, c)
+		}
+		fmt.Fprintln(w)
+	})
+	return w.Flush()
+}
+
+func printStatus(cmd *cobra.Command, text []byte) error {
+	var s epoll.FleetStatus
+	if err := json.Unmarshal(text, &s); err != nil {
+		return err
+	}
+	return table(cmd, func(line func(...any)) {
+		line("front end", s.Name+" of "+s.Site)
+		line("process", s.Incarnation)
+		line("role", s.Role)
+		if s.Error != "" {
+			line("error", s.Error)
+		}
+		line("leader", s.Leader)
+		line("term", s.Term)
+		line("record", s.Group)
+		line("applied", fmt.Sprintf("%d (sum %s)", s.Applied, s.Sum))
+		line("loads", fmt.Sprintf("%d on record, %d bytes; %d held here", s.Loads, s.LoadBytes, s.Held))
+		line("elections", s.Elections)
+		if s.Differing > 0 {
+			line("COPIES DIFFER", fmt.Sprintf("seen %d times: keep all folders and report it", s.Differing))
+		}
+		for _, c := range s.Copies {
+			how := "votes"
+			if !c.Votes {
+				how = "catches up"
+			}
+			line("copy", fmt.Sprintf("%s on %s, zone %q, %s", c.Copy, c.Name, c.Zone, how))
+		}
+		if s.Warning != "" {
+			line("note", s.Warning)
+		}
+	})
+}
+
+func printMembers(cmd *cobra.Command, text []byte) error {
+	var s epoll.FleetStatus
+	if err := json.Unmarshal(text, &s); err != nil {
+		return err
+	}
+	return table(cmd, func(line func(...any)) {
+		line("NAME", "ZONE", "STATE", "LINK", "PROCESS")
+		for _, m := range s.Members {
+			link := "down"
+			if m.Link {
+				link = "up"
+			}
+			line(m.Name, m.Zone, m.State, link, m.Incarnation)
+		}
+	})
+}
+
+func printLedger(cmd *cobra.Command, text []byte) error {
+	var s epoll.FleetRecord
+	if err := json.Unmarshal(text, &s); err != nil {
+		return err
+	}
+	if s.Status.Group == "0000000000000000" {
+		return errors.New("this front end is no copy of the record: ask one that 'fleet status' names")
+	}
+	return table(cmd, func(line func(...any)) {
+		line("DEDUPE", "KEY", "CLASS", "PHASE", "EPOCH", "PLACE", "OWNER", "STARTS")
+		for _, l := range s.Loads {
+			line(l.Once, l.Key, l.Class, l.Phase, l.Epoch, l.Place, l.Owner, strings.Join(l.Starts, "; "))
+		}
+	})
+}
--- a/cmd/chutechute/serve.go
+++ b/cmd/chutechute/serve.go
@@ -38,7 +38,7 @@
 func serve(installation string, log *slog.Logger) error {
 	signals := make(chan os.Signal, 16) // from the first on: a signal that nobody awaits would end the program
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1, syscall.SIGHUP)
-	signal.Ignore(syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE, syscall.SIGXFSZ) // a file that may not grow is an error of its write
 	cfg, err := config.Load(os.Getenv, installation)
 	if err != nil {
 		return err
--- a/fleet/desk.go
+++ b/fleet/desk.go
@@ -23,8 +23,13 @@
 	done    func(ledger.Answer)
 	asked   Micros
 	to      string
+	hops    int // refusals that were followed at once, since it was last asked in its turn
 }
 
+// mostHops bounds how often a question follows the word of copies that do not lead. Two that name one another, or answers
+// that come twice, would else make a storm of it (exercise, seed 3094).
+const mostHops = 2
+
 // Ask puts a question to the record. Done is called once with what was committed, from Receive, Tick or Stored; it is not
 // called any more after Cancel. A question that is taken back may still be committed.
 func (n *Node) Ask(now Micros, kind, version uint32, body []byte, done func(ledger.Answer)) (id uint64) {
@@ -64,7 +69,7 @@
 	case d.n.cfg.Name:
 		d.n.replica.Ask(d.n.now, q.command)
 	default:
-		d.n.actions = append(d.n.actions, Tell{To: q.to, Kind: peer.Ask, Body: q.command.Encode()})
+		d.n.tell(q.to, peer.Ask, false, q.command.Encode())
 	}
 }
 
@@ -101,7 +106,8 @@
 		d.forget(a.Seq)
 		q.done(a)
 	case ledger.NotLeader:
-		if a.Leader != 0 && d.n.NameOf(a.Leader) != q.to {
+		if a.Leader != 0 && d.n.NameOf(a.Leader) != q.to && q.hops < mostHops {
+			q.hops++
 			d.hint, d.at = a.Leader, d.n.now
 			d.put(q)
 		}
@@ -121,6 +127,7 @@
 			continue
 		}
 		if age := d.n.now - q.asked; leader != q.to && age >= d.n.cfg.Retry/4 || age >= 4*d.n.cfg.Retry {
+			q.hops = 0
 			d.put(q)
 		}
 	}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -57,6 +57,8 @@
 	founded []byte // the founding's word, to be said again until there is a leader
 	leaving bool
 	note    func(about string)
+	// Relayed counts the messages that went by way of another front end.
+	Relayed int
 	// Changed is told of each change in how another front end is seen.
 	Changed func(*member.Member)
 }
@@ -139,6 +141,8 @@
 		n.note(string(body))
 	case peer.Found:
 		return n.found(body)
+	case peer.Relay:
+		return n.relay(l, body)
 	}
 	n.drain()
 	return nil
@@ -315,7 +319,7 @@
 		switch a := a.(type) {
 		case ledger.Send:
 			if to := n.NameOf(a.To); to != "" {
-				n.actions = append(n.actions, Tell{To: to, Kind: peer.Ledger, Bulk: a.Bulk, Body: copied(n.replica.Group(), a.Message)})
+				n.tell(to, peer.Ledger, a.Bulk, copied(n.replica.Group(), a.Message))
 			}
 		case ledger.Save:
 			n.actions = append(n.actions, a)
@@ -323,7 +327,7 @@
 			if uint64(a.To) == n.cfg.Incarnation {
 				n.desk.answered(a.Answer)
 			} else if to := n.nameOfProcess(uint64(a.To)); to != "" {
-				n.actions = append(n.actions, Tell{To: to, Kind: peer.Answer, Body: a.Answer.Encode()})
+				n.tell(to, peer.Answer, false, a.Answer.Encode())
 			}
 		case ledger.Notify:
 			if !n.replica.Leads() {
@@ -332,7 +336,7 @@
 			if uint64(a.To) == n.cfg.Incarnation {
 				n.note(a.About)
 			} else if to := n.nameOfProcess(uint64(a.To)); to != "" {
-				n.actions = append(n.actions, Tell{To: to, Kind: peer.Note, Body: []byte(a.About)})
+				n.tell(to, peer.Note, false, []byte(a.About))
 			}
 		}
 	}
--- /dev/null
+++ b/fleet/relay.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"chutechute/internal/proto"
+	"chutechute/member"
+	"chutechute/peer"
+)
+
+// A way may fail in one direction alone. Who is heard and says in its heartbeats that it does not hear this front end is told
+// by way of another that it does hear; and who is not heard itself, but elsewhere, is told both directly and by way of one who
+// hears it. One hop, small messages only. A message that comes twice does no harm, so nothing rests on this being right.
+
+// relayed is a message on its way through a third front end.
+type relayed struct {
+	To          string
+	From        string
+	Incarnation uint64
+	Kind        peer.Kind
+	Body        []byte
+}
+
+func (r *relayed) encode() []byte {
+	b := make([]byte, 0, len(r.Body)+64)
+	b = proto.String(b, 1, r.To)
+	b = proto.String(b, 2, r.From)
+	b = proto.Uint(b, 3, r.Incarnation)
+	b = proto.Uint(b, 4, uint64(r.Kind))
+	return proto.Message(b, 5, r.Body)
+}
+
+func decodeRelayed(b []byte) (r relayed, err error) {
+	err = proto.Each(b, func(f proto.Field) error {
+		switch f.Number {
+		case 1:
+			r.To = f.Text()
+		case 2:
+			r.From = f.Text()
+		case 3:
+			r.Incarnation = f.Uint
+		case 4:
+			r.Kind = peer.Kind(f.Uint)
+		case 5:
+			r.Body = f.Copy()
+		}
+		return nil
+	})
+	return r, err
+}
+
+// tell sends a message, by way of another where the direct way is known to fail.
+func (n *Node) tell(to string, kind peer.Kind, bulk bool, body []byte) {
+	n.actions = append(n.actions, Tell{To: to, Kind: kind, Bulk: bulk, Body: body})
+	if via := n.detour(to); via != "" && !bulk && len(body) < peer.MostBody {
+		n.Relayed++
+		r := relayed{to, n.cfg.Name, n.cfg.Incarnation, kind, body}
+		n.actions = append(n.actions, Tell{To: via, Kind: peer.Relay, Body: r.encode()})
+	}
+}
+
+// hears says whether a heartbeat tells that its sender has heard that process of late.
+func (n *Node) hears(s *status, name string, incarnation uint64) bool {
+	for _, r := range s.Reports {
+		if r.Name == name {
+			return r.Incarnation == incarnation && r.Age < n.cfg.Members.Suspect
+		}
+	}
+	return false
+}
+
+// detour is the front end by way of which another is to be told; empty where the direct way serves.
+func (n *Node) detour(to string) (via string) {
+	m, s := n.members.Of(to), n.others[to]
+	if m == nil || s == nil || s.Incarnation != m.Incarnation {
+		return ""
+	}
+	switch {
+	case m.State == member.Alive && !n.hears(s, n.cfg.Name, n.cfg.Incarnation):
+		for _, o := range n.members.List() {
+			if o == m || o.Incarnation == 0 || !n.hears(s, o.Name, o.Incarnation) {
+				continue
+			}
+			if via == "" || o.State == member.Alive && n.members.Of(via).State != member.Alive {
+				via = o.Name
+			}
+		}
+	case m.State == member.Cut:
+		for _, o := range n.members.List() {
+			if os := n.others[o.Name]; o != m && o.State == member.Alive && os != nil && n.hears(os, to, m.Incarnation) {
+				return o.Name
+			}
+		}
+	}
+	return via
+}
+
+// relay takes a message that came through another, or hands one on.
+func (n *Node) relay(l Link, body []byte) error {
+	r, err := decodeRelayed(body)
+	switch {
+	case err != nil:
+		return err
+	case r.Kind == peer.Relay || r.Kind == peer.Status || n.members.Of(r.From) == nil:
+		return nil
+	case r.To == n.cfg.Name:
+		return n.Receive(n.now, Link{From: r.From, Incarnation: r.Incarnation}, r.Kind, r.Body)
+	case r.From == l.From && n.members.Of(r.To) != nil:
+		n.actions = append(n.actions, Tell{To: r.To, Kind: peer.Relay, Body: body})
+	}
+	return nil
+}
--- a/internal/epoll/admin.go
+++ b/internal/epoll/admin.go
@@ -8,6 +8,8 @@
 	"golang.org/x/sys/unix"
 
 	"chutechute/internal/ring"
+	"chutechute/ledger/loads"
+	"chutechute/vouch"
 )
 
 const (
@@ -127,14 +129,18 @@
 	case "status":
 		return p.status()
 	case "ledger":
-		return struct {
-			Status any `json:"status"`
-			Loads  any `json:"loads"`
-		}{p.status(), p.loads.Show()}
+		return FleetRecord{p.status(), p.loads.Show(), p.desk.Show()}
 	}
 	return map[string]string{"error": fmt.Sprintf("%q is no question", question)}
 }
 
+// FleetRecord is the loads on record as this copy has them, and those that this front end holds.
+type FleetRecord struct {
+	Status FleetStatus   `json:"status"`
+	Loads  []loads.Shown `json:"loads"`
+	Held   []vouch.Held  `json:"held"`
+}
+
 // FleetStatus is what a front end says of itself and of the others, as it sees them.
 type FleetStatus struct {
 	Site        string         `json:"site"`
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 
 	"chutechute/internal/history"
 )
@@ -377,6 +378,43 @@
 	return found
 }
 
+// Lookup asks the front end for a look-up and gives what came of it.
+func (n *Front) Lookup() string {
+	conn, err := net.DialTimeout("tcp4", n.Listen, time.Second)
+	if err != nil {
+		return history.Lost
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
+	c := &Client{T: n.F.T, Conn: conn}
+	if err := c.TryAsk("SELECT * FROM s_1.t -- ms=5", "call", n.F.NewCall(), "op", "lookup", "ttl", "4000", "work", "10.0"); err != nil {
+		return history.Lost
+	}
+	p, err := c.TryRead()
+	if err != nil {
+		return history.Lost
+	}
+	return p.What
+}
+
+// Full bounds the size of the files that the process may write to what they have, as on a full disk.
+func (n *Front) Full(full bool) {
+	n.F.Did("disk of %s full: %v", n.Name, full)
+	limit := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+	if full {
+		info, err := os.Stat(filepath.Join(n.Folder, "ledger.db"))
+		require.NoError(n.F.T, err)
+		limit.Cur = uint64(info.Size())
+	}
+	require.NoError(n.F.T, unix.Prlimit(n.Cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil))
+}
+
+// AwaitLog waits until a line of the front end's log matches.
+func (n *Front) AwaitLog(pattern string) {
+	n.F.T.Helper()
+	require.Eventually(n.F.T, func() bool { return n.Logged(pattern) > 0 }, Patience, time.Millisecond, pattern)
+}
+
 // Logged counts the lines of a front end's log that match.
 func (n *Front) Logged(pattern string) int {
 	return len(regexp.MustCompile(pattern).FindAllString(n.Log.String(), -1))
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -25,6 +25,7 @@
 	Answer
 	Note
 	Found
+	Relay // one of the others, by way of a third
 	kinds
 )
 
@@ -32,7 +33,7 @@
 	if k == 0 || k >= kinds {
 		return "unknown"
 	}
-	return [...]string{"", "challenge", "hello", "welcome", "status", "ledger", "ask", "answer", "note", "found"}[k]
+	return [...]string{"", "challenge", "hello", "welcome", "status", "ledger", "ask", "answer", "note", "found", "relay"}[k]
 }
 
 const (
