Store: plain files with checksums of every record, instead of bbolt

Cause: a bbolt file with flipped bits was found spoilt and set aside, and the process then died of 'found pointer to free object', a fault that can't be recovered from: the library works on pages as they lie in memory (TestAllKilledAtOnceAndSpoiltFile). Torn tails are cut, anything else spoilt sets the folder aside and the disk gets a new number.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -402,7 +402,7 @@
 	n.F.Did("disk of %s full: %v", n.Name, full)
 	limit := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
 	if full {
-		info, err := os.Stat(filepath.Join(n.Folder, "ledger.db"))
+		info, err := os.Stat(filepath.Join(n.Folder, "log"))
 		require.NoError(n.F.T, err)
 		limit.Cur = uint64(info.Size())
 	}
