Ledger: a copy that the library finds broken ends, and its front end goes on

Need: the library panics where a log can't be what it has to be; that is to cost the copy and not the service. Change: its word is caught at the copy's entry points; a folder that can't be opened leaves the front end without a copy. Measured: go test ./exercise ./ledger/... and the process tests are green.

--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -77,8 +77,8 @@
 	p.node.Changed = func(m *member.Member) {
 		slog.Info("front end", "name", m.Name, "state", m.State.String(), "incarnation", hex(m.Incarnation))
 	}
-	if err := p.node.Open(s.now, disk); err != nil {
-		return nil, fmt.Errorf("fleet: %w", err)
+	if err := p.node.Open(s.now, disk); err != nil && p.storeErr == nil {
+		p.failed(err)
 	}
 	if p.storeErr != nil {
 		p.node.Replica().Disable(p.storeErr)
@@ -149,6 +149,9 @@
 	p.node.Tick(now)
 	p.desk.Tick(now)
 	p.pump()
+	if err := p.node.Replica().Err(); err != nil && p.storeErr == nil {
+		p.failed(err)
+	}
 }
 
 // pump carries out what the node wants, until it wants nothing more.
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -140,6 +140,7 @@
 
 // Open goes on with what the disk kept.
 func (r *Replica) Open(now Micros, d *Disk) error {
+	defer r.guard()
 	if d == nil || d.Group == 0 {
 		return nil
 	}
@@ -165,6 +166,7 @@
 
 // Found makes this front end one of the first copies of a new record.
 func (r *Replica) Found(now Micros, group uint64, members []Member) error {
+	defer r.guard()
 	if r.group != 0 || !slices.ContainsFunc(members, func(m Member) bool { return m.ID == r.cfg.ID }) {
 		return nil
 	}
@@ -305,6 +307,7 @@
 
 // Tick lets time pass. Present are the front ends that are heard of now, this one too; gone says whose process is no more.
 func (r *Replica) Tick(now Micros, present []Member, gone func(Incarnation) bool) {
+	defer r.guard()
 	r.now, r.gone = now, gone
 	if r.node == nil {
 		return
@@ -352,6 +355,7 @@
 
 // Receive takes a message of another copy. One to a number that is not this copy's is for a disk that was lost.
 func (r *Replica) Receive(now Micros, group uint64, message []byte) error {
+	defer r.guard()
 	r.now = now
 	m := &raftpb.Message{}
 	if err := proto.Unmarshal(message, m); err != nil {
@@ -382,6 +386,7 @@
 
 // Ask takes a front end's question.
 func (r *Replica) Ask(now Micros, c Command) {
+	defer r.guard()
 	r.now = now
 	refuse := func(result Result) {
 		leader := r.Leader()
@@ -405,6 +410,7 @@
 
 // Unreachable tells that a message to a copy was not sent; a snapshot may have been among them.
 func (r *Replica) Unreachable(to uint64) {
+	defer r.guard()
 	if r.node != nil {
 		r.node.ReportUnreachable(to)
 		r.node.ReportSnapshot(to, raft.SnapshotFailure)
@@ -415,6 +421,7 @@
 // Stored tells that what a Save held has been written, or why it was not: then this copy ends at once, since what a disk
 // holds after a failed write nobody knows.
 func (r *Replica) Stored(now Micros, token uint64, err error) {
+	defer r.guard()
 	r.now = now
 	s, ok := r.saving[token]
 	delete(r.saving, token)
@@ -447,6 +454,22 @@
 	return r.log.Append(s.entries)
 }
 
+// Broken is the library's word that a copy's log can't be what it has to be. It ends the copy, not the front end.
+type Broken string
+
+func (b Broken) Error() string { return "ledger: " + string(b) }
+
+// guard ends the copy where the library has found it broken.
+func (r *Replica) guard() {
+	switch p := recover().(type) {
+	case nil:
+	case Broken:
+		r.fail(p)
+	default:
+		panic(p)
+	}
+}
+
 // Disable has this front end be no copy at all, for want of a disk that serves.
 func (r *Replica) Disable(err error) { r.fail(err) }
 
