--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure rotate fuzz
+.PHONY: build test lint run measure fleet histories rotate fuzz
 
 # Linked dynamically by the C tool chain, as the platform's bench for large fleets asks.
 export CGO_ENABLED = 1
@@ -24,6 +24,12 @@
 	cd bench/parsers && go test -v -run Coverage -bench . -benchmem
 	CHUTECHUTE_LONG=1 go test -count=1 -v -run '^TestIdle|IdentityCost|FloodAnswerTimes' ./cmd/chutechute
 
+fleet: ## what copies cost, for docs/design/copies.md
+	CHUTECHUTE_LONG=1 go test -count=1 -v -run '^TestFleetFigures$$' ./cmd/chutechute
+
+histories: ## HISTORIES random histories of whole fleets from SEED on, in virtual time
+	CHUTECHUTE_HISTORIES=$(or $(HISTORIES),1000) CHUTECHUTE_SEED=$(or $(SEED),1) go test -count=1 -timeout 60m -run '^TestHistories$$' ./exercise
+
 rotate: ## a minute each of keys and certificates that rotate under load
 	CHUTECHUTE_LONG=1 go test -count=1 -v -run 'RotationUnderLoad|RotateUnderLoad' ./cmd/chutechute
 
--- /dev/null
+++ b/cmd/chutechute/fleet_measure_test.go
@@ -0,0 +1,133 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chutechute/internal/history"
+	"chutechute/internal/standin"
+)
+
+// quantiles gives the median and the 99th of a hundred.
+func quantiles(list []time.Duration) (median, p99 time.Duration) {
+	slices.Sort(list)
+	return list[len(list)/2], list[len(list)*99/100]
+}
+
+// times sends loads, so many clients at once, and gives how long each took.
+func times(t *testing.T, f *standin.Fleet, prefix string, clients, each int) (list []time.Duration) {
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for c := range clients {
+		all.Go(func() {
+			for i := range each {
+				began := time.Now()
+				p := f.Load(f.Fronts[c%len(f.Fronts)], load(fmt.Sprintf("%s-%d-%d", prefix, c, i), "", 0))
+				if p.What == history.Answer {
+					mu.Lock()
+					list = append(list, time.Since(began))
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	all.Wait()
+	assert.Len(t, list, clients*each)
+	return list
+}
+
+// What copies cost, for docs/design/copies.md: 'make fleet'.
+func TestFleetFigures(t *testing.T) {
+	if os.Getenv("CHUTECHUTE_LONG") == "" {
+		t.Skip("measures: make fleet")
+	}
+	forms := []struct {
+		name   string
+		change func(*standin.Fleet)
+	}{
+		{"off", func(f *standin.Fleet) { f.Section["enabled"] = false }},
+		{"memory", func(*standin.Fleet) {}},
+		{"folder", lasting},
+	}
+	for _, form := range forms {
+		f := standin.NewFleet(t, program, 3, form.change)
+		if form.name != "off" {
+			f.Leader(3)
+		}
+		times(t, f, "warm", 3, 20)
+		median, p99 := quantiles(times(t, f, "one", 1, 200))
+		t.Logf("%-6s one client: a load takes %.1f ms at the median, %.1f at p99", form.name, ms(median), ms(p99))
+		began, before := time.Now(), commits(f)
+		many := times(t, f, "many", 24, 40)
+		span := time.Since(began).Seconds()
+		median, p99 = quantiles(many)
+		t.Logf("%-6s 24 clients: %.1f ms at the median, %.1f at p99, %.0f loads a second, %.0f commits a second", form.name, ms(median),
+			ms(p99), float64(len(many))/span, (commits(f)-before)/span)
+		var looks []time.Duration
+		var stop atomic.Bool
+		var all sync.WaitGroup
+		for c := range 12 {
+			all.Go(func() {
+				for i := 0; !stop.Load(); i++ {
+					f.Load(f.Fronts[c%3], load(fmt.Sprintf("beside-%d-%d", c, i), "", 0))
+				}
+			})
+		}
+		for range 300 {
+			began := time.Now()
+			require.Equal(t, history.Answer, f.Fronts[0].Lookup())
+			looks = append(looks, time.Since(began))
+		}
+		stop.Store(true)
+		all.Wait()
+		median, p99 = quantiles(looks)
+		t.Logf("%-6s look-ups beside 12 clients' loads: %.1f ms at the median, %.1f at p99", form.name, ms(median), ms(p99))
+		if form.name == "off" {
+			continue
+		}
+		var gaps []time.Duration
+		for round := range 6 {
+			leader := f.Leader(3)
+			other := f.Fronts[(leader.N+1)%3]
+			leader.Kill(true)
+			killed := time.Now()
+			for i := 0; ; i++ {
+				try := load(fmt.Sprintf("after-%d-%d", round, i), "", 0)
+				try.TTL = 4 * time.Second
+				if f.Load(other, try).What == history.Answer {
+					break
+				}
+			}
+			gaps = append(gaps, time.Since(killed))
+			back := time.Now()
+			leader.Start()
+			f.Leader(3)
+			t.Logf("%-6s leader lost with its disk: %.0f ms without progress; replaced %.0f ms after its start", form.name,
+				ms(gaps[round]), ms(time.Since(back)))
+		}
+		s := f.Leader(3).Status()
+		t.Logf("%-6s %v loads on record take %v bytes", form.name, s["loads"], s["load_bytes"])
+		for _, n := range f.Fronts {
+			n.Kill(true)
+		}
+	}
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func commits(f *standin.Fleet) (n float64) {
+	for _, x := range f.Fronts {
+		if s := x.Status(); s != nil {
+			n = max(n, s["commits"].(float64))
+		}
+	}
+	return n
+}
