--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 	go build $(LINK) -o bin/ ./cmd/...
 
 test: lint build ## format, vet, build and all tests
-	go test -count=1 ./...
+	go test -count=1 -p 1 ./... # one package at a time: some compare times, and others take all cores
 
 lint:
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted" >&2; exit 1; fi
--- a/cmd/chutechute/copies_test.go
+++ b/cmd/chutechute/copies_test.go
@@ -318,6 +318,53 @@
 	f.Check()
 }
 
+// badDisk is the store's sync on a disk that takes half a second, or fails once and then succeeds, as files in the folder say.
+const badDisk = `package store
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+func fsync(f *os.File) error {
+	dir := filepath.Dir(f.Name())
+	if os.Remove(filepath.Join(dir, "fail")) == nil {
+		return errors.New("a sync that failed")
+	}
+	if _, err := os.Stat(filepath.Join(dir, "slow")); err == nil {
+		time.Sleep(500 * time.Millisecond)
+	}
+	return f.Sync()
+}
+`
+
+// The leader's disk takes half a second for each sync: the other two are a majority without it, and loads go on. Then a sync of
+// it fails once: the copy ends at once and does not try again, though the disk would, and its front end goes on.
+func TestSlowAndFailingDiskOfTheLeader(t *testing.T) {
+	t.Parallel()
+	bad := standin.Variant(t, "ledger/store/sync.go", badDisk)
+	f := standin.NewFleet(t, bad, 3, lasting)
+	leader := f.Leader(3)
+	require.NoError(t, os.WriteFile(filepath.Join(leader.Folder, "slow"), nil, 0o600))
+	f.Did("the disk of %s is slow", leader.Name)
+	began := time.Now()
+	for i := range 10 {
+		insist(t, f, f.Fronts[i%3], load(fmt.Sprintf("once-%d", i), "k", 5))
+	}
+	// Thirty commits, each of which would take half a second at least.
+	assert.Less(t, time.Since(began), 10*500*time.Millisecond)
+	require.NoError(t, os.WriteFile(filepath.Join(leader.Folder, "fail"), nil, 0o600))
+	f.Did("a sync of %s fails", leader.Name)
+	insist(t, f, f.Fronts[(leader.N+1)%3], load("after", "k", 5))
+	leader.AwaitLog("is no copy any more")
+	assert.Equal(t, "failed", leader.Status()["role"])
+	insist(t, f, leader, load("through-it", "k", 5))
+	assert.Equal(t, 1, leader.Logged("is no copy any more"))
+	f.Check()
+}
+
 // A lost disk comes back under its name while the leader is cut off: it gets no vote, so there are never two leaders of one
 // term, and it is a copy again only once the rest has made it one.
 func TestDiskLostUnderItsOldName(t *testing.T) {
--- a/exercise/front.go
+++ b/exercise/front.go
@@ -244,9 +244,9 @@
 		}
 		return
 	}
+	q := to.proc // a connection ends with the process that it leads to
 	arrive := func() {
-		q := to.proc
-		if q == nil || s.cuts[[2]int{p.f.n, to.n}] {
+		if q == nil || to.proc != q || s.cuts[[2]int{p.f.n, to.n}] {
 			return
 		}
 		q.does(func() {
--- a/internal/standin/rig.go
+++ b/internal/standin/rig.go
@@ -83,6 +83,24 @@
 	return filepath.Join(dir, "chutechute"), remove, nil
 }
 
+// Variant builds the program with one of its files in another form, for faults that can't be put there from outside. It is
+// called from the program's own folder, as Build is.
+func Variant(t *testing.T, file, text string) (program string) {
+	dir := t.TempDir()
+	root, err := filepath.Abs("../..")
+	require.NoError(t, err)
+	other := filepath.Join(dir, "other.go")
+	require.NoError(t, os.WriteFile(other, []byte(text), 0o600))
+	overlay, err := json.Marshal(map[string]any{"Replace": map[string]string{filepath.Join(root, file): other}})
+	require.NoError(t, err)
+	require.NoError(t, os.WriteFile(filepath.Join(dir, "overlay.json"), overlay, 0o600))
+	program = filepath.Join(dir, "chutechute")
+	cmd := exec.Command("go", "build", "-overlay", filepath.Join(dir, "overlay.json"), "-o", program, ".")
+	out, err := cmd.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	return program
+}
+
 // Start runs the program with engines that answer so.
 func Start(t *testing.T, program string, engines int, do Answer, change ...func(*Rig)) *Rig {
 	r := &Rig{T: t, Program: program, Log: &LockedBuffer{}, Exited: make(chan error, 1), Sockets: 1024, MemoryMB: 192}
--- a/ledger/loads/loads.go
+++ b/ledger/loads/loads.go
@@ -5,8 +5,9 @@
 // In terms of what clients and engines see in true time, with M the time at which a command is committed:
 //
 //  1. No attempt of a load reaches an engine unless a Start of its owner, in the epoch in force, was committed before. So
-//     after a load was adopted (epoch + 1), has an outcome, or was taken out, nothing of the earlier owner begins: a Start
-//     that it still asks for is denied, whatever it believes.
+//     after a load was adopted, has an outcome, or was taken out, nothing of the earlier owner begins: a Start that it still
+//     asks for is denied, whatever it believes. An epoch is the place in the record at which an owner took the load, so none
+//     comes twice, not even where a load is taken out and taken anew: a command that comes late, or twice, meets another.
 //  2. A load with a committed Start is never adopted. Whoever finds one waits for its outcome; its owner alone goes on.
 //  3. A load has one outcome: the first committed. It and its rows are what every later repeat is told, until it is forgotten.
 //  4. Of one key, a Start is granted only to the load that stands first in the order of commits; it leaves the line with its
@@ -165,11 +166,11 @@
 		case l.owner == asker:
 			if l.phase == Waiting && l.call != c.Call { // another try of it, whose client waits for longer
 				l.call, l.ttl, l.changed, l.taken, l.at = c.Call, c.TTL, at.Index, at.Now, at.Now
+				l.epoch = at.Index
 			}
 		case l.phase == Waiting && c.Adopt:
 			at.Note(l.owner, l.once)
-			l.owner, l.call, l.ttl = asker, c.Call, c.TTL
-			l.epoch++
+			l.owner, l.call, l.ttl, l.epoch = asker, c.Call, c.TTL, at.Index
 			l.changed, l.taken, l.at, l.orphan = at.Index, at.Now, at.Now, 0
 		case !slices.Contains(l.watchers, asker):
 			l.watchers = append(l.watchers, asker)
@@ -178,7 +179,7 @@
 		return l, OK
 	}
 	l = &load{once: c.Once, key: c.Key, tenant: c.Tenant, class: c.Class, digest: c.Digest, call: c.Call, ttl: c.TTL,
-		place: at.Index, owner: asker, epoch: 1, phase: Waiting, changed: at.Index, taken: at.Now, at: at.Now}
+		place: at.Index, owner: asker, epoch: at.Index, phase: Waiting, changed: at.Index, taken: at.Now, at: at.Now}
 	if s.bytes+l.size() > s.o.Bytes {
 		return nil, Full
 	}
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -24,6 +24,7 @@
 
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -89,23 +90,27 @@
 	conf    *raftpb.ConfState
 	err     error // why it is a copy no longer
 
-	now      Micros
-	nextTick Micros
-	token    uint64
-	saving   map[uint64]save
-	actions  []Action
-	routes   map[route]Micros
-	pruned   Micros
-	logBytes int
-	dueAt    Micros
-	gone     func(Incarnation) bool
-	keeper   keeper
+	now        Micros
+	nextTick   Micros
+	token      uint64
+	saving     map[uint64]save
+	actions    []Action
+	routes     map[route]Micros
+	pruned     Micros
+	logBytes   int
+	dueAt      Micros
+	gone       func(Incarnation) bool
+	keeper     keeper
+	handedOver Micros
 	// Elections counts how often this copy asked for votes, Commits the commands applied, Differing the copies seen to differ.
 	Elections, Commits, Snapshots, Differing int
-	lastState                                raft.StateType
+	// HandOvers counts how often it let another lead for the sake of its disk.
+	HandOvers int
+	lastState raft.StateType
 }
 
 type save struct {
+	at        Micros
 	entries   []*raftpb.Entry
 	state     *raftpb.HardState
 	snapshot  *raftpb.Snapshot
@@ -321,6 +326,7 @@
 	if r.node.BasicStatus().RaftState == raft.StateLeader {
 		r.keeper.step(r, present)
 		r.lapse()
+		r.handOver()
 	} else {
 		r.keeper.reset()
 		r.dueAt = 0
@@ -329,6 +335,34 @@
 	r.ready()
 }
 
+const (
+	slowTicks = 4  // that a leader's write may take before another should lead
+	restTicks = 40 // between two such hand-overs
+)
+
+// handOver has another lead where this copy's disk is slow: a leader carries out no command before it has stored it itself,
+// so that its disk alone would set the pace of all, though the others are a majority without it.
+func (r *Replica) handOver() {
+	slow := false
+	for _, s := range r.saving {
+		slow = slow || r.now-s.at >= slowTicks*r.cfg.Tick
+	}
+	if !slow || r.now < r.handedOver+restTicks*r.cfg.Tick {
+		return
+	}
+	var to, match uint64
+	r.node.WithProgress(func(id uint64, kind raft.ProgressType, p tracker.Progress) {
+		if kind == raft.ProgressTypePeer && id != r.cfg.ID && p.RecentActive && (p.Match > match || p.Match == match && id < to) {
+			to, match = id, p.Match
+		}
+	})
+	if to != 0 {
+		r.handedOver = r.now
+		r.HandOvers++
+		r.node.TransferLeader(to)
+	}
+}
+
 // lapse proposes what time alone calls for. A new leader gives what is under way a moment first.
 func (r *Replica) lapse() {
 	if r.dueAt == 0 {
@@ -481,6 +515,7 @@
 
 func (r *Replica) save(s save, reset bool) {
 	r.token++
+	s.at = r.now
 	r.saving[r.token] = s
 	r.actions = append(r.actions, Save{Token: r.token, Group: r.group, Entries: s.entries, State: s.state, Snapshot: s.snapshot,
 		Reset: reset})
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,86 @@
+package member_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"chutechute/member"
+)
+
+const ms = 1000
+
+func set() *member.Set {
+	return member.New(member.Config{Suspect: 600 * ms, Dead: 3000 * ms, Pause: 300 * ms}, map[string]string{"b": "x", "c": "y"})
+}
+
+// run lets time pass in ticks; each is called with the time.
+func run(s *member.Set, from, to member.Micros, each func(now member.Micros)) {
+	for now := from; now <= to; now += 100 * ms {
+		each(now)
+		s.Tick(now)
+	}
+}
+
+// Who is silent here and heard elsewhere is cut off, not dead; who is silent everywhere is suspected and then dead; one
+// heartbeat refutes both.
+func TestSilence(t *testing.T) {
+	s := set()
+	hears := true
+	both := func(now member.Micros) {
+		s.Heard(now, "b", 1, 0, false, nil)
+		s.Heard(now, "c", 2, 0, false, []member.Report{{Name: "b", Incarnation: 1}})
+	}
+	onlyC := func(now member.Micros) {
+		var r []member.Report
+		if hears {
+			r = append(r, member.Report{Name: "b", Incarnation: 1, Age: 50 * ms})
+		}
+		s.Heard(now, "c", 2, 0, false, r)
+	}
+	run(s, 0, 1000*ms, both)
+	assert.Equal(t, member.Alive, s.Of("b").State)
+	run(s, 1100*ms, 6000*ms, onlyC)
+	assert.Equal(t, member.Cut, s.Of("b").State)
+	assert.False(t, s.Gone(1))
+	hears = false
+	run(s, 6100*ms, 7500*ms, onlyC)
+	assert.Equal(t, member.Suspect, s.Of("b").State)
+	run(s, 7600*ms, 10500*ms, onlyC)
+	assert.Equal(t, member.Dead, s.Of("b").State)
+	assert.True(t, s.Gone(1))
+	run(s, 10600*ms, 10700*ms, both)
+	assert.Equal(t, member.Alive, s.Of("b").State)
+	assert.False(t, s.Gone(1))
+}
+
+// A process that has stood still has heard nobody, which says nothing of the others.
+func TestOwnPause(t *testing.T) {
+	s := set()
+	run(s, 0, 1000*ms, func(now member.Micros) { s.Heard(now, "b", 1, 0, false, nil) })
+	s.Tick(20_000 * ms)
+	assert.Equal(t, member.Alive, s.Of("b").State)
+}
+
+// A name that has come back with another process: the earlier is gone for certain, and what comes late of it counts for
+// nothing, in whichever order the two are heard.
+func TestLaterIncarnation(t *testing.T) {
+	s := set()
+	assert.True(t, s.Heard(100*ms, "b", 1, 50*ms, false, nil))
+	assert.True(t, s.Heard(200*ms, "b", 2, 150*ms, false, nil))
+	assert.False(t, s.Heard(300*ms, "b", 1, 50*ms, false, nil))
+	assert.True(t, s.Gone(1))
+	assert.False(t, s.Gone(2))
+	s = set()
+	assert.True(t, s.Heard(200*ms, "b", 2, 150*ms, false, nil))
+	assert.False(t, s.Heard(300*ms, "b", 1, 50*ms, false, nil), "a heartbeat of before that comes late")
+	assert.Equal(t, uint64(2), s.Of("b").Incarnation)
+}
+
+// Who says that it leaves has left once it is silent, without being suspected first.
+func TestLeaving(t *testing.T) {
+	s := set()
+	run(s, 0, 500*ms, func(now member.Micros) { s.Heard(now, "b", 1, 0, now > 300*ms, nil) })
+	run(s, 600*ms, 1300*ms, func(member.Micros) {})
+	assert.Equal(t, member.Left, s.Of("b").State)
+}
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,140 @@
+package peer_test
+
+import (
+	"bytes"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chutechute/internal/standin"
+	"chutechute/peer"
+)
+
+func TestMain(m *testing.M) { os.Exit(standin.Seeded(m)) }
+
+func pair(secretA, secretB peer.Secret) (*peer.Dialler, *peer.Listener) {
+	self := func(name string, n uint64) *peer.Identity {
+		return &peer.Identity{Site: "s", Name: name, Incarnation: n, Copy: n, Oldest: 1, Newest: 1, Settings: []byte("x")}
+	}
+	return &peer.Dialler{Self: self("a", 1), To: "b", Secret: secretA}, &peer.Listener{Self: self("b", 2), Secret: secretB,
+		Known: func(name string) bool { return name == "a" }}
+}
+
+// open goes through the hello of both sides.
+func open(d *peer.Dialler, l *peer.Listener) error {
+	d.Feed(l.Greet([16]byte{1, 2, 3}, 1<<20))
+	hello, err := d.Take()
+	if err != nil {
+		return err
+	}
+	l.Feed(hello)
+	welcome, _, err := l.Take()
+	if err != nil {
+		return err
+	}
+	d.Feed(welcome)
+	_, err = d.Take()
+	return err
+}
+
+// Messages come whole and in the order of their kind, however the bytes are cut, and a part that comes twice does no harm.
+func TestMessagesComeWhole(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d, l := pair(peer.Secret("k"), peer.Secret("k"))
+		require.NoError(t, open(d, l))
+		require.True(t, d.Open() && l.Open())
+		q := peer.Queue{MostUrgent: 1 << 20, MostBulk: 1 << 22}
+		twice := rapid.Bool().Draw(rt, "frames come twice")
+		var want [][]byte
+		for i := range rapid.IntRange(1, 6).Draw(rt, "messages") {
+			body := bytes.Repeat([]byte{byte(i + 1)}, rapid.IntRange(0, 3*peer.MostBody).Draw(rt, "size"))
+			if q.Push(peer.Ledger, true, body) {
+				want = append(want, body)
+			}
+		}
+		var wire []byte
+		for frame := q.Pop(); frame != nil; frame = q.Pop() {
+			wire = append(wire, frame...)
+			if twice && rapid.Bool().Draw(rt, "twice") {
+				wire = append(wire, frame...)
+			}
+		}
+		var got [][]byte
+		for len(wire) > 0 {
+			n := min(len(wire), rapid.IntRange(1, 100_000).Draw(rt, "cut"))
+			l.Feed(wire[:n])
+			wire = wire[n:]
+			_, list, err := l.Take()
+			if err != nil { // a last part that comes twice follows nothing: the link ends
+				require.True(rt, twice, "%v", err)
+				require.ErrorIs(rt, err, peer.ErrPart)
+				break
+			}
+			for _, m := range list {
+				got = append(got, m.Body)
+			}
+		}
+		if !twice {
+			require.Equal(rt, len(want), len(got))
+		}
+		next := 0
+		for _, body := range got { // each is one that was sent, whole, and none comes before one that was sent earlier
+			for next < len(want) && !bytes.Equal(want[next], body) {
+				next++
+			}
+			require.Less(rt, next, len(want))
+		}
+	})
+}
+
+// A heartbeat goes before bulk that waits, and only the newest one.
+func TestBulkDelaysNoHeartbeat(t *testing.T) {
+	q := peer.Queue{MostUrgent: 1 << 20, MostBulk: 1 << 22}
+	require.True(t, q.Push(peer.Ledger, true, make([]byte, 10*peer.MostBody)))
+	q.Pop()
+	require.True(t, q.Push(peer.Status, false, []byte("old")))
+	require.True(t, q.Push(peer.Status, false, []byte("new")))
+	assert.Contains(t, string(q.Pop()), "new")
+	assert.Greater(t, len(q.Pop()), peer.MostBody)
+	assert.False(t, q.Push(peer.Ledger, true, make([]byte, 1<<22)), "the queue has a bound")
+	assert.Equal(t, 1, q.Dropped)
+}
+
+// Rubbish, lies about lengths and strangers end a link with an error, and never more than that.
+func TestRubbishEndsTheLink(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d, l := pair(nil, nil)
+		if rapid.Bool().Draw(rt, "open") {
+			require.NoError(t, open(d, l))
+		} else {
+			l.Greet([16]byte{}, 1<<20)
+		}
+		l.Feed(rapid.SliceOfN(rapid.Byte(), 0, 300).Draw(rt, "bytes"))
+		_, list, err := l.Take()
+		if err == nil && !l.Open() {
+			assert.Empty(t, list)
+		}
+	})
+	d, l := pair(peer.Secret("right"), peer.Secret("wrong"))
+	assert.ErrorIs(t, open(d, l), peer.ErrProof)
+	d, l = pair(nil, nil)
+	d.Self.Settings = []byte("other")
+	assert.ErrorIs(t, open(d, l), peer.ErrSettings)
+	d, l = pair(nil, nil)
+	d.Self.Site = "other"
+	assert.ErrorIs(t, open(d, l), peer.ErrSite)
+	d, l = pair(nil, nil)
+	d.Self.Oldest, d.Self.Newest = 7, 9
+	assert.ErrorIs(t, open(d, l), peer.ErrVersion)
+	d, l = pair(nil, nil)
+	d.Self.Name = "stranger"
+	assert.ErrorIs(t, open(d, l), peer.ErrName)
+	l = &peer.Listener{Self: l.Self}
+	l.Greet([16]byte{}, 1<<20)
+	l.Feed([]byte{0xff, 0xff, 0xff, 0xff, 2, 0, 0, 0, 0, 0})
+	_, _, err := l.Take()
+	assert.ErrorIs(t, err, peer.ErrLength)
+}
