--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -52,18 +52,9 @@
 }
 
 func (s *Server) listen() error {
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := listenAt(s.cfg.Listen)
 	if err != nil {
-		return fmt.Errorf("listen: socket: %w", err)
-	}
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
-		return fmt.Errorf("listen: SO_REUSEADDR: %w", err)
-	}
-	if err := unix.Bind(fd, sockaddr(s.cfg.Listen)); err != nil {
-		return fmt.Errorf("listen: bind %s: %w", s.cfg.Listen, err)
-	}
-	if err := unix.Listen(fd, backlog); err != nil {
-		return fmt.Errorf("listen: %s: %w", s.cfg.Listen, err)
+		return fmt.Errorf("listen: %w", err)
 	}
 	bound, err := unix.Getsockname(fd)
 	if err != nil {
@@ -76,6 +67,25 @@
 	return s.loop.add(fd, unix.EPOLLIN, s.listener)
 }
 
+// listenAt opens a socket that listens at an address.
+func listenAt(addr netip.AddrPort) (int, error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return -1, fmt.Errorf("socket: %w", err)
+	}
+	if err = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err == nil {
+		err = unix.Bind(fd, sockaddr(addr))
+	}
+	if err == nil {
+		err = unix.Listen(fd, backlog)
+	}
+	if err != nil {
+		unix.Close(fd)
+		return -1, fmt.Errorf("%s: %w", addr, err)
+	}
+	return fd, nil
+}
+
 // ready accepts all who wait, and reads at once what they have already sent: the order of requests is
 // that of their last bytes, and a connection read only in the next turn could lose its place.
 func (l *listener) ready(uint32) {
--- a/internal/epoll/links.go
+++ b/internal/epoll/links.go
@@ -198,18 +198,9 @@
 }
 
 func newPeerListener(p *peers) (*peerListener, error) {
-	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	fd, err := listenAt(p.cfg.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("fleet: socket: %w", err)
-	}
-	if err := unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1); err != nil {
-		return nil, fmt.Errorf("fleet: SO_REUSEADDR: %w", err)
-	}
-	if err := unix.Bind(fd, sockaddr(p.cfg.Listen)); err != nil {
-		return nil, fmt.Errorf("fleet: bind %s: %w", p.cfg.Listen, err)
-	}
-	if err := unix.Listen(fd, backlog); err != nil {
-		return nil, fmt.Errorf("fleet: %s: %w", p.cfg.Listen, err)
+		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	l := &peerListener{p, fd}
 	return l, p.s.loop.add(fd, unix.EPOLLIN, l)
