--- a/fleet/desk.go
+++ b/fleet/desk.go
@@ -49,9 +49,6 @@
 // Asked is how many questions were put so far.
 func (n *Node) Asked() int { return int(n.desk.seq) }
 
-// Asking is how many questions are open.
-func (n *Node) Asking() int { return len(n.desk.open) }
-
 func (d *desk) forget(id uint64) {
 	if _, ok := d.open[id]; ok {
 		delete(d.open, id)
--- a/internal/epoll/admin.go
+++ b/internal/epoll/admin.go
@@ -158,6 +158,8 @@
 	Elections   int            `json:"elections"`
 	Commits     int            `json:"commits"`
 	Snapshots   int            `json:"snapshots"`
+	HandOvers   int            `json:"hand_overs"` // of the lead, as its disk was slow
+	Relayed     int            `json:"relayed"`    // messages by way of a third front end
 	Loads       int            `json:"loads"`
 	LoadBytes   int            `json:"load_bytes"`
 	Held        int            `json:"held"`
@@ -190,7 +192,7 @@
 	f := FleetStatus{Site: p.cfg.Site, Name: p.cfg.Name, Incarnation: hex(p.self.Incarnation), Copy: hex(r.ID()),
 		Lasting: p.cfg.Folder != "", Group: hex(r.Group()), Role: "none", Leader: p.node.NameOf(r.Leader()), Term: r.Term(),
 		Applied: index, Sum: hex(sum), Differing: r.Differing, Elections: r.Elections, Commits: r.Commits,
-		Snapshots: r.Snapshots, Loads: p.loads.Len(), LoadBytes: p.loads.Bytes(), Held: p.desk.Len(),
+		Snapshots: r.Snapshots, HandOvers: r.HandOvers, Relayed: p.node.Relayed, Loads: p.loads.Len(), LoadBytes: p.loads.Bytes(), Held: p.desk.Len(),
 		Copies: []FleetCopy{}, Members: []FleetMembers{}}
 	voters, learners := r.Members()
 	switch {
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -65,6 +65,9 @@
 			p.failed(err)
 		default:
 			c.Copies.ID = p.store.Number()
+			if p.store.Cut > 0 {
+				slog.Warn("a write to the record's log had not come to its end and was cut off", "bytes", p.store.Cut)
+			}
 			if p.store.SetAside != "" {
 				s.count.StoreErrors++
 				slog.Error("the record's file could not be trusted and was set aside; this is an empty disk now", "file", p.store.SetAside)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -33,7 +33,6 @@
 	Dir     string
 	Lasting bool           // the record is kept in folders
 	Section map[string]any // what the fleet's section sets besides
-	Args    []string
 	relays  map[[2]int]*Relay
 	journal net.Listener
 	calls   atomic.Int64
@@ -43,19 +42,18 @@
 
 // Front is one front end of a fleet.
 type Front struct {
-	F       *Fleet
-	N       int
-	Name    string
-	Zone    string
-	Listen  string // for clients
-	Peer    string // for other front ends
-	Folder  string
-	Admin   string
-	Cmd     *exec.Cmd
-	Log     *LockedBuffer
-	Program string
-	Starts  int
-	alive   bool
+	F      *Fleet
+	N      int
+	Name   string
+	Zone   string
+	Listen string // for clients
+	Peer   string // for other front ends
+	Folder string
+	Admin  string
+	Cmd    *exec.Cmd
+	Log    *LockedBuffer
+	Starts int
+	alive  bool
 }
 
 var nets atomic.Int64
@@ -193,12 +191,7 @@
 		require.NoError(t, os.WriteFile(path, text, 0o600))
 		return path
 	}
-	program := n.F.Program
-	if n.Program != "" {
-		program = n.Program
-	}
-	n.Cmd = exec.Command(program, append([]string{"serve", "--installation", write("installation",
-		map[string]any{"fleet": section})}, n.F.Args...)...)
+	n.Cmd = exec.Command(n.F.Program, "serve", "--installation", write("installation", map[string]any{"fleet": section}))
 	n.Cmd.Env = []string{"NODE_CONFIG=" + write("config", config)}
 	if n.Log == nil {
 		n.Log = &LockedBuffer{}
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -233,13 +233,14 @@
 
 // Snapshot is the state as of the last command that was carried out and stands in the log.
 func (s shown) Snapshot() (*raftpb.Snapshot, error) {
-	if last, err := s.LastIndex(); err == nil && last >= s.r.machine.index {
-		_, err := s.CreateSnapshot(s.r.machine.index, s.r.conf, s.r.machine.snapshot())
-		if err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
-			return nil, err
-		}
+	kept, err := s.MemoryStorage.Snapshot()
+	if err != nil || kept.GetMetadata().GetIndex() >= s.r.machine.index {
+		return kept, err
+	}
+	if last, err := s.LastIndex(); err != nil || last < s.r.machine.index {
+		return kept, err
 	}
-	return s.MemoryStorage.Snapshot()
+	return s.CreateSnapshot(s.r.machine.index, s.r.conf, s.r.machine.snapshot())
 }
 
 // Group is the record's number; 0 while this is no copy.
