--- a/decide/api.go
+++ b/decide/api.go
@@ -255,7 +255,7 @@
 		Elapsed Micros
 		Load    *Load
 	}
-	// PeerSaid is a message from another gateway.
+	// PeerSaid is a message from another gateway of the simulator. Gateways have nothing to tell each other there.
 	PeerSaid struct {
 		From int
 		Body []byte
@@ -264,9 +264,6 @@
 	Timer struct{ Token string }
 )
 
-// Everyone is Tell.To for all other gateways.
-const Everyone = -1
-
 // Action is one of the action types below.
 type Action any
 
@@ -298,11 +295,6 @@
 	Fail struct{ ID uint64 }
 	// Probe asks an engine for a sign of life and its load.
 	Probe struct{ Engine string }
-	// Tell sends a message of at most 256 bytes to the gateway of that rank, or to Everyone else.
-	Tell struct {
-		To   int
-		Body []byte
-	}
 	// Subscribe asks for list changes from now on.
 	Subscribe struct{}
 	// FetchList asks for the complete list once.
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,8 +1,7 @@
 // The decisions. The types that go in and out are in api.go.
 //
-// Reading order: the constants; Step; report and takeSum (what gateways tell each
-// other); request and price (ExecTime, deadline); release and next (group EDF);
-// choose (hash order and spill); admissible (the rules' guards, passed by every
+// Reading order: the constants; Step; request and price (ExecTime, deadline);
+// release and next (group EDF); choose (hash order and spill); admissible (the rules' guards, passed by every
 // send); outcome; then sweep: what time alone brings about.
 package decide
 
@@ -19,17 +18,10 @@
 	spill       = 1.25 // an engine above this multiple of the mean is passed over
 	shareFactor = 1.6  // threads a core, over all gateways, that an engine holds under pressure
 
-	toldShare = 1.6 // threads a core where they are told
-	hardShare = 2.0 // times the share that binds without pressure too
-
-	slot        = Second / 4  // between two sums of what all gateways have in hand
-	quietSlots  = 4           // one sum in so many is told while nothing waits anywhere: messages have a price
-	slotWait    = Second / 20 // for the reports of a slot to reach its collector
-	surge       = 1.4         // times the quotas that clients ask for in an overload, retries included
-	startSpread = 8.0         // threads an engine up to which many gateways begin unalike: else all begin alike
-	recentMost  = 4.0         // sends an engine that are looked back on: at full size few are in hand at once
-
-	toldFor = 2 * Second // a sum older than this is nothing to go by
+	hardShare   = 2.0 // times the share that binds without pressure too
+	surge       = 1.4 // times the quotas that clients ask for in an overload, retries included
+	startSpread = 8.0 // threads an engine up to which many gateways begin unalike: else all begin alike
+	recentMost  = 4.0 // sends an engine that are looked back on: at full size few are in hand at once
 
 	ownChoice  = 1.25 // times the told memory: what an engine grants of itself
 	shareBurst = 2.0  // seconds of a tenant's share that may come at once, and two queries at least
@@ -75,8 +67,7 @@
 	d := &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 1)), byName: map[string]*engine{},
 		orders: map[int][]*engine{}, queries: map[uint64]*query{}, lines: map[string]*line{},
 		popular: newPopular(), probeAt: map[string]Micros{},
-		fullAt: -fullMemory, median: 1, toldAt: -toldFor,
-		reported: newLedger(len(cfg.Classes)), mine: newLedger(len(cfg.Classes))}
+		fullAt: -fullMemory, median: 1}
 	for _, c := range cfg.Classes {
 		k := &class{Class: c, best: math.Inf(1), work: float64(c.Aim) * float64(c.Threads), scatter: 1}
 		d.classes = append(d.classes, k)
@@ -99,9 +90,8 @@
 	d.survey()
 	d.release()
 	d.keepListed()
-	if !d.slotted {
-		d.slotted, d.startedAt = true, now
-		d.nextSlot()
+	if !d.started {
+		d.started, d.startedAt = true, now
 	}
 	if !d.armed && (len(d.held) > 0 || len(d.sent) > 0) {
 		d.armed = true
@@ -148,100 +138,14 @@
 				d.eject(e)
 			}
 		}
-	case PeerSaid:
-		if sum := d.peers.take(ev.Body, byte(d.now/slot), len(d.classes)); sum != nil {
-			d.takeSum(sum)
-		}
 	case Timer:
-		switch ev.Token {
-		case "sweep":
+		if ev.Token == "sweep" {
 			d.armed = false
 			d.sweep()
-		case "slot":
-			d.report()
-		case "collect":
-			d.collect()
 		}
 	}
 }
 
-// report tells the collector of this slot of time, a gateway that all draw alike, what this gateway has
-// in hand, holds and has measured; the collector tells all the sum. So load is known however thinly the
-// traffic is spread over gateways. Hung and slow engines show too, as what they hold piles up. A
-// collector that is dead or cut off costs one slot; without a sum for toldFor each goes by its own
-// threads again.
-func (d *Dispatcher) report() {
-	d.nextSlot()
-	d.threadsReported = 0
-	for _, q := range d.held {
-		d.mine.classes[q.Request.Class].waits += q.class.Threads
-	}
-	for _, e := range d.engines {
-		e.reported = e.threads
-		d.threadsReported += e.threads
-		if e.threads > 0 {
-			d.mine.threads[e.key()] += e.threads
-		}
-	}
-	d.reported, d.mine, d.peers = d.mine, newLedger(len(d.classes)), exchange{}
-	to := int(mix(uint64(d.now/slot)) % uint64(d.cfg.Gateways))
-	if to != d.cfg.Rank {
-		d.tell(kindReport, byte(d.now/slot), to, d.reported)
-		return
-	}
-	d.peers.sum = newLedger(len(d.classes))
-	d.peers.sum.add(d.reported)
-	d.do(SetTimer{At: d.now + slotWait, Token: "collect"})
-}
-
-// nextSlot sets the timer of the next slot, where there is a peer to tell.
-func (d *Dispatcher) nextSlot() {
-	if d.cfg.Limits.Peers && d.cfg.Gateways > 1 {
-		d.do(SetTimer{At: (d.now/slot + 1) * slot, Token: "slot"})
-	}
-}
-
-// collect tells the sum of the reports that came in time; seldom while all is quiet.
-func (d *Dispatcher) collect() {
-	if sum := d.peers.sum; sum != nil && (d.now/slot%quietSlots == 0 || d.pressure() || sum.waits() > 0) {
-		d.tell(kindSum, byte(d.now/slot), Everyone, sum)
-		d.takeSum(sum)
-		d.peers.sum = nil
-	}
-}
-
-// takeSum takes what others have in hand and have measured from the sum over all. Where more waits than
-// there is room for, room goes to the classes of the least ExecTime first, as group EDF would have it
-// over all gateways, and within a class by lot.
-func (d *Dispatcher) takeSum(sum *ledger) {
-	d.toldAt = d.now
-	room := 0.0
-	for _, e := range d.engines {
-		e.others = max(0, sum.threads[e.key()]-e.reported)
-		if !e.gone && !e.out {
-			room += toldShare*d.size(e) - float64(d.threads(e))
-		}
-	}
-	for i, c := range d.classes {
-		others, ahead := sum.classes[i].less(d.reported.classes[i]), 0
-		if n := float64(others.count); n > 0 {
-			d.move(c, n, others.latency/n, others.estimate/n)
-		}
-		for j, t := range sum.classes {
-			if d.classes[j].latency < c.latency {
-				ahead += t.waits
-			}
-		}
-		c.chance = (room - float64(ahead)) / float64(max(1, sum.classes[i].waits))
-	}
-	for _, q := range d.held {
-		q.lot = d.rng.Float64()
-	}
-}
-
-// told says whether a sum is new enough to go by.
-func (d *Dispatcher) told() bool { return d.now-d.toldAt < toldFor }
-
 // list takes over what a list says of the engines.
 func (d *Dispatcher) list(l List) {
 	if l.Kind == ListFailed {
@@ -310,7 +214,7 @@
 func (d *Dispatcher) request(r Request) {
 	c := d.classes[r.Class]
 	q := &query{Request: r, class: c, arrived: d.now, asked: d.now, held: true, priority: -1}
-	q.lot, c.guessed = d.rng.Float64(), c.guessed || r.Guessed
+	c.guessed = c.guessed || r.Guessed
 	if c.estimate == 0 { // the first query seeds the ratio to the class's aim
 		c.estimate, c.latency = q.estimate(), float64(c.Aim)
 	}
@@ -413,14 +317,10 @@
 	return best
 }
 
-// hasPlace says whether a query may leave: as told by its lot or in the place of another of this
-// gateway, else within the gateway's part of the fleet's share. That is over all engines, as an engine's
-// is less than one query where there are many gateways, and leaves aside longer classes, so that one
-// long query does not hold up short ones.
+// hasPlace says whether a query may leave within the gateway's part of the fleet's share. That is over all
+// engines, as an engine's is less than one query where there are many gateways, and leaves aside longer
+// classes, so that one long query does not hold up short ones.
 func (d *Dispatcher) hasPlace(q *query) bool {
-	if d.told() {
-		return q.lot <= q.class.chance || d.threadsOut < d.threadsReported
-	}
 	threads := 0
 	for _, c := range d.classes {
 		if c.latency <= q.class.latency {
@@ -575,11 +475,10 @@
 	return order
 }
 
-// load is the threads on the engine, a core: this gateway's own, others' as far as told, and, the
-// thinner these are spread, what was sent lately: all gateways share the hash order, so what one would
+// load is this gateway's own threads on the engine, a core, and, the thinner these are spread, what was sent lately: all gateways share the hash order, so what one would
 // pile up, all would, and what each keeps even is even over all.
 func (d *Dispatcher) load(e *engine) float64 {
-	return (float64(d.threads(e)) + d.thin*d.recent(e)) / d.size(e)
+	return (float64(e.threads) + d.thin*d.recent(e)) / d.size(e)
 }
 
 // size is the cores that an engine is worth: fewer while cold, or while slower than its peers.
@@ -614,7 +513,7 @@
 		if !e.gone && !e.out {
 			slow = append(slow, e.slow)
 			size := d.size(e)
-			threads, load, sizes = threads+d.threads(e), load+d.load(e)*size, sizes+size
+			threads, load, sizes = threads+e.threads, load+d.load(e)*size, sizes+size
 			cores += e.cores * d.warmth(e)
 		}
 	}
@@ -627,15 +526,12 @@
 	d.places = d.share * cores
 }
 
-// pastShare says whether the engine runs its share and the spill: over all gateways as far as told, or
-// else this gateway's part, which longer classes do not take from shorter ones while no engine is full.
+// pastShare says whether the engine runs this gateway's part of its share, which longer classes do not take
+// from shorter ones while no engine is full.
 func (d *Dispatcher) pastShare(q *query, e *engine) bool {
 	if d.now-e.fullAt < fullMemory && d.now-e.sentAt < fullPause { // else what it refuses makes it look idle
 		return true
 	}
-	if d.told() { // the whole engine is the share of all
-		return float64(d.threads(e)) >= spill*toldShare*d.size(e)
-	}
 	full := e.memory > 0 && ownChoice*e.granted*shareFactor >= e.memory*d.share
 	threads := e.threads
 	if d.now-d.fullAt >= fullMemory {
@@ -871,19 +767,9 @@
 	price := d.price(q)
 	latency = min(latency, clip*price)
 	q.class.scatter += decay * (math.Abs(latency/price-1) - q.class.scatter)
-	m := &d.mine.classes[q.Request.Class]
-	m.count, m.latency, m.estimate = m.count+1, m.latency+latency, m.estimate+q.estimate()
-	d.move(q.class, 1, latency, q.estimate())
-}
-
-// move takes a number of measures, of that mean, into the class's ratio.
-func (d *Dispatcher) move(c *class, n, latency, estimate float64) {
-	weight := 1 - math.Pow(1-decay, n)
-	if c.estimate == 0 {
-		weight = 1
-	}
-	c.latency += weight * (latency - c.latency)
-	c.estimate += weight * (estimate - c.estimate)
+	c := q.class
+	c.latency += decay * (latency - c.latency)
+	c.estimate += decay * (q.estimate() - c.estimate)
 	c.best = min(c.best, c.latency/c.estimate, bestOfAim*float64(c.aimFor(c.work))/c.estimate)
 	if c.guessed { // by estimates that were too high and have been put right, load would be seen for good
 		c.best = max(c.best, guessedBest/float64(c.Threads))
--- a/decide/state.go
+++ b/decide/state.go
@@ -39,14 +39,9 @@
 	share            float64           // threads a core that this gateway may run
 	thin             float64           // nearly 1 where engines hold less than a thread each, as far as known
 	armed            bool              // the sweep timer is set
-	slotted          bool              // the slot timer is set
+	started          bool
 	startedAt        Micros
-
-	toldAt                      Micros   // when the last sum was told
-	sends                       int      // so far
-	threadsOut, threadsReported int      // own threads in hand, now and in the last report
-	mine, reported              *ledger  // this gateway's next report and its last
-	peers                       exchange // messages of this slot
+	sends            int // so far
 
 	subscribeAt Micros // when to ask for the list again
 	listTimer   Micros // the last timer set for it
@@ -73,8 +68,6 @@
 	own      int     // own attempts in hand
 	recent   float64 // threads sent lately, as of send recentAt
 	recentAt int
-	reported int         // own in the last report
-	others   int         // others' in the last sum
 	loading  map[int]int // own loads in hand, by table group
 
 	slow     float64 // decayed latency over ExecTime
@@ -107,7 +100,6 @@
 	guessed           bool    // some of its costs are the gateway's own estimates
 	own               int     // attempts out
 	lost              int     // threads of them on engines that are out or gone
-	chance            float64 // of a held query to find room, by the last sum
 	work              float64 // usual work of one query
 }
 
@@ -132,7 +124,6 @@
 	attempts []attempt
 	open     int // attempts without outcome
 	priority int
-	lot      float64 // for a place that others want too
 }
 
 // attempt is one send of a query.
@@ -236,13 +227,6 @@
 	return e.recent * math.Exp(float64(e.recentAt-d.sends)/(recentMost*float64(len(d.engines))))
 }
 
-func (d *Dispatcher) threads(e *engine) int {
-	if d.told() {
-		return e.threads + e.others
-	}
-	return e.threads
-}
-
 // zone is the engines of a zone that are not gone.
 func (d *Dispatcher) zone(name string) (list []*engine) {
 	for _, e := range d.engines {
@@ -308,7 +292,6 @@
 		e.byClass = append(e.byClass, 0)
 	}
 	e.byClass[q.Request.Class] += n * q.class.Threads
-	d.threadsOut += n * q.class.Threads
 	e.granted += float64(n) * q.MemoryMB
 }
 
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"encoding/base64"
 	"encoding/json"
 	"strconv"
 
@@ -42,14 +41,6 @@
 		case decide.Probe:
 			r.open("ask_load", instance)
 			r.text(a.Engine)
-		case decide.Tell:
-			r.open("say", instance)
-			if a.To == decide.Everyone {
-				r.raw("null")
-			} else {
-				r.raw(strconv.Itoa(a.To))
-			}
-			r.text(base64.StdEncoding.EncodeToString(a.Body))
 		case decide.Subscribe:
 			r.open("subscribe", instance)
 			r.raw("true")
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -111,10 +111,10 @@
 	}
 	r.Add(3, []decide.Action{decide.Send{ID: 1 << 51, Engine: "e", Timeout: 80_000}, decide.Terms{ID: 2, GrantMB: 64, Priority: 3},
 		decide.Cancel{ID: 2, Attempt: 1}, decide.Refuse{ID: 3, After: 250_000}, decide.Fail{ID: 4}, decide.Probe{Engine: "e"},
-		decide.Tell{To: decide.Everyone, Body: []byte("hi")}, decide.Tell{To: 4, Body: []byte("hi")}, decide.Subscribe{}, decide.FetchList{}, decide.SetTimer{At: 1_500_000, Token: "t"},
+		decide.Subscribe{}, decide.FetchList{}, decide.SetTimer{At: 1_500_000, Token: "t"},
 		decide.Log{Text: `a "b"`}})
 	want := `{"cmds":[["place",3,2251799813685248,"e",0.08],["allot",3,2,64,3],["stop_attempt",3,2,1],["push_back",3,3,0.25],` +
-		`["report_failure",3,4],["ask_load",3,"e"],["say",3,null,"aGk="],["say",3,4,"aGk="],["subscribe",3,true],["list_all",3],` +
+		`["report_failure",3,4],["ask_load",3,"e"],["subscribe",3,true],["list_all",3],` +
 		`["remind",3,1.5,"t"],["remark",3,"a \"b\""]]}` + "\n"
 	if got := string(r.Line()); got != want {
 		t.Fatalf("got  %swant %s", got, want)
