Budgets, thinnest whole: the fleet's rates, places and windows divided by leases in the record

Each front end divided fleet-wide budgets by a guess at its part of the traffic: more than the whole in overloads, less where traffic is uneven. Now who holds what until when is a kind of the ledger (budget.Authority); each front end spends its lease and a static part from memory (budget/account), and decide is told its amounts as an event. Settings: fleet.budgets. Off without them.

--- /dev/null
+++ b/budget/snapshot.go
@@ -0,0 +1,296 @@
+package budget
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"chutechute/budget/account"
+	"chutechute/internal/proto"
+	"chutechute/ledger"
+)
+
+func sorted[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
+// Due gives what has lapsed and what is over, by this machine's clock.
+func (a *Authority) Due(now Micros, seen ledger.Presence) (list [][]byte) {
+	if a.set == nil {
+		return nil
+	}
+	put := func(c command) { list = append(list, c.encode()) }
+	for _, name := range sorted(a.specs) {
+		if s := a.specs[name]; !s.open && now-s.since >= a.quiet(name) {
+			put(command{Op: opOpen, Budget: name, Version: a.set.Version})
+		}
+	}
+	for _, h := range a.holders {
+		if h.replaced == 0 && seen.Replaced(h.who) {
+			h.replaced = now
+		}
+		switch {
+		case !h.lapsed && (now >= h.over || h.replaced != 0):
+			put(command{Op: opLapse, Who: h.who, N: h.n})
+		case h.lapsed && h.replaced != 0 && a.leaves(h, now-h.replaced, true):
+			put(command{Op: opFree, Who: h.who, N: h.n, Span: surely(now - h.replaced), Certain: true})
+		case h.lapsed && a.leaves(h, now-h.lapsedAt, false):
+			put(command{Op: opFree, Who: h.who, N: h.n, Span: surely(now - h.lapsedAt)})
+		}
+	}
+	return list
+}
+
+// quiet is how long a new record holds a budget back: what an earlier one granted of it may be in force until then.
+func (a *Authority) quiet(name string) Micros {
+	p := a.set.Of(name)
+	return certainly(a.set.Lease) + certainly(p.lingers())
+}
+
+// leaves says whether a span frees something that a lapsed holder had begun.
+func (a *Authority) leaves(h *holder, span Micros, certain bool) bool {
+	over := func(lingers Micros, kind account.Kind) bool {
+		if certain && kind == account.Places {
+			lingers = min(lingers, Unasked)
+		}
+		return span >= certainly(lingers)
+	}
+	for _, o := range h.holds {
+		if over(o.i.lingers, o.i.kind) {
+			return true
+		}
+	}
+	if !certain {
+		return false
+	}
+	for name := range h.statics {
+		p := a.set.Of(name)
+		if p == nil || over(p.lingers(), p.Kind) {
+			return true
+		}
+	}
+	return h.enrolled && len(h.statics) == 0
+}
+
+// Snapshot adds the whole state.
+func (a *Authority) Snapshot(b []byte) []byte {
+	if a.set == nil {
+		return b
+	}
+	b = proto.Bytes(b, 1, a.text)
+	for _, name := range sorted(a.specs) {
+		s := a.specs[name]
+		m := proto.String(nil, 1, name)
+		m = proto.Bool(m, 2, s.open)
+		m = proto.Uint(m, 3, s.changed)
+		m = proto.Bool(m, 4, s.added)
+		b = proto.Message(b, 2, m)
+	}
+	for _, k := range slices.SortedFunc(maps.Keys(a.insts), func(a, b key) int {
+		return cmp.Or(cmp.Compare(a.budget, b.budget), cmp.Compare(a.subject, b.subject))
+	}) {
+		i := a.insts[k]
+		m := proto.String(nil, 1, i.budget)
+		m = proto.String(m, 2, i.subject)
+		m = proto.Uint(m, 3, uint64(i.kind))
+		m = proto.Uint(m, 4, uint64(i.lingers))
+		m = proto.Uint(m, 5, i.change)
+		b = proto.Message(b, 3, m)
+	}
+	for _, h := range a.holders {
+		b = proto.Message(b, 4, h.encode())
+	}
+	return b
+}
+
+func (h *holder) encode() []byte {
+	var b []byte
+	b = proto.Uint(b, 1, uint64(h.who))
+	b = proto.String(b, 2, h.name)
+	b = proto.Uint(b, 3, h.n)
+	b = proto.Uint(b, 4, h.issue)
+	b = proto.Uint(b, 5, h.before)
+	b = proto.Bool(b, 6, h.lapsed)
+	b = proto.Bool(b, 7, h.enrolled)
+	b = proto.Uint(b, 8, h.static)
+	b = proto.Uint(b, 9, uint64(h.lease))
+	b = proto.Uint(b, 10, h.version)
+	for _, name := range sorted(h.statics) {
+		b = proto.Message(b, 11, h.statics[name].encode(proto.String(nil, 1, name)))
+	}
+	for _, o := range h.holds {
+		m := proto.String(nil, 1, o.i.budget)
+		m = proto.String(m, 2, o.i.subject)
+		m = o.pair.encode(m)
+		m = proto.Uint(m, 7, uint64(o.inUse))
+		m = proto.Uint(m, 8, uint64(o.want))
+		m = proto.Uint(m, 9, o.mark)
+		m = proto.Uint(m, 10, o.seen)
+		m = proto.Uint(m, 11, o.turn)
+		b = proto.Message(b, 12, m)
+	}
+	return b
+}
+
+func (p *pair) encode(b []byte) []byte {
+	b = proto.Uint(b, 3, uint64(p.prev.Much))
+	b = proto.Uint(b, 4, uint64(p.prev.Rate))
+	b = proto.Uint(b, 5, uint64(p.cur.Much))
+	return proto.Uint(b, 6, uint64(p.cur.Rate))
+}
+
+func (p *pair) decode(f proto.Field) {
+	switch f.Number {
+	case 3:
+		p.prev.Much = bounded(f.Uint)
+	case 4:
+		p.prev.Rate = bounded(f.Uint)
+	case 5:
+		p.cur.Much = bounded(f.Uint)
+	case 6:
+		p.cur.Rate = bounded(f.Uint)
+	}
+}
+
+// Restore takes a snapshot over. Its spans begin now, which is later than they did: nothing lapses or opens early.
+func (a *Authority) Restore(b []byte, now Micros) error {
+	*a = *NewAuthority(a.o)
+	a.now = now
+	states := map[string]*state{}
+	err := proto.Each(b, func(f proto.Field) error {
+		switch f.Number {
+		case 1:
+			a.text = f.Copy()
+			set, err := DecodeSet(a.text)
+			a.set = set
+			return err
+		case 2:
+			s, name := &state{since: now}, ""
+			err := proto.Each(f.Data, func(f proto.Field) error {
+				switch f.Number {
+				case 1:
+					name = f.Text()
+				case 2:
+					s.open = f.Uint != 0
+				case 3:
+					s.changed = f.Uint
+				case 4:
+					s.added = f.Uint != 0
+				}
+				return nil
+			})
+			states[name] = s
+			return err
+		case 3:
+			i := &inst{}
+			err := proto.Each(f.Data, func(f proto.Field) error {
+				switch f.Number {
+				case 1:
+					i.budget = f.Text()
+				case 2:
+					i.subject = f.Text()
+				case 3:
+					i.kind = account.Kind(bounded(f.Uint))
+				case 4:
+					i.lingers = bounded(f.Uint)
+				case 5:
+					i.change = f.Uint
+				}
+				return nil
+			})
+			a.insts[i.key] = i
+			return err
+		case 4:
+			return a.decodeHolder(f.Data, now)
+		}
+		return nil
+	})
+	if err != nil || a.set == nil {
+		return err
+	}
+	for i := range a.set.Specs {
+		name := a.set.Specs[i].Name
+		if a.specs[name] = states[name]; states[name] == nil {
+			a.specs[name] = &state{since: now}
+		}
+	}
+	changed := map[string]uint64{}
+	for name, s := range a.specs {
+		changed[name] = s.changed
+	}
+	a.restatic()
+	for name, s := range a.specs {
+		s.changed = changed[name]
+	}
+	return nil
+}
+
+func (a *Authority) decodeHolder(b []byte, now Micros) error {
+	h := &holder{statics: map[string]*pair{}, lapsedAt: now}
+	err := proto.Each(b, func(f proto.Field) error {
+		switch f.Number {
+		case 1:
+			h.who = ledger.Incarnation(f.Uint)
+		case 2:
+			h.name = f.Text()
+		case 3:
+			h.n = f.Uint
+		case 4:
+			h.issue = f.Uint
+		case 5:
+			h.before = f.Uint
+		case 6:
+			h.lapsed = f.Uint != 0
+		case 7:
+			h.enrolled = f.Uint != 0
+		case 8:
+			h.static = f.Uint
+		case 9:
+			h.lease = bounded(f.Uint)
+		case 10:
+			h.version = f.Uint
+		case 11:
+			p, name := &pair{}, ""
+			err := proto.Each(f.Data, func(f proto.Field) error {
+				if f.Number == 1 {
+					name = f.Text()
+				}
+				p.decode(f)
+				return nil
+			})
+			h.statics[name] = p
+			return err
+		case 12:
+			o, k := &hold{h: h}, key{}
+			err := proto.Each(f.Data, func(f proto.Field) error {
+				switch f.Number {
+				case 1:
+					k.budget = f.Text()
+				case 2:
+					k.subject = f.Text()
+				case 7:
+					o.inUse = bounded(f.Uint)
+				case 8:
+					o.want = bounded(f.Uint)
+				case 9:
+					o.mark = f.Uint
+				case 10:
+					o.seen = f.Uint
+				case 11:
+					o.turn = f.Uint
+				}
+				o.pair.decode(f)
+				return nil
+			})
+			if o.i = a.insts[k]; err != nil || o.i == nil {
+				return cmp.Or(err, proto.ErrForm)
+			}
+			o.i.holds = append(o.i.holds, o) // holders come in order, so these do
+			o.i.leased = o.i.leased.Add(o.counted())
+			h.holds = append(h.holds, o)
+			return nil
+		}
+		return nil
+	})
+	h.over = now + certainly(h.lease)
+	a.holders = append(a.holders, h)
+	return err
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -260,6 +260,13 @@
 		From int
 		Body []byte
 	}
+	// Amounts tells what this gateway may spend of the fleet's budgets; without one nothing is bounded by any.
+	Amounts struct {
+		Rules  []Rule // in place of those before; nil leaves them
+		Until  Micros // of what is leased
+		Leased []Part // all of it
+		Static []Part // all that is there without a lease, by budget; nil leaves it
+	}
 	// Timer is a SetTimer that fell due.
 	Timer struct{ Token string }
 )
@@ -274,6 +281,7 @@
 		ID      uint64
 		Engine  string
 		Timeout Micros
+		Until   Micros // no byte of it is to be written later; 0: no such bound
 	}
 	// Terms names memory and priority of a request's next attempts.
 	Terms struct {
--- /dev/null
+++ b/decide/budgets.go
@@ -0,0 +1,306 @@
+package decide
+
+import (
+	"maps"
+	"slices"
+
+	"chutechute/budget/account"
+)
+
+// Unit is what a budget counts.
+type Unit int
+
+// The units.
+const (
+	Queries Unit = iota
+	Threads
+	Work // milliseconds of it
+)
+
+// Over says what becomes of a query that a budget has no room for.
+type Over int
+
+// What may become of it.
+const (
+	Turned Over = iota // it is turned away at once, and told when there will be room
+	Waits              // it waits, as long as any query does
+	Last               // it goes on, behind all others: the budget bounds who comes first, not what is sent
+)
+
+// Rule is one budget of the fleet: what counts towards it.
+type Rule struct {
+	Name          string
+	Kind          account.Kind
+	Span          Micros // of a window
+	Life          Micros // the longest that an attempt which holds a place may be out; 0 without such a bound
+	Class, Tenant int    // -1 for any
+	EachTenant    bool   // each has the whole for itself
+	EachEngine    bool   // the same
+	EngineKind    string
+	Cold          bool // only engines in their cold span
+	Further       bool // only attempts after the first
+	Probes        bool // only probes
+	Unit          Unit
+	Over          Over
+}
+
+// Part is what this gateway may spend of a budget: of one subject, where each has the whole for itself.
+type Part struct {
+	Budget, Subject string
+	Amount          account.Amount
+}
+
+// Demand is what this gateway could spend of a budget and has in use, in thousandths; see package account.
+type Demand struct {
+	Budget, Subject string
+	Want, InUse     int64
+}
+
+// Spending is how a budget stands at this gateway, for operators.
+type Spending struct {
+	Demand
+	Used, Spent   int64
+	Denied        int
+	Lease, Static account.Amount
+	Until         Micros
+	Over          Over
+}
+
+// startWithin is how long what was spent for an attempt is good for: one that is not written by then spends anew, so that what
+// engines see is what was spent, and when.
+const startWithin = Second / 4
+
+// budget is a rule in force, with what is spent of it.
+type budget struct {
+	Rule
+	static   account.Amount
+	accounts map[string]*account.Account
+}
+
+// budgets is all rules in force.
+type budgets struct {
+	list    []*budget // by name
+	until   Micros
+	threads bool // some rule divides the threads on each engine
+	cold    bool // some rule divides what cold engines take
+}
+
+func (b *budget) of(subject string) *account.Account {
+	a := b.accounts[subject]
+	if a == nil {
+		a = account.New(b.Kind, b.Span)
+		b.accounts[subject] = a
+	}
+	return a
+}
+
+// amounts takes over what this gateway may spend.
+func (d *Dispatcher) amounts(ev Amounts) {
+	if ev.Rules != nil {
+		d.rules(ev.Rules)
+	}
+	d.budgets.until = ev.Until
+	i := 0
+	for _, b := range d.budgets.list {
+		if ev.Static != nil {
+			b.static = account.Amount{}
+			for _, p := range ev.Static {
+				if p.Budget == b.Name {
+					b.static = p.Amount
+				}
+			}
+			for _, subject := range slices.Sorted(maps.Keys(b.accounts)) {
+				b.accounts[subject].Static(d.now, b.static)
+			}
+		}
+		for i < len(ev.Leased) && ev.Leased[i].Budget < b.Name {
+			i++
+		}
+		leased := map[string]bool{}
+		for ; i < len(ev.Leased) && ev.Leased[i].Budget == b.Name; i++ {
+			p := ev.Leased[i]
+			leased[p.Subject] = true
+			d.account(b, p.Subject).Lease(d.now, p.Amount, ev.Until)
+		}
+		for subject, a := range b.accounts {
+			if !leased[subject] {
+				a.Lease(d.now, account.Amount{}, ev.Until)
+			}
+		}
+	}
+}
+
+// rules puts other rules into force; what is in use of those that stay is kept.
+func (d *Dispatcher) rules(list []Rule) {
+	old := map[string]*budget{}
+	for _, b := range d.budgets.list {
+		old[b.Name] = b
+	}
+	d.budgets = budgets{}
+	for _, r := range list {
+		b := &budget{Rule: r, accounts: map[string]*account.Account{}}
+		if o := old[r.Name]; o != nil && o.Kind == r.Kind && o.Span == r.Span {
+			b.static, b.accounts = o.static, o.accounts
+		}
+		d.budgets.list = append(d.budgets.list, b)
+		d.budgets.threads = d.budgets.threads || r.EachEngine && r.Unit == Threads && r.Kind == account.Places
+		d.budgets.cold = d.budgets.cold || r.EachEngine && r.Cold
+	}
+	slices.SortFunc(d.budgets.list, func(a, b *budget) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+}
+
+// account is the purse for one subject of a budget, with its static part.
+func (d *Dispatcher) account(b *budget, subject string) *account.Account {
+	if a := b.accounts[subject]; a != nil {
+		return a
+	}
+	a := b.of(subject)
+	a.Static(d.now, b.static)
+	return a
+}
+
+// charge is what an attempt of the query costs of a budget; nil where it does not count towards it. Without an engine only
+// budgets that ask for none are meant.
+func (d *Dispatcher) charge(b *budget, q *query, e *engine) (*account.Account, int64) {
+	if b.EachEngine != (e != nil) || b.Probes || b.Over == Last || b.Further && len(q.attempts) == 0 ||
+		b.Class >= 0 && b.Class != q.Request.Class || b.Tenant >= 0 && b.Tenant != q.Tenant {
+		return nil, 0
+	}
+	subject := ""
+	switch {
+	case e != nil && (b.Cold && !e.cold || b.EngineKind != "" && b.EngineKind != e.Kind):
+		return nil, 0
+	case e != nil:
+		subject = e.Engine
+	case b.EachTenant && q.Tenant < 0:
+		return nil, 0
+	case b.EachTenant:
+		subject = d.cfg.Tenants[q.Tenant].Name
+	}
+	return d.account(b, subject), b.units(q)
+}
+
+func (b *budget) units(q *query) int64 {
+	switch b.Unit {
+	case Threads:
+		return int64(q.class.Threads) * account.Unit
+	case Work:
+		return int64(q.class.work) // microseconds are thousandths of milliseconds
+	}
+	return account.Unit
+}
+
+// pay spends what an attempt costs. It gives until when the attempt may be begun and how long it may be out; 0 without a
+// bound.
+func (d *Dispatcher) pay(q *query, a *attempt, e *engine) (until, life Micros) {
+	for _, e := range []*engine{nil, e} {
+		for _, b := range d.budgets.list {
+			acc, n := d.charge(b, q, e)
+			if acc == nil {
+				continue
+			}
+			if e != nil && !q.wanted || b.Further {
+				acc.Want(d.now, n)
+			}
+			u, _ := acc.Spend(d.now, n)
+			if u = min(u, d.now+startWithin); until == 0 || u < until {
+				until = u
+			}
+			if b.Kind == account.Places {
+				a.places = append(a.places, place{acc, n})
+				if b.Life > 0 && (life == 0 || b.Life < life) {
+					life = b.Life
+				}
+			}
+		}
+	}
+	q.wanted = true
+	return until, life
+}
+
+// place is what an attempt holds of a budget.
+type place struct {
+	account *account.Account
+	n       int64
+}
+
+// giveBack gives an attempt's places back: it is over for certain.
+func (a *attempt) giveBack() {
+	for _, p := range a.places {
+		p.account.Back(p.n)
+	}
+	a.places = nil
+}
+
+// wants notes what a query that has come asks of the budgets.
+func (d *Dispatcher) wants(q *query) {
+	for _, b := range d.budgets.list {
+		if a, n := d.charge(b, q, nil); a != nil {
+			a.Want(d.now, n)
+		}
+	}
+}
+
+// mostSubjects bounds the subjects of one report.
+const mostSubjects = 4096
+
+// Demands is what this gateway wants and has in use, by budget and subject. Subjects of which it has and wants nothing are
+// forgotten.
+func (d *Dispatcher) Demands(now Micros) (list []Demand) {
+	for _, b := range d.budgets.list {
+		waits := int64(0)
+		if b.Kind == account.Places && b.EachEngine { // nobody knows where they will go
+			for _, q := range d.held {
+				waits += b.units(q)
+			}
+			waits /= int64(max(1, d.ready))
+		} else if b.Kind == account.Places {
+			held := map[*account.Account]int64{}
+			for _, q := range d.held {
+				if a, n := d.charge(b, q, nil); a != nil {
+					held[a] += n
+				}
+			}
+			for a, n := range held {
+				a.Waits(now, n)
+			}
+		}
+		for _, subject := range slices.Sorted(maps.Keys(b.accounts)) {
+			a := b.accounts[subject]
+			if waits > 0 {
+				a.Waits(now, waits)
+			}
+			want, inUse := a.Demand(now), a.InUse(now)
+			lease, _, _ := a.Amounts(now)
+			if want == 0 && inUse == 0 {
+				if a.Used(now) == 0 && lease == (account.Amount{}) && subject != "" {
+					delete(b.accounts, subject)
+				}
+				continue
+			}
+			if len(list) < mostSubjects {
+				list = append(list, Demand{b.Name, subject, want, inUse})
+			}
+		}
+	}
+	return list
+}
+
+// Spendings is how all budgets stand.
+func (d *Dispatcher) Spendings(now Micros) (list []Spending) {
+	for _, b := range d.budgets.list {
+		for _, subject := range slices.Sorted(maps.Keys(b.accounts)) {
+			a := b.accounts[subject]
+			s := Spending{Demand: Demand{b.Name, subject, a.Demand(now), a.InUse(now)}, Used: a.Used(now), Spent: a.Spent,
+				Denied: a.Denied, Over: b.Over}
+			s.Lease, s.Static, s.Until = a.Amounts(now)
+			list = append(list, s)
+		}
+	}
+	return list
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -10,6 +10,8 @@
 	"math/rand/v2"
 	"slices"
 	"sort"
+
+	"chutechute/budget/account"
 )
 
 const (
@@ -138,6 +140,8 @@
 				d.eject(e)
 			}
 		}
+	case Amounts:
+		d.amounts(ev)
 	case Timer:
 		if ev.Token == "sweep" {
 			d.armed = false
@@ -222,7 +226,8 @@
 	d.rate.add(d.now)
 	d.popular.add(r.Group)
 	d.ration(&d.arrivals)
-	if d.retryPastAim(q) || r.Tenant >= 0 && !d.withinShare(d.tenants[r.Tenant]) {
+	d.wants(q)
+	if d.retryPastAim(q) || r.Tenant >= 0 && d.overShare(q) {
 		q.over = true
 		q.due += c.GiveUp
 	}
@@ -254,6 +259,32 @@
 	return q.estimate() * q.class.latency / q.class.estimate
 }
 
+// overShare says whether a query is beyond its tenant's share: by the fleet's budgets where one bounds who of
+// it comes first, and else by this gateway's part.
+func (d *Dispatcher) overShare(q *query) (over bool) {
+	divided := false
+	for _, b := range d.budgets.list {
+		if b.Over != Last || !b.EachTenant && b.Tenant != q.Tenant || b.Class >= 0 && b.Class != q.Request.Class {
+			continue
+		}
+		divided = true
+		subject := ""
+		if b.EachTenant {
+			subject = d.cfg.Tenants[q.Tenant].Name
+		}
+		a, n := d.account(b, subject), b.units(q)
+		a.Want(d.now, n)
+		if _, ok := a.Spend(d.now, n); !ok {
+			a.Denied++
+			over = true
+		}
+	}
+	if !divided {
+		return !d.withinShare(d.tenants[q.Tenant])
+	}
+	return over
+}
+
 // withinShare draws on the tenant's share of this gateway.
 func (d *Dispatcher) withinShare(t *tenant) bool {
 	if t.Quota <= 0 {
@@ -287,10 +318,39 @@
 		q.class.blocked = q.class.blocked || q.fresh() // no engine for one is none for its like
 	}
 	for _, q := range blocked {
-		q.held, q.class.blocked = true, false
+		q.held, q.class.blocked, q.wanted = true, false, true
+	}
+	if len(d.budgets.list) > 0 {
+		d.turnAway()
 	}
 }
 
+// turnAway refuses at once what a budget of the fleet has no room for, and tells when it will have some.
+func (d *Dispatcher) turnAway() {
+	for _, q := range slices.Clone(d.held) {
+		if b, after := d.short(q); b != nil && d.refusable(q) {
+			d.do(Refuse{ID: q.ID, After: min(d.cfg.Limits.MaxRetryAfter, max(after, Micros(d.price(q))))})
+			d.close(q)
+		} else if b != nil {
+			d.end(q)
+		}
+	}
+}
+
+// short is the first budget without room that turns queries away, and when it will have some.
+func (d *Dispatcher) short(q *query) (b *budget, after Micros) {
+	for _, b := range d.budgets.list {
+		if b.Over != Turned || b.EachEngine {
+			continue
+		}
+		if a, n := d.charge(b, q, nil); a != nil && !a.Room(d.now, n) {
+			a.Denied++
+			return b, a.Wait(d.now, n)
+		}
+	}
+	return nil, 0
+}
+
 // next is the group EDF pick: the smallest ExecTime among those due soon after the earliest.
 func (d *Dispatcher) next() *query {
 	first := d.pick(func(q, best *query) bool { return q.due < best.due })
@@ -310,7 +370,8 @@
 func (d *Dispatcher) pick(before func(q, best *query) bool) *query {
 	var best *query
 	for _, q := range d.held {
-		if q.held && !(q.class.blocked && q.fresh()) && d.hasPlace(q) && (best == nil || before(q, best)) {
+		if q.held && !(q.class.blocked && q.fresh()) && d.hasPlace(q) && d.affords(q, nil) &&
+			(best == nil || before(q, best)) {
 			best = q
 		}
 	}
@@ -321,6 +382,9 @@
 // engines, as an engine's is less than one query where there are many gateways, and leaves aside longer
 // classes, so that one long query does not hold up short ones.
 func (d *Dispatcher) hasPlace(q *query) bool {
+	if d.budgets.threads { // the fleet's threads are divided
+		return true
+	}
 	threads := 0
 	for _, c := range d.classes {
 		if c.latency <= q.class.latency {
@@ -475,8 +539,9 @@
 	return order
 }
 
-// load is this gateway's own threads on the engine, a core, and, the thinner these are spread, what was sent lately: all gateways share the hash order, so what one would
-// pile up, all would, and what each keeps even is even over all.
+// load is this gateway's own threads on the engine, a core, and, the thinner these are spread, what was sent
+// lately: all gateways share the hash order, so what one would pile up, all would, and what each keeps even
+// is even over all.
 func (d *Dispatcher) load(e *engine) float64 {
 	return (float64(e.threads) + d.thin*d.recent(e)) / d.size(e)
 }
@@ -537,7 +602,7 @@
 	if d.now-d.fullAt >= fullMemory {
 		threads = d.threadsUpTo(q.class, e)
 	}
-	return e.own > 0 && (float64(threads) >= d.share*d.size(e) || full)
+	return e.own > 0 && (!d.budgets.threads && float64(threads) >= d.share*d.size(e) || full)
 }
 
 // pressure is a full refusal of late, or a class's latency well above its best.
@@ -565,7 +630,22 @@
 // admissible is the guard of every send: drains, placement, effects and the cold budget.
 func (d *Dispatcher) admissible(q *query, e *engine) bool {
 	return !e.gone && allowed(q.class.Zones, e.Zone) && allowed(q.class.Kinds, e.Kind) &&
-		d.effectSafe(q, e) && d.coldRoom(q, e)
+		d.effectSafe(q, e) && d.coldRoom(q, e) && d.affords(q, e)
+}
+
+// affords says whether the fleet's budgets have room for an attempt: those of engines with one, and else all
+// others. What is asked for first is noted as wanted.
+func (d *Dispatcher) affords(q *query, e *engine) bool {
+	ok := true
+	for _, b := range d.budgets.list {
+		if a, n := d.charge(b, q, e); a != nil && !a.Room(d.now, n) {
+			ok = false
+			if e != nil && !q.wanted {
+				a.Want(d.now, n)
+			}
+		}
+	}
+	return ok
 }
 
 // mostAttempts is how often a query may be sent.
@@ -598,7 +678,7 @@
 // turns. A gateway that has just started sits its turn out, having forgotten its own.
 func (d *Dispatcher) coldRoom(q *query, e *engine) bool {
 	r, n, work := d.cfg.Rules, uint64(d.cfg.Gateways), q.class.work
-	if !e.cold || r.Fall <= 0 {
+	if !e.cold || r.Fall <= 0 || d.budgets.cold {
 		return true
 	}
 	budget, longest := r.FallMultiple*coldUtil*e.cores*d.warmth(e)*float64(r.Fall), 0.0
@@ -643,6 +723,7 @@
 	exec := d.price(q)
 	q.attempts = append(q.attempts, attempt{engine: e, at: d.now, exec: exec, open: true, mark: markFrom,
 		zone: e.Zone, cell: e.Cell})
+	until, life := d.pay(q, &q.attempts[len(q.attempts)-1], e)
 	q.open++
 	d.book(q, e, 1)
 	d.sends++
@@ -656,7 +737,10 @@
 	if !d.cfg.Limits.Cancel && q.repeat() == Safe { // what can't be called off must end by itself
 		timeout = Micros(q.class.patience() * exec)
 	}
-	d.do(Send{ID: q.ID, Engine: e.Engine, Timeout: timeout})
+	if life > 0 && (timeout == 0 || life < timeout) {
+		timeout = life
+	}
+	d.do(Send{ID: q.ID, Engine: e.Engine, Timeout: timeout, Until: until})
 }
 
 func (d *Dispatcher) terms(q *query) {
@@ -698,6 +782,7 @@
 		return
 	}
 	a.open = false
+	a.giveBack()
 	a.harmless = o.Result == Full || o.Result == NoConnection || o.Result == NotSent
 	q.open--
 	d.book(q, a.engine, -1)
@@ -838,13 +923,29 @@
 // probe tries ejected engines whose time has come, one of a zone at a time.
 func (d *Dispatcher) probe() {
 	for _, e := range d.engines {
-		if d.cfg.Limits.Probes && e.out && !e.gone && !e.probed && d.now >= max(e.trialAt, d.probeAt[e.Zone]) {
+		if d.cfg.Limits.Probes && e.out && !e.gone && !e.probed && d.now >= max(e.trialAt, d.probeAt[e.Zone]) &&
+			d.mayProbe() {
 			e.probed, d.probeAt[e.Zone] = true, d.now+backoffFirst/2
 			d.do(Probe{Engine: e.Engine})
 		}
 	}
 }
 
+// mayProbe spends a probe.
+func (d *Dispatcher) mayProbe() bool {
+	for _, b := range d.budgets.list {
+		if b.Probes {
+			a := d.account(b, "")
+			a.Want(d.now, account.Unit)
+			if _, ok := a.Spend(d.now, account.Unit); !ok {
+				a.Denied++
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // sweep is run every few milliseconds while anything is held or out.
 func (d *Dispatcher) sweep() {
 	d.dropLines()
--- a/decide/state.go
+++ b/decide/state.go
@@ -43,6 +43,8 @@
 	startedAt        Micros
 	sends            int // so far
 
+	budgets budgets // of the fleet
+
 	subscribeAt Micros // when to ask for the list again
 	listTimer   Micros // the last timer set for it
 	tries       int    // failed calls for the list in a row
@@ -122,7 +124,8 @@
 	held     bool
 	line     *line
 	attempts []attempt
-	open     int // attempts without outcome
+	open     int  // attempts without outcome
+	wanted   bool // what it asks of engines' budgets is noted
 	priority int
 }
 
@@ -136,6 +139,7 @@
 	streaming bool
 	canceled  bool
 	planned   bool    // canceled for a bad plan
+	places    []place // of the fleet's budgets
 	mark      float64 // next multiple of ExecTime that counts as a measure
 	zone      string
 	cell      int
--- a/exercise/mutants_test.go
+++ b/exercise/mutants_test.go
@@ -36,8 +36,8 @@
 // hasty has loads lapse long before their time.
 type hasty struct{ ledger.Kind }
 
-func (h hasty) Due(now ledger.Micros, gone func(ledger.Incarnation) bool) [][]byte {
-	return h.Kind.Due(now+60*second, gone)
+func (h hasty) Due(now ledger.Micros, seen ledger.Presence) [][]byte {
+	return h.Kind.Due(now+60*second, seen)
 }
 
 // bold begins attempts without asking; blunt tells rows before they are kept.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -189,7 +189,7 @@
 		n.Changed(m)
 	}
 	present := n.present()
-	n.replica.Tick(now, present, n.gone)
+	n.replica.Tick(now, present, presence{n.members})
 	if now >= n.beatAt {
 		n.beatAt = now + n.cfg.Beat
 		n.beat()
@@ -199,7 +199,11 @@
 	n.drain()
 }
 
-func (n *Node) gone(i ledger.Incarnation) bool { return n.members.Gone(uint64(i)) }
+// presence is the members as the record's kinds see them.
+type presence struct{ *member.Set }
+
+func (p presence) Gone(i ledger.Incarnation) bool     { return p.Set.Gone(uint64(i)) }
+func (p presence) Replaced(i ledger.Incarnation) bool { return p.Set.Replaced(uint64(i)) }
 
 // Gone says whether a process of the fleet is held for no more.
 func (n *Node) Gone(incarnation uint64) bool { return n.members.Gone(incarnation) }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -337,6 +337,15 @@
 	c.events = append(c.events, decide.List{Kind: kind, Entries: entries})
 }
 
+// Allow tells the module what it may spend of the fleet's budgets. It is in force before the module begins anything more.
+func (c *Core) Allow(ev decide.Amounts) { c.events = append(c.events, ev) }
+
+// Demands is what the module wants of the fleet's budgets and has in use.
+func (c *Core) Demands(now Micros) []decide.Demand { return c.module.Demands(now) }
+
+// Spendings is how the fleet's budgets stand here.
+func (c *Core) Spendings(now Micros) []decide.Spending { return c.module.Spendings(now) }
+
 // Pending says whether events wait for the next step.
 func (c *Core) Pending() bool { return len(c.events) > 0 }
 
@@ -432,7 +441,8 @@
 	if r == nil {
 		return
 	}
-	a := &Attempt{Request: r, Engine: s.Engine, GrantMB: r.grantMB, number: len(r.attempts), at: c.now}
+	a := &Attempt{Request: r, Engine: s.Engine, GrantMB: r.grantMB, number: len(r.attempts), at: c.now,
+		Until: s.Until}
 	a.Wait = r.deadline - c.now
 	if s.Timeout > 0 && s.Timeout < a.Wait {
 		a.Wait = s.Timeout
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -146,7 +146,9 @@
 		}
 		a.entry.begun = true
 		a.Wait = min(a.Wait, a.deadline-now)
-		a.Until = a.deadline
+		if a.Until == 0 || a.deadline < a.Until {
+			a.Until = a.deadline
+		}
 		c.engines.Start(a)
 	})
 }
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"chutechute/budget"
 	"chutechute/decide"
 	"chutechute/fleet"
 	"chutechute/internal/settings"
@@ -37,6 +38,7 @@
 	SuspectMS  float64       `json:"suspect_ms"`
 	DeadMS     float64       `json:"dead_ms"`
 	ReplaceS   float64       `json:"replace_s"`
+	Budgets    *Budgets      `json:"budgets,omitempty"`
 }
 
 // FleetMember is one front end of the site.
@@ -60,7 +62,8 @@
 	Node     fleet.Config
 	Loads    loads.Options
 	Vouch    vouch.Config
-	MostBulk int // bytes of one message
+	Budgets  *budget.Set // nil where none are set
+	MostBulk int         // bytes of one message
 }
 
 // Bounds and defaults of the section.
@@ -181,7 +184,11 @@
 	case keep < least:
 		return fault("keep_s", "%g is below %g: a keyed class's window and give_up", float64(keep)/second, float64(least)/second)
 	}
+	if p.Budgets, err = f.Budgets.set(f.Members, tick, s); err != nil {
+		return nil, err
+	}
 	agreed := *f
+	agreed.Budgets = nil // of these the highest version counts
 	agreed.Members = nil // in any order, and each may be reached by addresses of its own
 	for _, m := range f.Members {
 		agreed.Members = append(agreed.Members, FleetMember{Name: m.Name, Zone: m.Zone})
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"os"
 
+	"chutechute/budget"
 	"chutechute/fleet"
 	"chutechute/gateway"
 	"chutechute/internal/config"
@@ -17,6 +18,7 @@
 	"chutechute/ledger/store"
 	"chutechute/member"
 	"chutechute/peer"
+	"chutechute/purse"
 	"chutechute/vouch"
 )
 
@@ -29,6 +31,9 @@
 	node     *fleet.Node
 	desk     *vouch.Desk
 	loads    *loads.Loads
+	budgets  *budget.Authority
+	holder   *budget.Holder // nil where no budgets are set
+	purse    *purse.Purse
 	store    *store.Store
 	writer   *store.Writer
 	storeErr error
@@ -37,6 +42,7 @@
 	listener *peerListener
 	admin    *adminListener
 	jitter   uint64
+	leaving  Micros // since when this front end gives back what it may spend; 0 before
 }
 
 // number draws a number that was never used: 62 bits, never zero.
@@ -75,8 +81,15 @@
 		}
 	}
 	p.loads = loads.New(cfg.Loads)
-	c.Copies.Kinds = []ledger.Kind{p.loads}
-	p.node = fleet.New(c, func(about string) { p.desk.Note(s.now, about) })
+	p.budgets = budget.NewAuthority(budget.Options{Instances: budget.MostInstances})
+	c.Copies.Kinds = []ledger.Kind{p.loads, p.budgets}
+	p.node = fleet.New(c, func(about string) {
+		if about != budget.About {
+			p.desk.Note(s.now, about)
+		} else if p.holder != nil {
+			p.holder.Note(s.now)
+		}
+	})
 	p.node.Changed = func(m *member.Member) {
 		slog.Info("front end", "name", m.Name, "state", m.State.String(), "incarnation", hex(m.Incarnation))
 	}
@@ -100,11 +113,19 @@
 		})
 	}
 	s.core.UseRecord(p.desk)
+	if cfg.Budgets != nil {
+		p.purse = purse.New(s.cfg.Settings, s.core)
+		p.holder = budget.NewHolder(budget.HolderConfig{Name: cfg.Name, Set: cfg.Budgets, Gap: reportGap}, p.node, p.purse)
+		p.holder.Begin(s.now)
+	}
 	slog.Info("fleet", "site", cfg.Site, "name", cfg.Name, "incarnation", hex(incarnation), "copy", hex(c.Copies.ID),
 		"folder", cfg.Folder)
 	return p, nil
 }
 
+// reportGap is the least span between two reports of what this front end wants of the budgets.
+const reportGap = 20 * ms
+
 func hex(n uint64) string { return fmt.Sprintf("%016x", n) }
 
 // failed notes that the disk serves no more.
@@ -151,6 +172,9 @@
 	}
 	p.node.Tick(now)
 	p.desk.Tick(now)
+	if p.holder != nil {
+		p.holder.Tick(now)
+	}
 	p.pump()
 	if err := p.node.Replica().Err(); err != nil && p.storeErr == nil {
 		p.failed(err)
@@ -186,6 +210,34 @@
 	}
 }
 
+// leaveWait bounds how long a planned end waits for the record to take back what this front end may spend.
+const leaveWait = 300 * ms
+
+// left says whether this front end may end, once nothing is open: what it may spend was given back, so that others have it at
+// once, or that takes too long.
+func (p *peers) left() bool {
+	if p.holder == nil {
+		return true
+	}
+	if p.leaving == 0 {
+		p.leaving = p.s.now
+		p.holder.Leave(p.s.now)
+	}
+	return p.holder.Left() || p.s.now-p.leaving >= leaveWait
+}
+
+// reload puts other budgets into force.
+func (p *peers) reload(cfg *config.Peers) {
+	switch {
+	case p == nil || cfg == nil:
+	case p.holder != nil && cfg.Budgets != nil:
+		p.cfg.Budgets = cfg.Budgets
+		p.holder.Reload(p.s.now, cfg.Budgets)
+	case (p.holder != nil) != (cfg.Budgets != nil):
+		slog.Warn("reload: fleet.budgets is taken in or out at the next start; an empty list takes all budgets out")
+	}
+}
+
 // close writes what is queued, before a planned end.
 func (p *peers) close() {
 	if p.writer != nil {
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -118,7 +118,8 @@
 			return err
 		}
 		phase := s.life.Phase()
-		if now := s.life.Advance(s.now, s.core.Idle() && !s.listener.unwritten()); now != phase {
+		quiet := s.core.Idle() && !s.listener.unwritten() && (s.peers == nil || phase == gateway.Answering && s.peers.left())
+		if now := s.life.Advance(s.now, quiet); now != phase {
 			slog.Info("phase", "phase", now.String())
 			if phase < gateway.Closing && now >= gateway.Closing {
 				s.listener.close()
@@ -209,6 +210,7 @@
 	if keys := s.cfg.Fixed(cfg); len(keys) > 0 {
 		slog.Warn("reload: these keys take effect at the next start", "keys", keys)
 	}
+	s.peers.reload(cfg.Peers)
 	moved := cfg.Journal != s.cfg.Journal
 	s.cfg = s.cfg.With(cfg)
 	s.listener.most = s.clientsMost()
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -372,22 +373,61 @@
 }
 
 // Lookup asks the front end for a look-up and gives what came of it.
-func (n *Front) Lookup() string {
+func (n *Front) Lookup() string { return n.Query("", 5, 4*time.Second).What }
+
+// Query asks the front end for a look-up of a tenant, "" for none, that runs for so many milliseconds.
+func (n *Front) Query(tenant string, ms int, ttl time.Duration) Reply {
+	call := n.F.NewCall()
+	statement := fmt.Sprintf("SELECT * FROM s_1.t -- ms=%d tenant=%s", ms, tenant)
+	n.F.Record.Add(history.Event{What: history.Asked, Front: n.Name, Call: call, Body: statement})
+	p, err := n.query(call, statement, tenant, ttl)
+	if err != nil {
+		p.What = history.Lost
+	}
+	n.F.Record.Add(history.Event{What: history.Answered, Front: n.Name, Call: call, Detail: p.What})
+	return p
+}
+
+func (n *Front) query(call, statement, tenant string, ttl time.Duration) (p Reply, err error) {
 	conn, err := net.DialTimeout("tcp4", n.Listen, time.Second)
 	if err != nil {
-		return history.Lost
+		return p, err
 	}
 	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(5 * time.Second))
-	c := &Client{T: n.F.T, Conn: conn}
-	if err := c.TryAsk("SELECT * FROM s_1.t -- ms=5", "call", n.F.NewCall(), "op", "lookup", "ttl", "4000", "work", "10.0"); err != nil {
-		return history.Lost
+	_ = conn.SetDeadline(time.Now().Add(ttl + time.Second))
+	fields := []string{"call", call, "op", "lookup", "ttl", fmt.Sprint(ttl.Milliseconds()), "work", "10.0"}
+	if tenant != "" {
+		fields = append(fields, "org", tenant)
 	}
-	p, err := c.TryRead()
-	if err != nil {
-		return history.Lost
+	c := &Client{T: n.F.T, Conn: conn}
+	if err := c.TryAsk(statement, fields...); err != nil {
+		return p, err
 	}
-	return p.What
+	return c.TryRead()
+}
+
+// Offer has clients ask a front end for a tenant's look-ups, so many a second, until the stop is closed. It gives a count of those
+// that were answered.
+func (n *Front) Offer(all *sync.WaitGroup, stop <-chan struct{}, tenant string, perSecond float64, ms int) (served *atomic.Int64) {
+	served = &atomic.Int64{}
+	all.Go(func() {
+		var asked sync.WaitGroup
+		defer asked.Wait()
+		began := time.Now()
+		for k := 1; ; k++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Until(began.Add(time.Duration(float64(k) / perSecond * float64(time.Second))))):
+			}
+			asked.Go(func() {
+				if n.Query(tenant, ms, 2*time.Second).What == history.Answer {
+					served.Add(1)
+				}
+			})
+		}
+	})
+	return served
 }
 
 // Full bounds the size of the files that the process may write to what they have, as on a full disk.
--- a/ledger/kind.go
+++ b/ledger/kind.go
@@ -19,7 +19,15 @@
 	Snapshot(b []byte) []byte
 	Restore(b []byte, now Micros) error
 	// Due gives the commands that time alone calls for, by this machine's own spans. The leader proposes them.
-	Due(now Micros, gone func(Incarnation) bool) [][]byte
+	Due(now Micros, seen Presence) [][]byte
+}
+
+// Presence is what a front end sees of others' processes.
+type Presence interface {
+	// Gone says whether a process is held for no more, which is a guess.
+	Gone(Incarnation) bool
+	// Replaced says whether a process surely is no more: its name has come back with another.
+	Replaced(Incarnation) bool
 }
 
 // Applied tells a kind where in the record it stands.
--- a/ledger/loads/loads.go
+++ b/ledger/loads/loads.go
@@ -296,7 +296,7 @@
 const mostDue = 256
 
 // Due gives what has lapsed and what may be forgotten, by this machine's clock.
-func (s *Loads) Due(now ledger.Micros, gone func(ledger.Incarnation) bool) (list [][]byte) {
+func (s *Loads) Due(now ledger.Micros, seen ledger.Presence) (list [][]byte) {
 	for _, l := range s.order {
 		if len(list) >= mostDue {
 			break
@@ -310,7 +310,7 @@
 			c.Op = Lapse
 		case l.phase == Waiting && now-l.taken >= life:
 			c.Op = Lapse
-		case l.phase == Waiting && gone(l.owner):
+		case l.phase == Waiting && seen.Gone(l.owner):
 			if l.orphan == 0 {
 				l.orphan = now
 			}
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -99,7 +99,7 @@
 	pruned     Micros
 	logBytes   int
 	dueAt      Micros
-	gone       func(Incarnation) bool
+	seen       Presence
 	keeper     keeper
 	handedOver Micros
 	// Elections counts how often this copy asked for votes, Commits the commands applied, Differing the copies seen to differ.
@@ -124,7 +124,7 @@
 
 // New is a front end that is no copy yet.
 func New(cfg Config) *Replica {
-	r := &Replica{cfg: cfg, saving: map[uint64]save{}, routes: map[route]Micros{}, gone: func(Incarnation) bool { return false }}
+	r := &Replica{cfg: cfg, saving: map[uint64]save{}, routes: map[route]Micros{}}
 	r.machine = newMachine(cfg.Kinds, func(to Incarnation, about string) {
 		r.actions = append(r.actions, Notify{to, about})
 	})
@@ -311,10 +311,10 @@
 	return list
 }
 
-// Tick lets time pass. Present are the front ends that are heard of now, this one too; gone says whose process is no more.
-func (r *Replica) Tick(now Micros, present []Member, gone func(Incarnation) bool) {
+// Tick lets time pass. Present are the front ends that are heard of now, this one too; seen is how their processes are seen.
+func (r *Replica) Tick(now Micros, present []Member, seen Presence) {
 	defer r.guard()
-	r.now, r.gone = now, gone
+	r.now, r.seen = now, seen
 	if r.node == nil {
 		return
 	}
@@ -374,7 +374,7 @@
 	}
 	r.dueAt = r.now + r.cfg.Tick*4
 	for _, k := range r.machine.order {
-		for _, body := range k.Due(r.now, r.gone) {
+		for _, body := range k.Due(r.now, r.seen) {
 			_ = r.node.Propose(Command{Kind: k.ID(), Version: k.Version(), Body: body}.Encode()) // if dropped, it is due again
 		}
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -181,3 +181,8 @@
 	}
 	return false
 }
+
+// Replaced says whether a process is no more for certain: its name has come back with a later one.
+func (s *Set) Replaced(incarnation uint64) bool {
+	return slices.ContainsFunc(s.list, func(m *Member) bool { return slices.Contains(m.past, incarnation) })
+}
--- /dev/null
+++ b/purse/purse.go
@@ -0,0 +1,144 @@
+// Package purse stands between the division of the fleet's budgets (budget.Holder) and the decision module that spends them: it
+// reads what each budget applies to, in the words of the settings, and hands amounts over as the module's events. A stepped
+// module without I/O, clock or goroutines.
+package purse
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"chutechute/budget"
+	"chutechute/decide"
+	"chutechute/internal/settings"
+)
+
+// Micros is a time or a span in microseconds of this machine's clock.
+type Micros = decide.Micros
+
+// Scope is what a budget applies to. Each, "*", gives every one the whole for itself.
+type Scope struct {
+	Tenant     string `json:"tenant,omitempty"` // a name or "*"
+	Class      string `json:"class,omitempty"`
+	Engine     string `json:"engine,omitempty"` // "*"
+	EngineKind string `json:"engine_kind,omitempty"`
+	Cold       bool   `json:"cold,omitempty"`    // only engines in their cold span
+	Further    bool   `json:"further,omitempty"` // only attempts after the first
+	Probes     bool   `json:"probes,omitempty"`  // only probes
+	Unit       string `json:"unit,omitempty"`    // queries, threads or work (milliseconds of it)
+	Over       string `json:"over,omitempty"`    // refuse, wait or last
+}
+
+// Each is every tenant or engine for itself.
+const Each = "*"
+
+var (
+	units = map[string]decide.Unit{"": decide.Queries, "queries": decide.Queries, "threads": decide.Threads, "work": decide.Work}
+	overs = map[string]decide.Over{"refuse": decide.Turned, "wait": decide.Waits, "last": decide.Last}
+)
+
+// Rule is the scope in the module's terms. An error names the faulty key.
+func (s *Scope) Rule(p *budget.Spec, site *settings.Settings) (r decide.Rule, err error) {
+	r = decide.Rule{Name: p.Name, Kind: p.Kind, Span: p.Span, Life: p.Life, Class: -1, Tenant: -1, EngineKind: s.EngineKind,
+		Cold: s.Cold, Further: s.Further, Probes: s.Probes}
+	var ok bool
+	fault := func(key, form string, args ...any) (decide.Rule, error) {
+		return r, fmt.Errorf("%s: %s", key, fmt.Sprintf(form, args...))
+	}
+	if s.Class != "" {
+		if r.Class, ok = site.ClassOf[s.Class]; !ok {
+			return fault("class", "the site has no %q", s.Class)
+		}
+	}
+	switch {
+	case s.Tenant == Each:
+		r.EachTenant = true
+	case s.Tenant != "":
+		if r.Tenant, ok = site.TenantOf[s.Tenant]; !ok {
+			return fault("tenant", "the site has no %q", s.Tenant)
+		}
+	}
+	if s.EngineKind != "" && !slices.ContainsFunc(site.Kinds, func(k decide.Kind) bool { return k.Name == s.EngineKind }) {
+		return fault("engine_kind", "the site has no %q", s.EngineKind)
+	}
+	switch s.Engine {
+	case "":
+	case Each:
+		r.EachEngine = true
+	default:
+		return fault("engine", "%q is not \"*\"", s.Engine)
+	}
+	if r.Unit, ok = units[s.Unit]; !ok {
+		return fault("unit", "%q is none of queries, threads and work", s.Unit)
+	}
+	if r.Over, ok = overs[s.Over]; !ok {
+		return fault("over", "%q is none of refuse, wait and last", s.Over)
+	}
+	switch {
+	case r.EachEngine && r.EachTenant:
+		return fault("engine", "\"*\" stands with tenant \"*\"")
+	case (r.Cold || r.EngineKind != "") && !r.EachEngine:
+		return fault("engine", "missing, with cold or engine_kind")
+	case r.Over == decide.Last && (!r.EachTenant && r.Tenant < 0 || r.EachEngine || r.Further):
+		return fault("over", "\"last\" takes a tenant, and neither engine nor further")
+	case r.Probes && (r.EachEngine || r.EachTenant || r.Tenant >= 0 || r.Class >= 0 || r.Further || r.Unit != decide.Queries):
+		return fault("probes", "stands alone")
+	}
+	return r, nil
+}
+
+// Encode gives the scope's bytes.
+func (s *Scope) Encode() []byte {
+	b, err := json.Marshal(s)
+	if err != nil {
+		panic(err) // it has nothing that can't be written
+	}
+	return b
+}
+
+// Core is the gateway's part of it.
+type Core interface {
+	Allow(ev decide.Amounts)
+	Demands(now Micros) []decide.Demand
+}
+
+// Purse is one front end's.
+type Purse struct {
+	site *settings.Settings
+	core Core
+	// Unknown are budgets of the record that this front end's site has no tenant or class for, with the reasons.
+	Unknown map[string]string
+}
+
+// New is a purse for a site.
+func New(site *settings.Settings, core Core) *Purse { return &Purse{site: site, core: core} }
+
+// Demands is what the module wants and has in use.
+func (p *Purse) Demands(now Micros) []decide.Demand { return p.core.Demands(now) }
+
+// Allow hands a grant over.
+func (p *Purse) Allow(_ Micros, g budget.Grant) {
+	ev := decide.Amounts{Until: g.Until, Leased: g.Leased, Static: g.Static}
+	if g.Set != nil {
+		ev.Rules = []decide.Rule{}
+		p.Unknown = map[string]string{}
+		for i := range g.Set.Specs {
+			spec := &g.Set.Specs[i]
+			if slices.Contains(g.Waits, spec.Name) {
+				continue
+			}
+			var s Scope
+			err := json.Unmarshal(spec.Scope, &s)
+			var r decide.Rule
+			if err == nil {
+				r, err = s.Rule(spec, p.site)
+			}
+			if err != nil {
+				p.Unknown[spec.Name] = err.Error()
+				continue
+			}
+			ev.Rules = append(ev.Rules, r)
+		}
+	}
+	p.core.Allow(ev)
+}
