--- a/budget/account/account.go
+++ b/budget/account/account.go
@@ -175,11 +175,11 @@
 	until = 1 << 62
 	switch a.kind {
 	case Rate:
-		if a.lease.level >= n*nano {
+		if a.static.level >= n*nano { // it is small, and would be full and idle else
+			a.static.level -= n * nano
+		} else {
 			a.lease.level -= n * nano
 			until = a.until
-		} else {
-			a.static.level -= n * nano
 		}
 	case Window:
 		a.spent[a.slot%(slots+1)] += n
--- a/budget/authority.go
+++ b/budget/authority.go
@@ -182,8 +182,8 @@
 	}
 	h := a.of(who)
 	if h == nil {
-		if c.Adopted != 0 || c.Leaving || len(a.holders) >= mostHolders*a.set.Most {
-			ans.Over = true
+		if c.Adopted != 0 || c.Static != 0 || c.Leaving || len(a.holders) >= mostHolders*a.set.Most {
+			ans.Over, ans.Unknown = true, true
 			return ans
 		}
 		h = &holder{who: who, name: c.Name, statics: map[string]*pair{}}
@@ -213,9 +213,14 @@
 	h.over = max(h.over, at.Now+certainly(h.lease))
 	a.noted(h, c)
 	if c.Static == h.static {
+		moved := false
 		for _, p := range h.statics {
+			moved = moved || p.prev != p.cur
 			p.prev = p.cur
 		}
+		if moved {
+			a.restatic()
+		}
 	}
 	if c.Leaving {
 		clear(h.statics)
@@ -459,11 +464,14 @@
 	shares := a.shares(p, o.i, at.Index)
 	share := shares[slices.Index(o.i.holds, o)]
 	counted := o.counted()
+	// What is free may be less than nothing: the whole was lowered, or a holder that had lapsed has come back and still counts what
+	// surely is over as in use. Then nobody may have what he holds, until it is not.
 	free := p.Whole.Sub(o.i.leased).Sub(s.reserved)
+	room := free
 	if counted != (Amount{}) {
-		free = free.Sub(p.kept())
+		room = free.Sub(p.kept()).Max(Amount{})
 	}
-	most := counted.Add(free.Max(Amount{}))
+	most := counted.Add(free.Min(room)).Max(Amount{})
 	target := share
 	now, then := o.i.of(o.cur), o.i.of(share)
 	contested := free.Much < 0 || free.Rate < 0
--- a/budget/holder.go
+++ b/budget/holder.go
@@ -99,6 +99,9 @@
 	h.put(h.set)
 }
 
+// At sets the time for what comes before the next Tick.
+func (h *Holder) At(now Micros) { h.now = now }
+
 // Note tells that the division may change.
 func (h *Holder) Note(now Micros) { h.now, h.soon = now, true }
 
@@ -108,7 +111,7 @@
 	if !h.leaving {
 		h.leaving, h.soon, h.asked = true, true, 0
 		h.cancel()
-		h.statics, h.static = nil, 0
+		h.statics, h.static = []decide.Part{}, 0
 		h.drop()
 	}
 }
@@ -230,7 +233,12 @@
 		h.soon = true
 		return
 	case ans.Over:
-		h.Lapsed++
+		if h.adopted != 0 {
+			h.Lapsed++
+		}
+		if ans.Unknown {
+			h.static, h.statics = 0, []decide.Part{}
+		}
 		h.soon = true
 		h.drop()
 		return
--- a/budget/message.go
+++ b/budget/message.go
@@ -118,6 +118,7 @@
 	N       uint64 // of the report
 	Late    bool   // a later report was carried out before it: it counts for nothing
 	Over    bool   // the lease that it names is over: it is to be dropped
+	Unknown bool   // the record knows nothing of the holder: its static part is to be dropped too
 	Index   uint64 // of the grant
 	Static  uint64 // of the grant of the static parts
 	Lease   Micros
@@ -146,6 +147,7 @@
 	b = proto.Bytes(b, 7, a.Set)
 	b = proto.Bool(b, 8, a.Differs)
 	b = proto.Uint(b, 10, a.Static)
+	b = proto.Bool(b, 12, a.Unknown)
 	for _, name := range a.Waits {
 		b = proto.String(b, 11, name)
 	}
@@ -203,6 +205,8 @@
 			a.Static = f.Uint
 		case 11:
 			a.Waits = append(a.Waits, f.Text())
+		case 12:
+			a.Unknown = f.Uint != 0
 		}
 		return nil
 	})
--- a/decide/budgets.go
+++ b/decide/budgets.go
@@ -1,7 +1,6 @@
 package decide
 
 import (
-	"maps"
 	"slices"
 
 	"chutechute/budget/account"
@@ -73,25 +72,14 @@
 // budget is a rule in force, with what is spent of it.
 type budget struct {
 	Rule
-	static   account.Amount
-	accounts map[string]*account.Account
+	book *account.Book
 }
 
 // budgets is all rules in force.
 type budgets struct {
 	list    []*budget // by name
-	until   Micros
-	threads bool // some rule divides the threads on each engine
-	cold    bool // some rule divides what cold engines take
-}
-
-func (b *budget) of(subject string) *account.Account {
-	a := b.accounts[subject]
-	if a == nil {
-		a = account.New(b.Kind, b.Span)
-		b.accounts[subject] = a
-	}
-	return a
+	threads bool      // some rule divides the threads on each engine
+	cold    bool      // some rule divides what cold engines take
 }
 
 // amounts takes over what this gateway may spend.
@@ -99,34 +87,23 @@
 	if ev.Rules != nil {
 		d.rules(ev.Rules)
 	}
-	d.budgets.until = ev.Until
-	i := 0
 	for _, b := range d.budgets.list {
 		if ev.Static != nil {
-			b.static = account.Amount{}
+			m := account.Amount{}
 			for _, p := range ev.Static {
 				if p.Budget == b.Name {
-					b.static = p.Amount
+					m = p.Amount
 				}
 			}
-			for _, subject := range slices.Sorted(maps.Keys(b.accounts)) {
-				b.accounts[subject].Static(d.now, b.static)
-			}
+			b.book.Static(d.now, m)
 		}
-		for i < len(ev.Leased) && ev.Leased[i].Budget < b.Name {
-			i++
-		}
-		leased := map[string]bool{}
-		for ; i < len(ev.Leased) && ev.Leased[i].Budget == b.Name; i++ {
-			p := ev.Leased[i]
-			leased[p.Subject] = true
-			d.account(b, p.Subject).Lease(d.now, p.Amount, ev.Until)
-		}
-		for subject, a := range b.accounts {
-			if !leased[subject] {
-				a.Lease(d.now, account.Amount{}, ev.Until)
+		var leased []account.Lease
+		for _, p := range ev.Leased {
+			if p.Budget == b.Name {
+				leased = append(leased, account.Lease{Subject: p.Subject, Amount: p.Amount})
 			}
 		}
+		b.book.Lease(d.now, leased, ev.Until)
 	}
 }
 
@@ -138,9 +115,9 @@
 	}
 	d.budgets = budgets{}
 	for _, r := range list {
-		b := &budget{Rule: r, accounts: map[string]*account.Account{}}
+		b := &budget{Rule: r, book: &account.Book{Kind: r.Kind, Span: r.Span}}
 		if o := old[r.Name]; o != nil && o.Kind == r.Kind && o.Span == r.Span {
-			b.static, b.accounts = o.static, o.accounts
+			b.book = o.book
 		}
 		d.budgets.list = append(d.budgets.list, b)
 		d.budgets.threads = d.budgets.threads || r.EachEngine && r.Unit == Threads && r.Kind == account.Places
@@ -154,16 +131,6 @@
 	})
 }
 
-// account is the purse for one subject of a budget, with its static part.
-func (d *Dispatcher) account(b *budget, subject string) *account.Account {
-	if a := b.accounts[subject]; a != nil {
-		return a
-	}
-	a := b.of(subject)
-	a.Static(d.now, b.static)
-	return a
-}
-
 // charge is what an attempt of the query costs of a budget; nil where it does not count towards it. Without an engine only
 // budgets that ask for none are meant.
 func (d *Dispatcher) charge(b *budget, q *query, e *engine) (*account.Account, int64) {
@@ -182,7 +149,7 @@
 	case b.EachTenant:
 		subject = d.cfg.Tenants[q.Tenant].Name
 	}
-	return d.account(b, subject), b.units(q)
+	return b.book.Of(d.now, subject), b.units(q)
 }
 
 func (b *budget) units(q *query) int64 {
@@ -270,23 +237,16 @@
 				a.Waits(now, n)
 			}
 		}
-		for _, subject := range slices.Sorted(maps.Keys(b.accounts)) {
-			a := b.accounts[subject]
+		b.book.Each(func(subject string, a *account.Account) {
 			if waits > 0 {
 				a.Waits(now, waits)
 			}
 			want, inUse := a.Demand(now), a.InUse(now)
-			lease, _, _ := a.Amounts(now)
-			if want == 0 && inUse == 0 {
-				if a.Used(now) == 0 && lease == (account.Amount{}) && subject != "" {
-					delete(b.accounts, subject)
-				}
-				continue
-			}
-			if len(list) < mostSubjects {
+			if (want != 0 || inUse != 0) && len(list) < mostSubjects {
 				list = append(list, Demand{b.Name, subject, want, inUse})
 			}
-		}
+		})
+		b.book.Forget(now)
 	}
 	return list
 }
@@ -294,13 +254,12 @@
 // Spendings is how all budgets stand.
 func (d *Dispatcher) Spendings(now Micros) (list []Spending) {
 	for _, b := range d.budgets.list {
-		for _, subject := range slices.Sorted(maps.Keys(b.accounts)) {
-			a := b.accounts[subject]
+		b.book.Each(func(subject string, a *account.Account) {
 			s := Spending{Demand: Demand{b.Name, subject, a.Demand(now), a.InUse(now)}, Used: a.Used(now), Spent: a.Spent,
 				Denied: a.Denied, Over: b.Over}
 			s.Lease, s.Static, s.Until = a.Amounts(now)
 			list = append(list, s)
-		}
+		})
 	}
 	return list
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -272,7 +272,7 @@
 		if b.EachTenant {
 			subject = d.cfg.Tenants[q.Tenant].Name
 		}
-		a, n := d.account(b, subject), b.units(q)
+		a, n := b.book.Of(d.now, subject), b.units(q)
 		a.Want(d.now, n)
 		if _, ok := a.Spend(d.now, n); !ok {
 			a.Denied++
@@ -935,7 +935,7 @@
 func (d *Dispatcher) mayProbe() bool {
 	for _, b := range d.budgets.list {
 		if b.Probes {
-			a := d.account(b, "")
+			a := b.book.Of(d.now, "")
 			a.Want(d.now, account.Unit)
 			if _, ok := a.Spend(d.now, account.Unit); !ok {
 				a.Denied++
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -154,10 +154,17 @@
 	return err
 }
 
+// at sets the time for what comes in this turn of the loop.
+func (p *peers) at(now Micros) {
+	p.desk.At(now)
+	if p.holder != nil {
+		p.holder.At(now)
+	}
+}
+
 // tick lets time pass.
 func (p *peers) tick() {
 	now := p.s.now
-	p.desk.At(now)
 	if p.s.life.Phase() >= gateway.Draining {
 		p.node.Leave()
 	}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -151,7 +151,7 @@
 	}
 	s.now = s.clock.now()
 	if s.peers != nil {
-		s.peers.desk.At(s.now)
+		s.peers.at(s.now)
 	}
 	s.listener.leftOver()
 	s.loop.dispatch(n)
