Budgets: tests of the module's spending and of settings; commands budget show, explain, check

A first attempt was counted as a further one, as it was paid for after it had been noted (TestFurtherAttempts). Who is refused by a budget is told the time that the budget says, not the price of his query.

--- a/budget/show.go
+++ b/budget/show.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"time"
 
 	"chutechute/budget/account"
 )
@@ -116,3 +117,36 @@
 	}
 	return false
 }
+
+// Plan is what a budget comes to, for who sets it.
+type Plan struct {
+	Name      string  `json:"name"`
+	Kind      string  `json:"kind"`
+	Whole     float64 `json:"whole"`
+	Divided   float64 `json:"divided"`
+	Static    float64 `json:"static"` // of each front end
+	Newcomers float64 `json:"newcomers"`
+	Lost      string  `json:"lost"` // how long what a lost front end held stays out, at most
+}
+
+// Plan is what all budgets come to.
+func (s *Set) Plan() (list []Plan) {
+	for i := range s.Specs {
+		p := &s.Specs[i]
+		units := func(m Amount) float64 {
+			if p.Kind == account.Rate {
+				return float64(m.Rate) / account.Unit
+			}
+			return float64(m.Much) / account.Unit
+		}
+		each := p.part(s.Most)
+		all := Amount{Much: each.Much * int64(s.Most), Rate: each.Rate * int64(s.Most)}
+		lost := certainly(s.Lease)
+		if p.lingers() > 0 {
+			lost += certainly(p.lingers())
+		}
+		list = append(list, Plan{p.Name, p.Kind.String(), units(p.Whole), units(p.Whole.Sub(all).Sub(p.kept())), units(each), units(p.kept()),
+			(time.Duration(lost) * time.Microsecond).Round(time.Millisecond).String()})
+	}
+	return list
+}
--- /dev/null
+++ b/cmd/chutechute/budget.go
@@ -0,0 +1,145 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"chutechute/internal/cli"
+	"chutechute/internal/epoll"
+)
+
+func newBudget(o *options) *cobra.Command {
+	a := newAsking(o, "budget", "Ask a front end about the fleet's budgets, or check them", `Budget asks the front end that runs on this machine how the fleet's budgets stand, over the operators' socket.
+A front end with a copy of the record tells of all others; one without tells of itself.`, "budget: show, explain or check?")
+	name := func(args []string) string { return strings.TrimSpace("budgets " + strings.Join(args, "")) }
+	a.add("show [NAME]", "Whole, leased, spent and reserve, by front end", cobra.MaximumNArgs(1), name, printBudgets)
+	a.add("explain CALL|NAME", "Why a call was turned away, or what a budget has no room for", cobra.ExactArgs(1), name, explainBudget)
+	a.AddCommand(&cobra.Command{
+		Use:   "check",
+		Short: "Say what the installation file's budgets come to",
+		Long: `Check reads the configuration that NODE_CONFIG names and the installation file, and says for each budget what a front end
+has without a lease, what is divided, and how long what a lost one held stays out.`,
+		Args: cobra.NoArgs,
+		RunE: cli.Does(func(cmd *cobra.Command, _ []string) error {
+			cfg, _, err := o.read()
+			if err != nil {
+				return err
+			}
+			if cfg == nil {
+				return errors.New("NODE_CONFIG is not set: budgets are checked against the site's settings")
+			}
+			if cfg.Peers == nil || cfg.Peers.Budgets == nil {
+				return errors.New("installation: fleet.budgets: missing, or fleet is off")
+			}
+			plans := cfg.Peers.Budgets.Plan()
+			if a.json {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(plans)
+			}
+			return table(cmd, func(line func(...any)) {
+				line("BUDGET", "KIND", "WHOLE", "DIVIDED", "EACH WITHOUT A LEASE", "KEPT FOR NEWCOMERS", "A LOST ONE'S IS FREE AFTER")
+				for _, p := range plans {
+					line(p.Name, p.Kind, p.Whole, p.Divided, p.Static, p.Newcomers, p.Lost)
+				}
+			})
+		}),
+	})
+	return a.Command
+}
+
+func readBudgets(text []byte) (b epoll.FleetBudgets, err error) {
+	if err = json.Unmarshal(text, &b); err == nil && !b.On {
+		err = errors.New("this front end has no budgets set: installation: fleet.budgets")
+	}
+	return b, err
+}
+
+func printBudgets(cmd *cobra.Command, text []byte) error {
+	b, err := readBudgets(text)
+	if err != nil {
+		return err
+	}
+	return table(cmd, func(line func(...any)) {
+		line("front end", b.Name)
+		line("version", fmt.Sprintf("%d in force, %d in this front end's file", b.Version, b.Holder.Own))
+		line("lease", fmt.Sprintf("%d ms left; %d reports, %d changes, %d lapsed", b.Holder.LeftUS/1000, b.Holder.Reports, b.Holder.Moved, b.Holder.Lapsed))
+		if b.Holder.Differs {
+			line("SETTINGS DIFFER", "this file has the version in force and says something else: the record's hold")
+		}
+		for name, why := range b.Unknown {
+			line("NOT APPLIED", name+": "+why)
+		}
+		line("")
+		line("HERE", "SUBJECT", "WANTS", "IN USE", "LEASED", "STATIC", "SPENT", "TURNED AWAY")
+		for _, s := range b.Here {
+			line(s.Budget, s.Subject, s.Want, s.InUse, s.Lease, s.Static, s.Spent, s.Denied)
+		}
+		if !b.Copy {
+			return
+		}
+		line("")
+		line("ON RECORD", "SUBJECT", "HOLDER", "WANTS", "GRANTED", "COUNTED", "IN USE", "OF WHOLE", "FREE", "STATE")
+		for _, p := range b.Budgets {
+			state := "in force"
+			switch {
+			case !p.Open:
+				state = "held back until what an earlier record granted is over"
+			case !p.InForce:
+				state = "lowered: more is still held than the whole"
+			case p.SinceMS > 0:
+				state = fmt.Sprintf("in force for %d s", p.SinceMS/1000)
+			}
+			line(p.Name, "", "", "", "", "", "", p.Whole, "", state)
+			for _, s := range p.Subjects {
+				for _, h := range s.Holders {
+					lapsed := ""
+					if h.Lapsed {
+						lapsed = "lease over, may run"
+					}
+					line("", s.Subject, h.Name, h.Want, h.Granted, h.Counted, h.InUse, "", s.Free, lapsed)
+				}
+			}
+		}
+	})
+}
+
+func explainBudget(cmd *cobra.Command, text []byte) error {
+	b, err := readBudgets(text)
+	if err != nil {
+		return err
+	}
+	out := cmd.OutOrStdout()
+	if len(b.Denied) == 0 && len(b.Here) == 0 {
+		_, err := fmt.Fprintln(out, "No budget of that name, and no call of that id was turned away here of late (the last 256 are kept).")
+		return err
+	}
+	for i, d := range b.Denied {
+		if i == 10 {
+			fmt.Fprintf(out, "and %d more\n", len(b.Denied)-i)
+			break
+		}
+		fmt.Fprintf(out, "%s was turned away %d ms ago for want of room in %q, and told to come back after %d ms\n", d.Call, d.AgeMS, d.Budget, d.AfterMS)
+	}
+	for _, s := range b.Here {
+		what := s.Budget
+		if s.Subject != "" {
+			what += " of " + s.Subject
+		}
+		fmt.Fprintf(out, "%s: clients ask here for %.4g beyond the static part; this front end has %.4g by a lease with %d ms left and %.4g without; "+
+			"%d were turned away\n", what, s.Want, s.Lease, s.LeftMS, s.Static, s.Denied)
+	}
+	for _, p := range b.Budgets {
+		for _, s := range p.Subjects {
+			held := 0.0
+			for _, h := range s.Holders {
+				held += h.Counted
+			}
+			fmt.Fprintf(out, "%s %s on record: whole %.4g, held by %d front ends %.4g, static parts %.4g, free %.4g\n", p.Name, s.Subject, p.Whole,
+				len(s.Holders), held, p.Reserve, s.Free)
+		}
+	}
+	return nil
+}
--- a/cmd/chutechute/fleet.go
+++ b/cmd/chutechute/fleet.go
@@ -21,45 +21,56 @@
 // adminWait bounds an operator's question.
 const adminWait = 5 * time.Second
 
-func newFleet(o *options) *cobra.Command {
-	var asJSON bool
-	var socket, name string
-	cmd := &cobra.Command{
-		Use:   "fleet",
-		Short: "Ask a front end about its fleet",
-		Long: `Fleet asks the front end that runs on this machine, over the operators' socket that the installation file names
-(fleet.admin), or over the one given.`,
-		Args: cobra.NoArgs,
-		RunE: func(*cobra.Command, []string) error { return errors.New("fleet: status, members or ledger?") },
-	}
-	cmd.PersistentFlags().BoolVar(&asJSON, "json", false, "print JSON")
-	cmd.PersistentFlags().StringVar(&socket, "socket", "", "the operators' `path`, in place of the installation's")
-	cmd.PersistentFlags().StringVar(&name, "name", "", "the front end's name, where the path holds {name}; NODE_NAME otherwise")
-	ask := func(question string, into any) error {
-		path, err := o.adminPath(socket, name)
+// asking is a command whose sub-commands put questions to the front end that runs on this machine.
+type asking struct {
+	*cobra.Command
+	o            *options
+	json         bool
+	socket, name string
+}
+
+func newAsking(o *options, use, short, long, none string) *asking {
+	a := &asking{o: o, Command: &cobra.Command{Use: use, Short: short, Long: long, Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error { return errors.New(none) }}}
+	a.PersistentFlags().BoolVar(&a.json, "json", false, "print JSON")
+	a.PersistentFlags().StringVar(&a.socket, "socket", "", "the operators' `path`, in place of the installation's")
+	a.PersistentFlags().StringVar(&a.name, "name", "", "the front end's name, where the path holds {name}; NODE_NAME otherwise")
+	return a
+}
+
+// add adds a sub-command that asks and prints; question has its arguments.
+func (a *asking) add(use, short string, args cobra.PositionalArgs, question func(args []string) string, print func(*cobra.Command, []byte) error) {
+	a.AddCommand(&cobra.Command{Use: use, Short: short, Args: args, RunE: cli.Does(func(cmd *cobra.Command, args []string) error {
+		path, err := a.o.adminPath(a.socket, a.name)
 		if err != nil {
 			return err
 		}
-		return askAdmin(path, question, into)
-	}
-	add := func(use, short, question string, print func(cmd *cobra.Command, text []byte) error) {
-		cmd.AddCommand(&cobra.Command{Use: use, Short: short, Args: cobra.NoArgs,
-			RunE: cli.Does(func(cmd *cobra.Command, _ []string) error {
-				var text json.RawMessage
-				if err := ask(question, &text); err != nil {
-					return err
-				}
-				if asJSON {
-					_, err := fmt.Fprintln(cmd.OutOrStdout(), string(text))
-					return err
-				}
-				return print(cmd, text)
-			})})
-	}
-	add("status", "How this front end and the record stand", "status", printStatus)
-	add("members", "Which front ends are there, as this one sees them", "status", printMembers)
-	add("ledger", "The loads on record", "ledger", printLedger)
-	return cmd
+		var text json.RawMessage
+		if err := askAdmin(path, question(args), &text); err != nil {
+			return err
+		}
+		if a.json {
+			_, err := fmt.Fprintln(cmd.OutOrStdout(), string(text))
+			return err
+		}
+		return print(cmd, text)
+	})})
+}
+
+func newFleet(o *options) *cobra.Command {
+	a := newAsking(o, "fleet", "Ask a front end about its fleet", `Fleet asks the front end that runs on this machine, over the operators' socket that the installation file names
+(fleet.admin), or over the one given.`, "fleet: status, members or ledger?")
+	for _, c := range []struct {
+		use, short, question string
+		print                func(cmd *cobra.Command, text []byte) error
+	}{
+		{"status", "How this front end and the record stand", "status", printStatus},
+		{"members", "Which front ends are there, as this one sees them", "status", printMembers},
+		{"ledger", "The loads on record", "ledger", printLedger},
+	} {
+		a.add(c.use, c.short, cobra.NoArgs, func([]string) string { return c.question }, c.print)
+	}
+	return a.Command
 }
 
 // adminPath is the operators' socket of the front end.
--- a/cmd/chutechute/main.go
+++ b/cmd/chutechute/main.go
@@ -35,7 +35,7 @@
 	addLogFlags(root, &o)
 	addLogFlags(serve, &o)
 	root.RunE = serve.RunE
-	root.AddCommand(serve, newConfig(&o), newStatement(&o), newIdentity(&o), newFleet(&o), newVersion(),
+	root.AddCommand(serve, newConfig(&o), newStatement(&o), newIdentity(&o), newFleet(&o), newBudget(&o), newVersion(),
 		newBeside("keys", "Keep the keys that sign tokens"), newBeside("cert", "Make certificates for trials"))
 	return root
 }
--- a/decide/api.go
+++ b/decide/api.go
@@ -296,8 +296,9 @@
 	}
 	// Refuse turns a request away; a retry does no harm.
 	Refuse struct {
-		ID    uint64
-		After Micros
+		ID     uint64
+		After  Micros
+		Budget string // of the fleet, that had no room for it
 	}
 	// Fail ends a request without any promise.
 	Fail struct{ ID uint64 }
--- /dev/null
+++ b/decide/budgets_test.go
@@ -0,0 +1,278 @@
+package decide
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"testing"
+
+	"chutechute/budget/account"
+)
+
+// granted is a gateway that was told of budgets, with all of each leased to it.
+func granted(t *testing.T, cfg Config, l List, rule Rule, m account.Amount, subjects ...string) *Dispatcher {
+	t.Helper()
+	d := started(t, cfg, l)
+	if len(subjects) == 0 {
+		subjects = []string{""}
+	}
+	ev := Amounts{Rules: []Rule{rule}, Until: 1000 * Second}
+	for _, s := range subjects {
+		ev.Leased = append(ev.Leased, Part{rule.Name, s, m})
+	}
+	d.Step(0, []Event{ev})
+	return d
+}
+
+func queries(first uint64, n, class int, now Micros) (list []Event) {
+	for i := range n {
+		list = append(list, ask(first+uint64(i), class, now))
+	}
+	return list
+}
+
+// Without a rule, whatever else it is told, a gateway decides exactly as one that was told nothing.
+func TestNoRulesChangeNothing(t *testing.T) {
+	cfg := testConfig()
+	cfg.Tenants = []Tenant{{Name: "x", Share: 1, Quota: 40}}
+	cfg.Limits.Probes = true
+	l := engines("a", "b", "c")
+	l.Entries[2].Started = Second
+	plain, told := started(t, cfg, l), started(t, cfg, l)
+	rng := rand.New(rand.NewPCG(1, 2))
+	var out []Send
+	for now := Second; now < 20*Second; now += Micros(rng.IntN(40_000)) {
+		var events []Event
+		if rng.IntN(2) == 0 {
+			r := ask(uint64(now), rng.IntN(2), now)
+			r.Tenant, r.Group = 0, rng.IntN(5)
+			events = append(events, r)
+		}
+		if len(out) > 0 && rng.IntN(2) == 0 {
+			events = append(events, outcome(out[0].ID, 0, out[0].Engine, Result(rng.IntN(5)), Micros(rng.IntN(int(Second)))))
+			out = out[1:]
+		}
+		if rng.IntN(5) == 0 {
+			events = append(events, Timer{Token: "sweep"})
+		}
+		want := plain.Step(now, events)
+		got := told.Step(now, append([]Event{Amounts{Until: now + Second, Leased: []Part{{"x", "", account.Amount{Much: 1}}}}}, events...))
+		if !reflect.DeepEqual(got, want) {
+			t.Fatalf("at %d: %v instead of %v", now, got, want)
+		}
+		out = append(out, sends(want)...)
+	}
+}
+
+// What a rate has no room for is refused at once, each told a time of his own at which there will be room, and who comes back
+// then is let in.
+func TestRateTurnsAwayAndTellsWhen(t *testing.T) {
+	rule := Rule{Name: "r", Kind: account.Rate, Class: -1, Tenant: -1}
+	d := granted(t, testConfig(), engines("a", "b"), rule, account.Amount{Much: 2000, Rate: 10_100}) // 9.999 by a clock that may be fast
+	d.Step(Second, nil)
+	actions := d.Step(2*Second, queries(1, 5, 0, 2*Second))
+	if n := len(sends(actions)); n != 2 {
+		t.Fatalf("%d sends of a burst of 2", n)
+	}
+	var after []Micros
+	for _, a := range actions {
+		if r, ok := a.(Refuse); ok {
+			after = append(after, r.After)
+			if r.Budget != "r" {
+				t.Errorf("refused for %q", r.Budget)
+			}
+		}
+	}
+	if len(after) != 3 {
+		t.Fatalf("refused %v", after)
+	}
+	now := 2 * Second
+	for i, a := range after {
+		if want := Micros(i+1) * Second / 10; a < want || a > want+want/50 {
+			t.Errorf("the one in place %d is told %d, not about %d", i, a, want)
+		}
+		if n := len(sends(d.Step(now+a, queries(uint64(20+i), 1, 0, now+a)))); n != 1 {
+			t.Errorf("who came back after %d was not let in", a)
+		}
+	}
+	for _, s := range sends(actions) {
+		if s.Until != 2*Second+startWithin {
+			t.Errorf("may be begun until %d", s.Until)
+		}
+	}
+}
+
+// A lease that has ended lets nothing go, and a static part goes on.
+func TestLeaseEnds(t *testing.T) {
+	rule := Rule{Name: "r", Kind: account.Rate, Class: -1, Tenant: -1}
+	d := started(t, testConfig(), engines("a", "b"))
+	d.Step(0, []Event{Amounts{Rules: []Rule{rule}, Until: 5 * Second, Leased: []Part{{"r", "", account.Amount{Much: 9000, Rate: 9000}}},
+		Static: []Part{{"r", "", account.Amount{Much: 1000, Rate: 1000}}}}})
+	if n := len(sends(d.Step(5*Second-1, queries(1, 20, 0, 5*Second)))); n != 10 {
+		t.Errorf("%d sends before the lease's end", n)
+	}
+	if n := len(sends(d.Step(7*Second, queries(30, 20, 0, 7*Second)))); n != 1 {
+		t.Errorf("%d sends without a lease", n)
+	}
+}
+
+// Places are held until an attempt is over for certain, and what waits for one goes then.
+func TestPlacesAreHeldUntilTheEnd(t *testing.T) {
+	rule := Rule{Name: "p", Kind: account.Places, Class: 0, Tenant: -1, Over: Waits, Life: 3 * Second}
+	d := granted(t, testConfig(), engines("a", "b"), rule, account.Amount{Much: 2000})
+	got := sends(d.Step(Second, queries(1, 4, 0, Second)))
+	if len(got) != 2 || got[0].Timeout == 0 || got[0].Timeout > 3*Second {
+		t.Fatalf("sends %v of two places", got)
+	}
+	if n := d.Demands(Second); len(n) != 1 || n[0].Want != 4000 || n[0].InUse != 2000 {
+		t.Errorf("demand %v", n)
+	}
+	if n := len(sends(d.Step(Second+1000, queries(9, 1, 1, Second)))); n != 1 {
+		t.Errorf("%d sends of a class that takes no places", n)
+	}
+	d.Step(Second+2000, []Event{Amounts{Until: 1000 * Second, Leased: []Part{{"p", "", account.Amount{Much: 1000}}}}})
+	if n := len(sends(d.Step(Second+3000, []Event{outcome(got[0].ID, 0, got[0].Engine, Done, 1000)}))); n != 0 {
+		t.Errorf("%d sends while all places that are left are held", n)
+	}
+	if n := len(sends(d.Step(Second+4000, []Event{outcome(got[1].ID, 0, got[1].Engine, TimedOut, 1000)}))); n != 1 {
+		t.Errorf("%d sends with a place free", n)
+	}
+}
+
+// Each engine's threads are divided: past the part of one, queries go to another, and nothing is left to a guess at this gateway's
+// part of the traffic.
+func TestThreadsOfEachEngine(t *testing.T) {
+	cfg := testConfig()
+	cfg.Gateways = 40
+	rule := Rule{Name: "t", Kind: account.Places, Class: -1, Tenant: -1, EachEngine: true, Unit: Threads, Over: Waits}
+	d := granted(t, cfg, engines("a", "b"), rule, account.Amount{Much: 4000}, "a", "b")
+	count := map[string]int{}
+	for _, s := range sends(d.Step(Second, queries(1, 12, 0, Second))) {
+		count[s.Engine]++
+	}
+	if count["a"] != 4 || count["b"] != 4 {
+		t.Errorf("sends %v, of 4 threads each", count)
+	}
+}
+
+// A cold engine takes what the fleet's budget for it leaves to this gateway, and no trickles or turns are waited for.
+func TestColdWindow(t *testing.T) {
+	cfg := testConfig()
+	cfg.Gateways = 40
+	l := engines("a", "b")
+	l.Entries[0].Started = Second
+	rule := Rule{Name: "c", Kind: account.Window, Span: Second, Class: -1, Tenant: -1, EachEngine: true, Cold: true, Unit: Work, Over: Waits}
+	d := granted(t, cfg, l, rule, account.Amount{Much: 3 * Second}, "a")
+	d.Step(Second, []Event{l})
+	spent := map[Micros]Micros{}
+	for now := 2 * Second; now < 6*Second; now += Second / 10 {
+		list := sends(d.Step(now, queries(uint64(now), 3, 0, now)))
+		for len(list) > 0 {
+			s := list[0]
+			if s.Engine == "a" {
+				spent[now] += Micros(d.classes[0].work)
+			}
+			list = append(list[1:], sends(d.Step(now, []Event{outcome(s.ID, 0, s.Engine, Done, Second)}))...)
+		}
+	}
+	most := Micros(0)
+	for from := range spent {
+		sum := Micros(0)
+		for at, n := range spent {
+			if at >= from && at < from+Second {
+				sum += n
+			}
+		}
+		most = max(most, sum)
+	}
+	if most > 3*Second || most < 2*Second {
+		t.Errorf("%d of %d within a window", most, 3*Second)
+	}
+}
+
+// Further attempts of the fleet are rationed; first ones are not.
+func TestFurtherAttempts(t *testing.T) {
+	rule := Rule{Name: "f", Kind: account.Rate, Class: -1, Tenant: -1, Further: true, Over: Waits}
+	d := granted(t, testConfig(), engines("a", "b", "c"), rule, account.Amount{Much: 2000, Rate: 1})
+	now := 20000 * Second // the burst is full: the clock of the test has a rate of nearly nothing
+	d.Step(now, []Event{Amounts{Until: now + 1000*Second, Leased: []Part{{"f", "", account.Amount{Much: 2000, Rate: 1000}}}}})
+	now += 3 * Second
+	first := sends(d.Step(now, queries(1, 6, 0, now)))
+	if len(first) != 6 {
+		t.Fatalf("%d first attempts", len(first))
+	}
+	var events []Event
+	for _, s := range first {
+		events = append(events, outcome(s.ID, 0, s.Engine, Errored, 1000))
+	}
+	if n := len(sends(d.Step(now+1000, events))); n != 2 {
+		t.Errorf("%d further attempts of 2", n)
+	}
+}
+
+// Where a budget bounds who of a tenant comes first, what is beyond it goes last and is not refused.
+func TestLastGoesBehind(t *testing.T) {
+	cfg := testConfig()
+	cfg.Tenants = []Tenant{{Name: "x", Share: 1, Quota: 1}}
+	rule := Rule{Name: "l", Kind: account.Rate, Class: -1, Tenant: -1, EachTenant: true, Over: Last}
+	d := granted(t, cfg, List{Kind: ListComplete}, rule, account.Amount{Much: 3000, Rate: 3000}, "x")
+	var events []Event
+	for i := range uint64(5) {
+		r := ask(i+1, 0, 2*Second)
+		r.Tenant = 0
+		events = append(events, r)
+	}
+	if n := len(refusals(d.Step(2*Second, events))); n != 0 {
+		t.Errorf("%d refused", n)
+	}
+	over := 0
+	for _, q := range d.queries {
+		if q.over {
+			over++
+		}
+	}
+	if over != 2 {
+		t.Errorf("%d go last of 5 where 3 are within the budget", over)
+	}
+}
+
+// Probes are rationed too.
+func TestProbesAreRationed(t *testing.T) {
+	cfg := testConfig()
+	cfg.Limits.Probes = true
+	rule := Rule{Name: "p", Kind: account.Rate, Class: -1, Tenant: -1, Probes: true, Over: Waits}
+	for rate, want := range map[int64]bool{0: false, 1_000_000: true} {
+		d := granted(t, cfg, engines("a", "b"), rule, account.Amount{Much: rate, Rate: rate})
+		d.Step(Second, []Event{Unheard{Engine: "a"}, ask(1, 0, Second)})
+		probed := false
+		for now := Second; now < 4*Second; now += 20_000 {
+			for _, a := range d.Step(now, []Event{Timer{Token: "sweep"}}) {
+				_, ok := a.(Probe)
+				probed = probed || ok
+			}
+		}
+		if probed != want {
+			t.Errorf("a rate of %d: probed %v", rate, probed)
+		}
+	}
+}
+
+// Spending takes no allocation.
+func BenchmarkAfford(b *testing.B) {
+	cfg := testConfig()
+	cfg.Tenants = []Tenant{{Name: "x", Share: 1, Quota: 1}}
+	d, err := New(cfg, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	d.Step(0, []Event{engines("a"), Amounts{Rules: []Rule{{Name: "r", Kind: account.Rate, Class: -1, Tenant: -1, EachTenant: true}},
+		Until: 1 << 60, Leased: []Part{{"r", "x", account.Amount{Much: 1e12, Rate: 1e12}}}}})
+	q := &query{Request: Request{Tenant: 0}, class: d.classes[0]}
+	a := attempt{}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		d.now = Micros(i)
+		if d.affords(q, nil) {
+			d.pay(q, &a, d.engines[0])
+		}
+	}
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -329,7 +329,10 @@
 func (d *Dispatcher) turnAway() {
 	for _, q := range slices.Clone(d.held) {
 		if b, after := d.short(q); b != nil && d.refusable(q) {
-			d.do(Refuse{ID: q.ID, After: min(d.cfg.Limits.MaxRetryAfter, max(after, Micros(d.price(q))))})
+			if after == 0 {
+				after = Micros(d.price(q))
+			}
+			d.do(Refuse{ID: q.ID, Budget: b.Name, After: min(d.cfg.Limits.MaxRetryAfter, after)})
 			d.close(q)
 		} else if b != nil {
 			d.end(q)
@@ -721,9 +724,9 @@
 		e.credit.left -= q.class.work
 	}
 	exec := d.price(q)
-	q.attempts = append(q.attempts, attempt{engine: e, at: d.now, exec: exec, open: true, mark: markFrom,
-		zone: e.Zone, cell: e.Cell})
-	until, life := d.pay(q, &q.attempts[len(q.attempts)-1], e)
+	a := attempt{engine: e, at: d.now, exec: exec, open: true, mark: markFrom, zone: e.Zone, cell: e.Cell}
+	until, life := d.pay(q, &a, e)
+	q.attempts = append(q.attempts, a)
 	q.open++
 	d.book(q, e, 1)
 	d.sends++
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -130,6 +130,7 @@
 	late       []*Request // cancelled meanwhile
 	trace      trace
 	record     Record // nil where none vouches for loads
+	denials    denials
 }
 
 // New builds a front end's core.
@@ -337,15 +338,6 @@
 	c.events = append(c.events, decide.List{Kind: kind, Entries: entries})
 }
 
-// Allow tells the module what it may spend of the fleet's budgets. It is in force before the module begins anything more.
-func (c *Core) Allow(ev decide.Amounts) { c.events = append(c.events, ev) }
-
-// Demands is what the module wants of the fleet's budgets and has in use.
-func (c *Core) Demands(now Micros) []decide.Demand { return c.module.Demands(now) }
-
-// Spendings is how the fleet's budgets stand here.
-func (c *Core) Spendings(now Micros) []decide.Spending { return c.module.Spendings(now) }
-
 // Pending says whether events wait for the next step.
 func (c *Core) Pending() bool { return len(c.events) > 0 }
 
@@ -401,6 +393,9 @@
 			if r.entry.doubtful() {
 				r.fail(c)
 			} else {
+				if a.Budget != "" {
+					c.denials.add(Denial{At: c.now, Call: r.ID, Budget: a.Budget, After: a.After})
+				}
 				r.refuse(c, a.After)
 			}
 			c.forget(r)
--- a/internal/epoll/budgets.go
+++ b/internal/epoll/budgets.go
@@ -16,6 +16,15 @@
 	Unknown map[string]string `json:"unknown,omitempty"` // budgets that this site has nothing for, with the reasons
 	Budgets []budget.Standing `json:"budgets"`
 	Here    []FleetSpending   `json:"here"`
+	Denied  []FleetDenial     `json:"denied"` // of late, the newest first
+}
+
+// FleetDenial is a request that was turned away for want of room in a budget.
+type FleetDenial struct {
+	Call    string `json:"call"`
+	Budget  string `json:"budget"`
+	AgeMS   int64  `json:"age_ms"`
+	AfterMS int64  `json:"after_ms"`
 }
 
 // FleetSpending is how one budget stands at this front end. Amounts are in queries, threads or milliseconds of work.
@@ -31,10 +40,18 @@
 	LeftMS  int64   `json:"lease_left_ms"`
 }
 
-// showBudgets tells of all budgets, or of one.
+// showBudgets tells of all budgets, or of one; of a call, why it was turned away.
 func (p *peers) showBudgets(name string) FleetBudgets {
+	denied := p.s.core.Denials(name)
+	if name != "" && len(denied) > 0 {
+		name = denied[0].Budget
+	}
 	f := FleetBudgets{Name: p.cfg.Name, On: p.holder != nil, Leader: p.node.NameOf(p.node.Replica().Leader()),
-		Copy: p.node.Replica().Group() != 0, Version: p.budgets.SetVersion(), Budgets: p.budgets.Show(p.s.now, name), Here: []FleetSpending{}}
+		Copy: p.node.Replica().Group() != 0, Version: p.budgets.SetVersion(), Budgets: p.budgets.Show(p.s.now, name), Here: []FleetSpending{},
+		Denied: []FleetDenial{}}
+	for _, d := range denied {
+		f.Denied = append(f.Denied, FleetDenial{d.Call, d.Budget, (p.s.now - d.At) / ms, d.After / ms})
+	}
 	if p.holder == nil {
 		return f
 	}
