--- a/exercise/copies_test.go
+++ b/exercise/copies_test.go
@@ -9,13 +9,37 @@
 
 	"github.com/stretchr/testify/require"
 
+	"chutechute/budget"
+	"chutechute/budget/account"
 	"chutechute/exercise"
 	"chutechute/internal/history"
 	"chutechute/internal/standin"
+	"chutechute/purse"
 )
 
 const second = 1_000_000
 
+// bounds are budgets of the loads' class: so many at a time, and so many a second.
+func bounds() *budget.Set {
+	set := &budget.Set{Version: 1, Lease: 2 * second, Most: 5}
+	for _, p := range []budget.Spec{
+		{Name: "places", Kind: account.Places, Whole: budget.Amount{Much: 6000}, Life: 25 * second, Least: 1000},
+		{Name: "rate", Kind: account.Rate, Whole: budget.Amount{Much: 8000, Rate: 6000}, Reserve: 20, Least: 1000},
+	} {
+		p.Scope = (&purse.Scope{Class: "load", Over: "wait"}).Encode()
+		set.Specs = append(set.Specs, p)
+	}
+	return set
+}
+
+// overspent gives the breaches of those. What the module has spent for may be written a quarter second later, and takes its way
+// and a clock's drift.
+func overspent(events []history.Event) []history.Breach {
+	one := func(history.Event) float64 { return 1 }
+	list, _ := history.CheckPlaces(events, 6, one)
+	return append(list, history.CheckRate(history.Spendings(events, 300_000, one), 6, 8)...)
+}
+
 // play runs one random history and gives what it broke.
 func play(t *testing.T, seed uint64, variant *exercise.Variant) (*exercise.Sim, []history.Breach) {
 	cryptotest.SetGlobalRandom(t, seed)
@@ -24,6 +48,9 @@
 	if seed%7 == 0 {
 		o.Fronts, o.Copies = 5, 5
 	}
+	if seed%3 == 0 {
+		o.Budgets = bounds()
+	}
 	s, err := exercise.New(o)
 	require.NoError(t, err)
 	require.NoError(t, s.Run(3*second))
@@ -35,6 +62,9 @@
 		err = s.Run(45 * second)
 	}
 	breaches := history.Check(s.Record.Events())
+	if o.Budgets != nil {
+		breaches = append(breaches, overspent(s.Record.Events())...)
+	}
 	if err != nil { // a copy has found itself broken, or messages make a storm
 		breaches = append(breaches, history.Breach{Rule: err.Error()})
 	}
--- a/exercise/front.go
+++ b/exercise/front.go
@@ -5,6 +5,7 @@
 
 	"go.etcd.io/raft/v3/raftpb"
 
+	"chutechute/budget"
 	"chutechute/decide"
 	"chutechute/fleet"
 	"chutechute/gateway"
@@ -14,6 +15,7 @@
 	"chutechute/ledger/loads"
 	"chutechute/member"
 	"chutechute/peer"
+	"chutechute/purse"
 	"chutechute/vouch"
 )
 
@@ -44,6 +46,7 @@
 	core        *gateway.Core
 	node        *fleet.Node
 	desk        *vouch.Desk
+	holder      *budget.Holder // nil without budgets
 	count       counters.Set
 	paused      bool
 	waiting     []func() // what comes while it stands still
@@ -99,8 +102,14 @@
 		Members: member.Config{Suspect: suspect, Dead: dead, Pause: suspect / 2},
 		Number:  func() uint64 { return s.rng.Uint64()>>2 | 1 },
 		Copies: ledger.Config{ID: f.disk.number, Copies: s.o.Copies, Tick: tick, Replace: replace, LogBytes: 16 << 10,
-			Logger: raftlog.New(), Kinds: []ledger.Kind{kind}}}
-	p.node = fleet.New(cfg, func(about string) { p.desk.Note(f.local(), about) })
+			Logger: raftlog.New(), Kinds: []ledger.Kind{kind, budget.NewAuthority(budget.Options{Instances: 1000})}}}
+	p.node = fleet.New(cfg, func(about string) {
+		if about != budget.About {
+			p.desk.Note(f.local(), about)
+		} else if p.holder != nil {
+			p.holder.Note(f.local())
+		}
+	})
 	p.desk = vouch.New(vouch.Config{Incarnation: p.incarnation, Poll: 8 * tick, Patience: keep, Full: second / 2}, p.node)
 	var err error
 	if p.core, err = gateway.New(s.site, s.rng.Uint64(), gateway.Bounds{Open: 10000, Held: 1 << 24}, pool{p}, &p.count); err != nil {
@@ -112,6 +121,10 @@
 		record = s.o.Variant.Record(record)
 	}
 	p.core.UseRecord(record)
+	if s.o.Budgets != nil {
+		p.holder = budget.NewHolder(budget.HolderConfig{Name: f.Name, Set: s.o.Budgets, Gap: 20 * ms}, p.node, purse.New(s.site, p.core))
+		p.holder.Begin(f.local())
+	}
 	if err := p.node.Open(f.local(), &f.disk.kept); err != nil {
 		s.fail(err)
 		return
@@ -169,6 +182,9 @@
 		p.waiting = append(p.waiting, func() { p.does(do) })
 	default:
 		p.desk.At(p.f.local())
+		if p.holder != nil {
+			p.holder.At(p.f.local())
+		}
 		do()
 	}
 }
@@ -182,6 +198,9 @@
 		now := p.f.local()
 		p.node.Tick(now)
 		p.desk.Tick(now)
+		if p.holder != nil {
+			p.holder.Tick(now)
+		}
 		p.turn()
 	})
 	p.f.s.after(turn, p.ticks)
@@ -353,6 +372,9 @@
 			continue
 		}
 		voters, _ := f.proc.node.Replica().Members()
+		if f.proc.node.Replica().Changing() {
+			return false // the majorities of before and after count
+		}
 		index, _ := f.proc.node.Replica().Applied()
 		for _, v := range voters {
 			there := false
--- a/exercise/sim.go
+++ b/exercise/sim.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"math/rand/v2"
 
+	"chutechute/budget"
 	"chutechute/gateway"
 	"chutechute/internal/history"
 	"chutechute/internal/settings"
@@ -38,6 +39,8 @@
 	Seed    uint64
 	// Variant breaks something on purpose; nil for the program as it is.
 	Variant *Variant
+	// Budgets are the fleet's; nil for none.
+	Budgets *budget.Set
 	// Site is the settings of the site, as the configuration has them.
 	Site []byte
 }
--- a/ledger/replica.go
+++ b/ledger/replica.go
@@ -263,6 +263,9 @@
 // Votes says whether this copy is a full member.
 func (r *Replica) Votes() bool { return r.conf != nil && slices.Contains(r.conf.GetVoters(), r.cfg.ID) }
 
+// Changing says whether the copies are being changed, as far as this one has applied: the majorities of before and after count.
+func (r *Replica) Changing() bool { return len(r.conf.GetVotersOutgoing()) > 0 }
+
 // Err says why this is a copy no longer; nil otherwise.
 func (r *Replica) Err() error { return r.err }
 
