--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure fleet histories rotate fuzz
+.PHONY: build test lint run measure fleet budgets histories rotate fuzz
 
 # Linked dynamically by the C tool chain, as the platform's bench for large fleets asks.
 export CGO_ENABLED = 1
@@ -27,6 +27,12 @@
 fleet: ## what copies cost, for docs/design/copies.md
 	CHUTECHUTE_LONG=1 go test -count=1 -v -run '^TestFleetFigures$$' ./cmd/chutechute
 
+budgets: ## what dividing budgets costs and gives, for docs/design/budgets.md, and 10,000 histories of it
+	CHUTECHUTE_LONG=1 go test -count=1 -v -run 'Share|Cost' ./budget
+	go test -run XXX -bench Afford -benchmem ./decide
+	CHUTECHUTE_LONG=1 go test -count=1 -v -run '^TestTrafficMovesAndACut$$' ./cmd/chutechute
+	go test -count=1 -timeout 60m -run '^TestSumNeverExceedsTheWhole$$' ./budget -rapid.checks=10000
+
 histories: ## HISTORIES random histories of whole fleets from SEED on, in virtual time
 	CHUTECHUTE_HISTORIES=$(or $(HISTORIES),1000) CHUTECHUTE_SEED=$(or $(SEED),1) go test -count=1 -timeout 60m -run '^TestHistories$$' ./exercise
 
--- a/cmd/chutechute/budgets_test.go
+++ b/cmd/chutechute/budgets_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"testing"
@@ -392,3 +393,65 @@
 	}
 	assert.GreaterOrEqual(t, most, 9.0, "of 10 were in use at a time")
 }
+
+// Threads on each engine are divided: no engine ever runs more than its whole, whoever sends, though a holder is stopped and another
+// killed meanwhile.
+func TestThreadsOnEachEngine(t *testing.T) {
+	t.Parallel()
+	f := standin.NewFleet(t, program, 3, lasting, budgets(1, map[string]any{"name": "threads", "engine": "*", "class": "lookup", "unit": "threads",
+		"places": 8, "reserve": 0.4}))
+	p := press(t, f)
+	p.open(f.Leader(3))
+	for _, n := range f.Fronts {
+		p.offer(n, 30, 250)
+	}
+	time.Sleep(2 * time.Second)
+	f.Fronts[1].Stop()
+	time.Sleep(3 * time.Second)
+	f.Fronts[1].Continue()
+	f.Fronts[2].Kill(true)
+	time.Sleep(500 * time.Millisecond)
+	f.Fronts[2].Start()
+	time.Sleep(3 * time.Second)
+	p.end()
+	for _, w := range f.Workers {
+		breaches, most := history.CheckPlaces(f.Record.Events(), 8, func(e history.Event) float64 {
+			if e.Engine != w.Name {
+				return 0
+			}
+			return ofTenant(e)
+		})
+		for _, b := range breaches {
+			t.Errorf("%s", b)
+		}
+		assert.GreaterOrEqual(t, most, 6.0, "of 8 on %s", w.Name)
+	}
+}
+
+// Operators see who holds what and why a call was turned away; and what their settings come to.
+func TestBudgetCommands(t *testing.T) {
+	t.Parallel()
+	f := standin.NewFleet(t, program, 3, budgets(1, quota(20, 10)))
+	p := press(t, f)
+	leader := f.Leader(3)
+	p.open(leader)
+	stop := p.offer(leader, 80, 5)
+	time.Sleep(1500 * time.Millisecond)
+	run := func(args ...string) string {
+		cmd := exec.Command(program, append([]string{"budget"}, args...)...)
+		cmd.Env = leader.Cmd.Env
+		out, err := cmd.CombinedOutput()
+		require.NoError(t, err, "%s", out)
+		return string(out)
+	}
+	assert.Regexp(t, `(?s)version +1 in force.*quota +t? *.*in force`, run("show", "--socket", leader.Admin))
+	explained := run("explain", "quota", "--socket", leader.Admin)
+	assert.Regexp(t, `was turned away \d+ ms ago for want of room in "quota", and told to come back after \d+ ms`, explained)
+	call, _, _ := strings.Cut(explained, " ")
+	assert.Contains(t, run("explain", call, "--socket", leader.Admin), call+" was turned away")
+	assert.Contains(t, run("explain", "nothing", "--socket", leader.Admin), "No budget of that name")
+	assert.Contains(t, run("show", "--json", "--socket", leader.Admin), `"budgets":[{"name":"quota","kind":"rate","whole":20`)
+	assert.Regexp(t, `quota +rate +20 +19\.`, run("check", "--installation", leader.Cmd.Args[3]))
+	stop()
+	p.end()
+}
--- a/deploy/fleet.jsonnet
+++ b/deploy/fleet.jsonnet
@@ -12,5 +12,14 @@
     copies: 3,
     folder: '/var/lib/chutechute/{name}',
     admin: '/run/chutechute/{name}.sock',
+    // What the whole fleet may spend, divided by what each front end needs: docs/operators/budgets.md.
+    budgets: {
+      version: 1,
+      lease_ms: 2000,
+      list: [
+        { name: 'further', further: true, rate: 20, burst: 40 },
+        { name: 'probes', probes: true, rate: 10, burst: 20 },
+      ],
+    },
   },
 }
