Budgets: further attempts as a share of first tries, cold wholes that warm, budgets added in service

A fleet's further attempts were a fixed rate. Each front end now also earns a share where it makes first tries, with no message. A budget that is added in service turns nobody away before it is in force (TestBudgetAddedInService).

--- a/budget/account/account.go
+++ b/budget/account/account.go
@@ -92,6 +92,7 @@
 	lease  bucket
 	static bucket
 
+	earned int64 // of a rate, by what was done here; in thousandths
 	used   int64 // held, or spent within the window
 	spent  [slots + 1]int64
 	slot   int64 // the last that was counted
@@ -155,7 +156,7 @@
 // left is what may be spent now of the lease and of the static part, for rates, or of both together.
 func (a *Account) room(n int64) bool {
 	if a.kind == Rate {
-		return a.lease.level >= n*nano || a.static.level >= n*nano
+		return a.earned >= n || a.lease.level >= n*nano || a.static.level >= n*nano
 	}
 	return a.used+n <= a.lease.Much+a.static.Much
 }
@@ -175,7 +176,9 @@
 	until = 1 << 62
 	switch a.kind {
 	case Rate:
-		if a.static.level >= n*nano { // it is small, and would be full and idle else
+		if a.earned >= n {
+			a.earned -= n
+		} else if a.static.level >= n*nano { // it is small, and would be full and idle else
 			a.static.level -= n * nano
 		} else {
 			a.lease.level -= n * nano
@@ -194,6 +197,13 @@
 	return until, true
 }
 
+// MostEarned bounds what is earned and not spent, in thousandths.
+const MostEarned = 2 * Unit
+
+// Earn adds to a rate what something done here is worth. It is this front end's own and never leased: what all of them spend so
+// is no more than what was earned by then and MostEarned of each.
+func (a *Account) Earn(n int64) { a.earned = min(MostEarned, a.earned+n) }
+
 // Back gives places back: what held them is over for certain.
 func (a *Account) Back(n int64) {
 	if a.kind == Places {
--- a/cmd/chutechute/budgets_test.go
+++ b/cmd/chutechute/budgets_test.go
@@ -455,3 +455,87 @@
 	stop()
 	p.end()
 }
+
+// All engines break at once. With a budget what is tried again stays a share of the first tries and a rate for the whole fleet, though one
+// front end is lost meanwhile; without one it is as much as there are failures.
+func TestBrokenEnginesMakeNoStorm(t *testing.T) {
+	t.Parallel()
+	const share, rate, burst = 0.1, 4.0, 8.0
+	further := func(list ...map[string]any) (n, firsts float64, seconds float64) {
+		f := standin.NewFleet(t, program, 3, budgets(1, list...))
+		p := press(t, f)
+		if len(list) > 0 {
+			p.open(f.Leader(3))
+		}
+		for _, w := range f.Workers {
+			w.Fails.Store(true)
+		}
+		from := f.Record.Now()
+		for _, n := range f.Fronts {
+			p.offer(n, 25, 5)
+		}
+		time.Sleep(2 * time.Second)
+		f.Fronts[0].Kill(true)
+		time.Sleep(2 * time.Second)
+		p.end()
+		seconds = float64(f.Record.Now()-from) / 1e6
+		seen := map[string]bool{}
+		for _, e := range f.Record.Events() {
+			if e.What == history.Began && seen[e.Call] {
+				n++
+			} else if e.What == history.Began {
+				firsts++
+				seen[e.Call] = true
+			}
+		}
+		t.Logf("%d budgets: %.0f further attempts for %.0f first ones in %.1f s", len(list), n, firsts, seconds)
+		return n, firsts, seconds
+	}
+	n, firsts, seconds := further(map[string]any{"name": "further", "further": true, "share": share, "rate": rate, "burst": burst})
+	assert.LessOrEqual(t, n, share*firsts+rate*(seconds+0.5)+burst+3*2, "share, rate, burst, and two of each front end")
+	assert.Positive(t, n)
+	without, _, _ := further()
+	assert.Greater(t, without, 4*n)
+}
+
+// A budget that is added in service refuses nobody until all that anybody may have been granted of it is over, and is in force then.
+func TestBudgetAddedInService(t *testing.T) {
+	t.Parallel()
+	f := standin.NewFleet(t, program, 3, budgets(1, map[string]any{"name": "probes", "probes": true, "rate": 10, "burst": 10}))
+	p := press(t, f)
+	p.open(f.Leader(3))
+	for _, n := range f.Fronts {
+		p.offer(n, 20, 5)
+	}
+	time.Sleep(500 * time.Millisecond)
+	budgets(2, map[string]any{"name": "probes", "probes": true, "rate": 10, "burst": 10}, quota(15, 5))(f)
+	asked := f.Record.Now()
+	for _, n := range f.Fronts {
+		n.Reload()
+	}
+	inForce := func() bool {
+		b := f.Fronts[0].Question("budgets quota")
+		list, _ := b["budgets"].([]any)
+		return len(list) == 1 && list[0].(map[string]any)["open"] == true
+	}
+	require.Eventually(t, inForce, standin.Patience, 10*time.Millisecond)
+	opened := f.Record.Now()
+	time.Sleep(time.Second)
+	from, _ := p.during(2 * time.Second)
+	p.end()
+	var late []history.Spending
+	for _, s := range history.Spendings(f.Record.Events(), within, ofTenant) {
+		if s.Event.At > from {
+			late = append(late, s)
+		}
+	}
+	assert.Empty(t, history.CheckRate(late, 15, 5))
+	shed := 0
+	for _, e := range f.Record.Events() {
+		if e.What == history.Answered && e.Detail == history.Shed && e.At < opened-100_000 {
+			shed++
+		}
+	}
+	assert.Greater(t, opened-asked, int64(1_000_000), "it waits for a lease")
+	assert.Zero(t, shed, "turned away before it was in force")
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -264,7 +264,7 @@
 	Amounts struct {
 		Rules  []Rule // in place of those before; nil leaves them
 		Until  Micros // of what is leased
-		Leased []Part // all of it
+		Leased []Part // all of it, by budget
 		Static []Part // all that is there without a lease, by budget; nil leaves it
 	}
 	// Timer is a SetTimer that fell due.
--- a/decide/budgets.go
+++ b/decide/budgets.go
@@ -36,9 +36,10 @@
 	EachTenant    bool   // each has the whole for itself
 	EachEngine    bool   // the same
 	EngineKind    string
-	Cold          bool // only engines in their cold span
-	Further       bool // only attempts after the first
-	Probes        bool // only probes
+	Cold          bool  // only engines in their cold span
+	Further       bool  // only attempts after the first
+	Probes        bool  // only probes
+	Earned        int64 // thousandths of a further attempt that each first one earns
 	Unit          Unit
 	Over          Over
 }
@@ -87,6 +88,7 @@
 	if ev.Rules != nil {
 		d.rules(ev.Rules)
 	}
+	rest := ev.Leased // by budget, as the rules are
 	for _, b := range d.budgets.list {
 		if ev.Static != nil {
 			m := account.Amount{}
@@ -98,10 +100,11 @@
 			b.book.Static(d.now, m)
 		}
 		var leased []account.Lease
-		for _, p := range ev.Leased {
-			if p.Budget == b.Name {
-				leased = append(leased, account.Lease{Subject: p.Subject, Amount: p.Amount})
-			}
+		for len(rest) > 0 && rest[0].Budget < b.Name {
+			rest = rest[1:]
+		}
+		for ; len(rest) > 0 && rest[0].Budget == b.Name; rest = rest[1:] {
+			leased = append(leased, account.Lease{Subject: rest[0].Subject, Amount: rest[0].Amount})
 		}
 		b.book.Lease(d.now, leased, ev.Until)
 	}
@@ -149,7 +152,11 @@
 	case b.EachTenant:
 		subject = d.cfg.Tenants[q.Tenant].Name
 	}
-	return b.book.Of(d.now, subject), b.units(q)
+	n := b.units(q)
+	if b.Cold { // the whole is that of the coldest; as it warms, as much work counts for less
+		n = int64(float64(n) * d.cfg.Rules.ColdFrom / d.warmth(e))
+	}
+	return b.book.Of(d.now, subject), n
 }
 
 func (b *budget) units(q *query) int64 {
@@ -167,6 +174,9 @@
 func (d *Dispatcher) pay(q *query, a *attempt, e *engine) (until, life Micros) {
 	for _, e := range []*engine{nil, e} {
 		for _, b := range d.budgets.list {
+			if b.Earned > 0 && len(q.attempts) == 0 && e == nil {
+				b.book.Of(d.now, "").Earn(b.Earned)
+			}
 			acc, n := d.charge(b, q, e)
 			if acc == nil {
 				continue
--- a/deploy/fleet.jsonnet
+++ b/deploy/fleet.jsonnet
@@ -17,7 +17,7 @@
       version: 1,
       lease_ms: 2000,
       list: [
-        { name: 'further', further: true, rate: 20, burst: 40 },
+        { name: 'further', further: true, share: 0.1, rate: 20, burst: 40 },
         { name: 'probes', probes: true, rate: 10, burst: 20 },
       ],
     },
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chutechute/internal/history"
@@ -31,6 +32,9 @@
 	seen   *Seen
 	server *httptest.Server
 
+	// Fails has each query end at its beginning, as on an engine that is broken.
+	Fails atomic.Bool
+
 	mu   sync.Mutex
 	runs map[string]*run
 }
@@ -125,6 +129,9 @@
 	w.runs[call] = r
 	w.record.Add(history.Event{What: history.Began, Engine: w.Name, Call: call, Once: once, Body: statement})
 	w.mu.Unlock()
+	if w.Fails.Load() {
+		w.end(r, history.Ended, false)
+	}
 	go w.run(r, time.Duration(ms)*time.Millisecond)
 	w.answer(out, r)
 }
--- a/purse/purse.go
+++ b/purse/purse.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"chutechute/budget"
+	"chutechute/budget/account"
 	"chutechute/decide"
 	"chutechute/internal/settings"
 )
@@ -18,15 +19,16 @@
 
 // Scope is what a budget applies to. Each, "*", gives every one the whole for itself.
 type Scope struct {
-	Tenant     string `json:"tenant,omitempty"` // a name or "*"
-	Class      string `json:"class,omitempty"`
-	Engine     string `json:"engine,omitempty"` // "*"
-	EngineKind string `json:"engine_kind,omitempty"`
-	Cold       bool   `json:"cold,omitempty"`    // only engines in their cold span
-	Further    bool   `json:"further,omitempty"` // only attempts after the first
-	Probes     bool   `json:"probes,omitempty"`  // only probes
-	Unit       string `json:"unit,omitempty"`    // queries, threads or work (milliseconds of it)
-	Over       string `json:"over,omitempty"`    // refuse, wait or last
+	Tenant     string  `json:"tenant,omitempty"` // a name or "*"
+	Class      string  `json:"class,omitempty"`
+	Engine     string  `json:"engine,omitempty"` // "*"
+	EngineKind string  `json:"engine_kind,omitempty"`
+	Cold       bool    `json:"cold,omitempty"`    // only engines in their cold span
+	Further    bool    `json:"further,omitempty"` // only attempts after the first
+	Share      float64 `json:"share,omitempty"`   // with further: of the first tries, which each front end may have besides
+	Probes     bool    `json:"probes,omitempty"`  // only probes
+	Unit       string  `json:"unit,omitempty"`    // queries, threads or work (milliseconds of it)
+	Over       string  `json:"over,omitempty"`    // refuse, wait or last
 }
 
 // Each is every tenant or engine for itself.
@@ -40,7 +42,7 @@
 // Rule is the scope in the module's terms. An error names the faulty key.
 func (s *Scope) Rule(p *budget.Spec, site *settings.Settings) (r decide.Rule, err error) {
 	r = decide.Rule{Name: p.Name, Kind: p.Kind, Span: p.Span, Life: p.Life, Class: -1, Tenant: -1, EngineKind: s.EngineKind,
-		Cold: s.Cold, Further: s.Further, Probes: s.Probes}
+		Cold: s.Cold, Further: s.Further, Probes: s.Probes, Earned: int64(s.Share * account.Unit)}
 	var ok bool
 	fault := func(key, form string, args ...any) (decide.Rule, error) {
 		return r, fmt.Errorf("%s: %s", key, fmt.Sprintf(form, args...))
@@ -81,6 +83,8 @@
 		return fault("engine", "missing, with cold or engine_kind")
 	case r.Over == decide.Last && (!r.EachTenant && r.Tenant < 0 || r.EachEngine || r.Further):
 		return fault("over", "\"last\" takes a tenant, and neither engine nor further")
+	case s.Share < 0 || s.Share > 1 || s.Share > 0 && (!s.Further || r.EachTenant || r.EachEngine || p.Kind != account.Rate):
+		return fault("share", "%g is not from 0 to 1, or stands without further and a rate, or with \"*\"", s.Share)
 	case r.Probes && (r.EachEngine || r.EachTenant || r.Tenant >= 0 || r.Class >= 0 || r.Further || r.Unit != decide.Queries):
 		return fault("probes", "stands alone")
 	}
