Taking over, thinnest whole: what a lost owner had running is asked after by another

A lost owner's running load was ended by its engine after 2 s unasked, and held its key's line until its client's time was over. The leader now offers it (loads.Offer, by rendezvous, rationed) to a front end that is there, which becomes its owner in the record, asks its engine for the query by its id, and commits the outcome; nothing is started. What the old owner was granted is good for 1.9 s from before it asked, less than the 2 s that the new one waits for a start of which the engine knows nothing.

--- a/budget/history_test.go
+++ b/budget/history_test.go
@@ -252,7 +252,9 @@
 }
 
 // Gone and Replaced are what copies see of processes.
-func (w *world) Gone(ledger.Incarnation) bool { return false }
+func (w *world) Gone(ledger.Incarnation) bool    { return false }
+func (w *world) Missing(ledger.Incarnation) bool { return false }
+func (w *world) Present() []ledger.Incarnation   { return nil }
 func (w *world) Replaced(who ledger.Incarnation) bool {
 	for _, h := range w.holders {
 		if h.proc != nil && slices.Contains(h.past, who) {
--- a/exercise/engine.go
+++ b/exercise/engine.go
@@ -22,7 +22,7 @@
 }
 
 type run struct {
-	job   *job
+	jobs  []*job // of those who ask after it, the first began it
 	asked Micros
 	over  bool
 	good  bool
@@ -34,6 +34,7 @@
 	p       *process
 	a       *gateway.Attempt
 	e       *engine
+	begun   Micros
 	written bool
 	arrived bool
 	dropped bool
@@ -53,8 +54,13 @@
 			e = other
 		}
 	}
-	j := &job{p: p, a: a, e: e}
+	j := &job{p: p, a: a, e: e, begun: s.now}
 	p.jobs[a] = j
+	if a.Running {
+		j.written = true
+		s.after(s.between(200, 3*ms), func() { p.does(j.takeOver) })
+		return
+	}
 	s.after(0, func() { s.at("granted", p.f) })
 	dial := s.between(0, 2*ms)
 	if s.chance(20) {
@@ -89,7 +95,7 @@
 		return
 	}
 	s.seen[once] = s.now
-	r := &run{job: j, asked: s.now, rows: fmt.Sprintf("%s\t%s\t%s\n", j.a.ID, once, e.name)}
+	r := &run{jobs: []*job{j}, asked: s.now, rows: fmt.Sprintf("%s\t%s\t%s\n", j.a.ID, once, e.name)}
 	e.runs[j.a.ID] = r
 	s.Record.Add(history.Event{What: history.Began, Engine: e.name, Call: j.a.ID, Once: once, Key: j.a.Key})
 	var span Micros
@@ -103,35 +109,73 @@
 	if j.dropped {
 		s.after(s.between(200, 2*ms), func() { j.p.does(j.deletes) })
 	}
-	e.ask(r)
+	e.ask(r, j)
+	e.watch(r)
+}
+
+// takeOver asks after what another front end has started: it is known, or may come yet, or never will.
+func (j *job) takeOver() {
+	s := j.p.f.s
+	if j.done {
+		return
+	}
+	if r := j.e.runs[j.a.ID]; r != nil {
+		j.arrived = true
+		r.jobs = append(r.jobs, j)
+		if j.e.ask(r, j); j.dropped {
+			j.deletes()
+		}
+		return
+	}
+	if s.now-j.begun >= unasked+poll {
+		j.dropped = true
+		j.deletes()
+		return
+	}
+	s.after(poll, func() { j.p.does(j.takeOver) })
 }
 
+// asks says whether a front end asks after its query now.
+func (j *job) asks() bool { return j.p.f.proc == j.p && !j.p.paused && !j.done }
+
 // ask is one question after a query: it keeps the query alive as long as its front end asks.
-func (e *engine) ask(r *run) {
-	j, s := r.job, e.s
-	asks := j.p.f.proc == j.p && !j.p.paused && !j.done
-	if asks {
+func (e *engine) ask(r *run, j *job) {
+	s := e.s
+	if j.asks() {
 		r.asked = s.now
+		if r.over {
+			s.after(s.between(200, 2*ms), func() { j.p.does(func() { j.answer(r) }) })
+			return
+		}
 	}
-	switch {
-	case r.over && asks:
-		s.after(s.between(200, 2*ms), func() { j.p.does(func() { j.answer(r) }) })
-		return
-	case r.over && (j.p.f.proc != j.p || j.done):
+	if j.p.f.proc != j.p || j.done {
 		return
-	case !r.over && s.now-r.asked >= unasked:
+	}
+	s.after(poll, func() { e.ask(r, j) })
+}
+
+// watch ends a query that nobody has asked for.
+func (e *engine) watch(r *run) {
+	switch {
+	case r.over:
+	case e.s.now-r.asked >= unasked:
 		e.over(r, history.Unasked, false)
+	default:
+		e.s.after(poll, func() { e.watch(r) })
 	}
-	s.after(poll, func() { e.ask(r) })
 }
 
 func (e *engine) over(r *run, how string, good bool) {
 	r.over, r.good = true, good
-	e.s.Record.Add(history.Event{What: how, Engine: e.name, Call: r.job.a.ID, Once: r.job.a.Once, Key: r.job.a.Key})
-	e.s.after(e.s.between(0, 5*ms), func() { e.s.at("over", r.job.p.f) })
-	if how == history.Ended { // a question is out, if anybody asks
+	first := r.jobs[0]
+	e.s.Record.Add(history.Event{What: how, Engine: e.name, Call: first.a.ID, Once: first.a.Once, Key: first.a.Key})
+	e.s.after(e.s.between(0, 5*ms), func() { e.s.at("over", first.p.f) })
+	if how != history.Ended {
+		return
+	}
+	for _, j := range r.jobs { // a question is out, if anybody asks
 		e.s.after(e.s.between(100, poll), func() {
-			if j := r.job; j.p.f.proc == j.p && !j.done {
+			if j.p.f.proc == j.p && !j.done {
 				j.p.does(func() { j.answer(r) })
 			}
 		})
--- a/exercise/front.go
+++ b/exercise/front.go
@@ -110,12 +110,12 @@
 			p.holder.Note(f.local())
 		}
 	})
-	p.desk = vouch.New(vouch.Config{Incarnation: p.incarnation, Poll: 8 * tick, Patience: keep, Full: second / 2}, p.node)
 	var err error
 	if p.core, err = gateway.New(s.site, s.rng.Uint64(), gateway.Bounds{Open: 10000, Held: 1 << 24}, pool{p}, &p.count); err != nil {
 		s.fail(err)
 		return
 	}
+	p.desk = vouch.New(vouch.Config{Incarnation: p.incarnation, Poll: 8 * tick, Patience: keep, Full: second / 2}, p.node, p.core)
 	record := gateway.Record(p.desk)
 	if s.o.Variant.Record != nil {
 		record = s.o.Variant.Record(record)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -189,7 +189,7 @@
 		n.Changed(m)
 	}
 	present := n.present()
-	n.replica.Tick(now, present, presence{n.members})
+	n.replica.Tick(now, present, presence{n.members, n})
 	if now >= n.beatAt {
 		n.beatAt = now + n.cfg.Beat
 		n.beat()
@@ -200,11 +200,29 @@
 }
 
 // presence is the members as the record's kinds see them.
-type presence struct{ *member.Set }
+type presence struct {
+	*member.Set
+	n *Node
+}
 
 func (p presence) Gone(i ledger.Incarnation) bool     { return p.Set.Gone(uint64(i)) }
 func (p presence) Replaced(i ledger.Incarnation) bool { return p.Set.Replaced(uint64(i)) }
 
+func (p presence) Missing(i ledger.Incarnation) bool {
+	return uint64(i) != p.n.cfg.Incarnation && p.Set.Missing(uint64(i))
+}
+
+func (p presence) Present() (list []ledger.Incarnation) {
+	list = append(list, ledger.Incarnation(p.n.cfg.Incarnation))
+	for _, m := range p.List() {
+		if m.State == member.Alive {
+			list = append(list, ledger.Incarnation(m.Incarnation))
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Gone says whether a process of the fleet is held for no more.
 func (n *Node) Gone(incarnation uint64) bool { return n.members.Gone(incarnation) }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -90,7 +90,9 @@
 	Wait    Micros // how long the front end will wait
 	GrantMB float64
 	Until   Micros // no byte of its start is written later; 0: no such bound
+	Running bool   // another front end started it: it is asked after, and not started
 
+	within  Micros // the module's bound on Until
 	number  int
 	asking  bool // the record has not said yet whether it may begin
 	at      Micros
@@ -291,6 +293,10 @@
 	if a.ended {
 		return
 	}
+	if a.Running && neverRan(result) { // it was not asked after here, which says nothing of what runs there
+		c.after(now+unasked, func() { c.Ended(c.now, a, decide.Reset, nil, nil) })
+		return
+	}
 	a.ended = true
 	c.cancel(a.due)
 	c.out--
@@ -314,6 +320,9 @@
 		c.trace.answered(a.Request, "served", now)
 		a.caller.Served(rows)
 	}
+	if a.Running && result != decide.Done { // the module does not have it, and nobody waits for an answer to it
+		a.answered = true
+	}
 	c.events = append(c.events, decide.Outcome{ID: a.id, Attempt: a.number, Engine: a.Engine, Result: result,
 		Elapsed: now - a.at, Final: final, Load: load})
 	c.forget(a.Request)
@@ -437,7 +446,7 @@
 		return
 	}
 	a := &Attempt{Request: r, Engine: s.Engine, GrantMB: r.grantMB, number: len(r.attempts), at: c.now,
-		Until: s.Until}
+		Until: s.Until, within: s.Until}
 	a.Wait = r.deadline - c.now
 	if s.Timeout > 0 && s.Timeout < a.Wait {
 		a.Wait = s.Timeout
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -23,9 +23,10 @@
 
 // Entry is a load on its way through the record.
 type Entry struct {
-	// Slot and Checked are the record's own.
+	// Slot, Checked and Seen are the record's own.
 	Slot    any
 	Checked bool
+	Seen    bool
 
 	c     *Core
 	r     *Request
@@ -131,6 +132,40 @@
 	return true
 }
 
+// grantedFor is how long the record's word that an attempt may begin is good for, from before it was asked. It is less than how
+// long who takes over from this front end waits for a start that its engine knows nothing of (see package loads).
+const grantedFor = 1900 * decide.Second / 1000
+
+// unasked is how long an engine goes on with what nobody asks for, one call that is out included.
+const unasked = 2350 * decide.Second / 1000
+
+// Succession is a load that another front end started and does not look after any more.
+type Succession struct {
+	Run       string // the call of what was started
+	Engine    string
+	Once, Key string
+	Class     string
+	TTL       Micros
+}
+
+// Succeed looks after what another front end has started: its engine is asked for it, nothing of it is started. The record hears of its
+// end as of any other. It gives nil where that call is open here already.
+func (c *Core) Succeed(now Micros, s Succession) *Entry {
+	if c.ids[s.Run] {
+		return nil
+	}
+	r := &Request{Call: &Call{ID: s.Run, Once: s.Once, Key: s.Key, Class: s.Class, TTL: s.TTL}, id: c.newID(), caller: nobody{}, taken: now,
+		deadline: now + s.TTL - margin}
+	c.open[r.id], c.ids[s.Run] = r, true
+	r.due = c.after(r.deadline, func() { c.expire(r) })
+	r.entry = &Entry{c: c, r: r, told: true, begun: true, ran: true}
+	a := &Attempt{Request: r, Engine: s.Engine, Wait: r.deadline - now, at: now, Running: true}
+	r.attempts, r.out = append(r.attempts, a), 1
+	c.out++
+	c.engines.Start(a)
+	return r.entry
+}
+
 // begin asks the record whether an attempt may begin, and hands it to the engines once it may. What was given up meanwhile
 // has ended already, and is not handed on whatever the record says.
 func (c *Core) begin(a *Attempt) {
@@ -146,8 +181,9 @@
 		}
 		a.entry.begun = true
 		a.Wait = min(a.Wait, a.deadline-now)
-		if a.Until == 0 || a.deadline < a.Until {
-			a.Until = a.deadline
+		a.Until = min(a.deadline, a.at+grantedFor)
+		if a.within != 0 {
+			a.Until = min(a.Until, a.within)
 		}
 		c.engines.Start(a)
 	})
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -146,6 +146,10 @@
 	}
 	j := &job{attempt: a, engine: e, begun: p.s.now, query: rest.NewQuery(e.addr.String(), rest.Start{ID: a.ID,
 		Class: a.Class, Once: a.Once, Statement: a.Statement, Wait: a.Wait, GrantMB: a.GrantMB})}
+	if a.Running { // it may not have come to its engine yet, or never will
+		j.posted, j.doubt, j.asked = true, true, p.s.now
+		j.query.Resume()
+	}
 	p.byTry[a] = j
 	p.add(j)
 	p.carry(j)
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -101,7 +101,7 @@
 	}
 	v := cfg.Vouch
 	v.Incarnation = incarnation
-	p.desk = vouch.New(v, p.node)
+	p.desk = vouch.New(v, p.node, s.core)
 	p.self = &peer.Identity{Site: cfg.Site, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation, Copy: c.Copies.ID,
 		Oldest: peer.OldestVersion, Newest: peer.NewestVersion, Settings: cfg.Digest}
 	for name, addr := range cfg.Others {
--- a/ledger/kind.go
+++ b/ledger/kind.go
@@ -28,6 +28,10 @@
 	Gone(Incarnation) bool
 	// Replaced says whether a process surely is no more: its name has come back with another.
 	Replaced(Incarnation) bool
+	// Missing says whether a process has not been heard of for a while, anywhere: another had better look after what it had under way.
+	Missing(Incarnation) bool
+	// Present are the processes that are heard now, this one too, in order.
+	Present() []Incarnation
 }
 
 // Applied tells a kind where in the record it stands.
--- a/ledger/loads/loads.go
+++ b/ledger/loads/loads.go
@@ -8,7 +8,10 @@
 //     after a load was adopted, has an outcome, or was taken out, nothing of the earlier owner begins: a Start that it still
 //     asks for is denied, whatever it believes. An epoch is the place in the record at which an owner took the load, so none
 //     comes twice, not even where a load is taken out and taken anew: a command that comes late, or twice, meets another.
-//  2. A load with a committed Start is never adopted. Whoever finds one waits for its outcome; its owner alone goes on.
+//  2. A load with a committed Start is never adopted by who wants to start it. Whoever finds one waits for its outcome. Where its
+//     owner is missing, an Offer makes another the owner, who asks its engine for what was started and starts nothing: the old
+//     owner's Starts and Finishes are denied from then on. What it was granted before may still be written for startWithin from
+//     before it asked, which is less than the span that the new owner waits where the engine knows nothing of it.
 //  3. A load has one outcome: the first committed. It and its rows are what every later repeat is told, until it is forgotten.
 //  4. Of one key, a Start is granted only to the load that stands first in the order of commits; it leaves the line with its
 //     outcome only, which its owner commits once no attempt of it runs any more, or with a Lapse.
@@ -19,9 +22,12 @@
 
 import (
 	"bytes"
+	"encoding/binary"
 	"fmt"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chutechute/internal/proto"
 	"chutechute/ledger"
 )
@@ -139,6 +145,12 @@
 			}
 		}
 		return nil
+	case Offer:
+		if l != nil && l.changed == c.Changed && l.phase == Started {
+			l.owner, l.epoch, l.changed, l.taken, l.at = ledger.Incarnation(c.To), at.Index, at.Index, at.Now, at.Now
+			at.Note(l.owner, l.once)
+		}
+		return nil
 	case Forget:
 		if l != nil && l.changed == c.Changed && l.phase.Over() {
 			s.remove(at, l)
@@ -151,6 +163,10 @@
 	if l != nil && status != Conflict {
 		v.Phase, v.Owner, v.Epoch, v.Place, v.Call, v.Rows = l.phase, uint64(l.owner), l.epoch, l.place, l.call, l.rows
 		v.Turn = s.first(l)
+		if l.phase == Started {
+			last := l.starts[len(l.starts)-1]
+			v.TTL, v.Engine, v.Run, v.Class, v.Key, v.Digest = l.ttl, last.engine, last.call, l.class, l.key, l.digest
+		}
 	}
 	return v.Encode()
 }
@@ -295,8 +311,25 @@
 // mostDue bounds the commands of one call of Due.
 const mostDue = 256
 
+// mostOffers rations, for each call of Due, what goes over to others, so that a lost front end with much under way is no storm
+// at engines or in the record.
+const mostOffers = 64
+
+// successor is who looks after a load whose owner is missing: by rendezvous of the load and the processes that are there, so that
+// nobody gets all of a lost one's.
+func successor(once string, present []ledger.Incarnation) (best ledger.Incarnation) {
+	most := uint64(0)
+	for _, i := range present {
+		if h := xxhash.Sum64(binary.LittleEndian.AppendUint64([]byte(once), uint64(i))); best == 0 || h > most {
+			best, most = i, h
+		}
+	}
+	return best
+}
+
 // Due gives what has lapsed and what may be forgotten, by this machine's clock.
 func (s *Loads) Due(now ledger.Micros, seen ledger.Presence) (list [][]byte) {
+	offers := 0
 	for _, l := range s.order {
 		if len(list) >= mostDue {
 			break
@@ -308,6 +341,12 @@
 			c.Op = Forget
 		case l.phase == Started && now-l.taken >= life+unasked:
 			c.Op = Lapse
+		case l.phase == Started && offers < mostOffers && seen.Missing(l.owner):
+			if c.To = uint64(successor(l.once, seen.Present())); c.To == uint64(l.owner) {
+				continue
+			}
+			c.Op = Offer
+			offers++
 		case l.phase == Waiting && now-l.taken >= life:
 			c.Op = Lapse
 		case l.phase == Waiting && seen.Gone(l.owner):
--- a/ledger/loads/message.go
+++ b/ledger/loads/message.go
@@ -13,6 +13,7 @@
 	Lapse                // by the leader: its time is over for certain
 	Forget               // by the leader: its outcome was kept long enough
 	Look                 // how it stands, as of this place in the order of commits
+	Offer                // by the leader: its owner is missing; another is to ask after what was started
 )
 
 // Phase is how far a load is.
@@ -48,6 +49,7 @@
 	Outcome                  Phase // None: it never ran, and is taken out
 	Rows                     []byte
 	Changed                  uint64
+	To                       uint64 // incarnation, of an Offer
 }
 
 // Encode gives the command's bytes.
@@ -67,7 +69,8 @@
 	b = proto.String(b, 12, c.Engine)
 	b = proto.Uint(b, 13, uint64(c.Outcome))
 	b = proto.Bytes(b, 14, c.Rows)
-	return proto.Uint(b, 15, c.Changed)
+	b = proto.Uint(b, 15, c.Changed)
+	return proto.Uint(b, 16, c.To)
 }
 
 // Decode reads a command.
@@ -105,6 +108,8 @@
 			c.Rows = f.Copy()
 		case 15:
 			c.Changed = f.Uint
+		case 16:
+			c.To = f.Uint
 		}
 		return nil
 	})
@@ -134,6 +139,12 @@
 	Turn   bool   // nothing of its key stands before it
 	Call   string // of the try that its owner holds
 	Rows   []byte
+	TTL    uint64 // that its client waits, where something was started
+	Engine string // of the last start
+	Run    string // its call
+	Class  string
+	Key    string
+	Digest []byte
 }
 
 // Encode gives the view's bytes.
@@ -146,7 +157,13 @@
 	b = proto.Uint(b, 5, v.Place)
 	b = proto.Bool(b, 6, v.Turn)
 	b = proto.String(b, 7, v.Call)
-	return proto.Bytes(b, 8, v.Rows)
+	b = proto.Bytes(b, 8, v.Rows)
+	b = proto.Uint(b, 9, v.TTL)
+	b = proto.String(b, 10, v.Engine)
+	b = proto.String(b, 11, v.Run)
+	b = proto.String(b, 12, v.Class)
+	b = proto.String(b, 13, v.Key)
+	return proto.Bytes(b, 14, v.Digest)
 }
 
 // DecodeView reads one.
@@ -169,6 +186,18 @@
 			v.Call = f.Text()
 		case 8:
 			v.Rows = f.Copy()
+		case 9:
+			v.TTL = f.Uint
+		case 10:
+			v.Engine = f.Text()
+		case 11:
+			v.Run = f.Text()
+		case 12:
+			v.Class = f.Text()
+		case 13:
+			v.Key = f.Text()
+		case 14:
+			v.Digest = f.Copy()
 		}
 		return nil
 	})
--- a/member/member.go
+++ b/member/member.go
@@ -186,3 +186,18 @@
 func (s *Set) Replaced(incarnation uint64) bool {
 	return slices.ContainsFunc(s.list, func(m *Member) bool { return slices.Contains(m.past, incarnation) })
 }
+
+// Missing says whether a process is heard nowhere now. One that nobody knows of is, once all names have another.
+func (s *Set) Missing(incarnation uint64) bool {
+	all := true
+	for _, m := range s.list {
+		if m.Incarnation == incarnation {
+			return m.State == Suspect || m.State == Dead || m.State == Left
+		}
+		if slices.Contains(m.past, incarnation) {
+			return true
+		}
+		all = all && m.Incarnation != 0
+	}
+	return all
+}
--- a/vouch/vouch.go
+++ b/vouch/vouch.go
@@ -30,6 +30,11 @@
 	Gone(incarnation uint64) bool
 }
 
+// Core is the gateway's part in what another front end has started.
+type Core interface {
+	Succeed(now Micros, s gateway.Succession) *gateway.Entry
+}
+
 // Config sets the spans.
 type Config struct {
 	Incarnation uint64
@@ -42,11 +47,14 @@
 type Desk struct {
 	cfg   Config
 	ask   Asker
+	core  Core
 	now   Micros
 	holds map[string]*hold
 	order []*hold // those of holds, in the order in which they came
 	// Conflicts counts repeats with another statement, Adopted loads taken over, Waited repeats that waited with another's.
 	Conflicts, Adopted, Waited, Kept int
+	// Succeeded counts loads of missing front ends whose running query was looked after here.
+	Succeeded int
 }
 
 // hold is one load here, with all requests for it.
@@ -72,8 +80,8 @@
 }
 
 // New is a desk without loads.
-func New(cfg Config, ask Asker) *Desk {
-	return &Desk{cfg: cfg, ask: ask, holds: map[string]*hold{}}
+func New(cfg Config, ask Asker, core Core) *Desk {
+	return &Desk{cfg: cfg, ask: ask, core: core, holds: map[string]*hold{}}
 }
 
 // At sets the time for what comes before the next Tick.
@@ -158,6 +166,9 @@
 func (d *Desk) taken(h *hold, v loads.View, ok, adopt bool) {
 	first := !h.noted
 	h.noted = true
+	for _, e := range h.entries {
+		e.Seen = true
+	}
 	if first {
 		defer d.next(h)
 	}
@@ -194,6 +205,8 @@
 	case mine && v.Phase == loads.Waiting && v.Turn:
 		h.runner = h.entries[0]
 		h.runner.Mine()
+	case mine && v.Phase == loads.Started && !h.clean && h.runner == nil:
+		d.succeed(h, v)
 	case mine && v.Phase == loads.Started && h.clean && h.runner == nil:
 		d.finish(h, loads.None, nil) // its runner left before anything ran; the next one begins anew
 	case !mine:
@@ -207,6 +220,18 @@
 	}
 }
 
+// succeed looks after what another front end has started: the record has made this one its owner.
+func (d *Desk) succeed(h *hold, v loads.View) {
+	e := d.core.Succeed(d.now, gateway.Succession{Run: v.Run, Engine: v.Engine, Once: h.once, Key: v.Key, Class: v.Class, TTL: Micros(v.TTL)})
+	if e == nil {
+		return // its own client's call goes by that id; the load ends by its time
+	}
+	d.Succeeded++
+	slog.Info("load taken over", "dedupe", h.once, "engine", v.Engine, "call", v.Run, "epoch", v.Epoch)
+	e.Slot, e.Checked, h.runner = h, true, e
+	h.entries = append(h.entries, e)
+}
+
 // Begin asks whether an attempt may begin.
 func (d *Desk) Begin(now Micros, e *gateway.Entry, attempt int, engine string, granted func(Micros, bool)) {
 	d.now = now
@@ -262,10 +287,12 @@
 	}
 }
 
-// Doubt says whether some attempt of the load may have begun.
+// Doubt says whether some attempt of the load may have begun, by what the record has said since the request came. What it had said
+// before may be out of date: a repeat that it never heard of is turned away like one at a front end that knows nothing of the load,
+// and not told that a load may have run whose rows others were told meanwhile (exercise, seed 43).
 func (d *Desk) Doubt(e *gateway.Entry) bool {
 	h := e.Slot.(*hold)
-	return h.phase == loads.Started && !(h.mine && h.clean) || h.phase.Over() || h.ending
+	return e.Seen && (h.phase == loads.Started && !(h.mine && h.clean) || h.phase.Over() || h.ending)
 }
 
 // drop takes a request out of its load.
@@ -348,7 +375,20 @@
 	}
 	// The record may hold this front end for its owner by a command that was repeated late.
 	d.put(&loads.Command{Op: loads.Look, Once: once}, func(v loads.View, ok bool) {
-		if ok && v.Phase == loads.Waiting && v.Owner == d.cfg.Incarnation && d.holds[once] == nil {
+		if !ok || v.Owner != d.cfg.Incarnation || d.holds[once] != nil {
+			return
+		}
+		if v.Phase == loads.Started {
+			h := &hold{once: once, key: v.Key, digest: v.Digest, noted: true, mine: true, epoch: v.Epoch, phase: v.Phase}
+			d.holds[once] = h
+			d.order = append(d.order, h)
+			d.succeed(h, v)
+			if h.runner == nil {
+				d.close(h)
+			}
+			return
+		}
+		if v.Phase == loads.Waiting {
 			d.put(&loads.Command{Op: loads.Finish, Once: once, Epoch: v.Epoch, Outcome: loads.None}, func(loads.View, bool) {})
 		}
 	})
