--- a/internal/history/history.go
+++ b/internal/history/history.go
@@ -117,8 +117,9 @@
 	return list
 }
 
-// Check gives all breaches of what is promised of keyed loads.
+// Check gives all breaches of what is promised of keyed loads. What has no idempotency key is none.
 func Check(events []Event) (list []Breach) {
+	events = slices.DeleteFunc(slices.Clone(events), func(e Event) bool { return e.Once == "" })
 	runs := Runs(events)
 	asked := map[string]Event{} // by call
 	for _, e := range events {
