Taking over: planned exits hand on; two variants that the histories see; stalls between word and write

ExpireAll called off a load that ran when its front end's time for an exit was over: with a record it is handed on, and its rows are kept for who repeats.

--- a/exercise/engine.go
+++ b/exercise/engine.go
@@ -127,7 +127,7 @@
 		}
 		return
 	}
-	if s.now-j.begun >= unasked+poll {
+	if s.now-j.begun >= unasked+poll || s.o.Variant.HastyHeir {
 		j.dropped = true
 		j.deletes()
 		return
--- a/exercise/sim.go
+++ b/exercise/sim.go
@@ -52,6 +52,7 @@
 	SameNumber bool // an emptied disk keeps its number: the copy votes under the name that it had
 	EarlyWord  bool // a write is told before it is there
 	NoUntil    bool // the last moment to begin is not looked at
+	HastyHeir  bool // who takes over does not wait for a start that may still be on its way
 }
 
 // Sim is one fleet.
@@ -168,7 +169,7 @@
 	}
 }
 
-// at is a point that matters in a load's life; a front end may die there, with its disk where the record bears that.
+// at is a point that matters in a load's life; a front end may die there, with its disk where the record bears that, or stand still.
 func (s *Sim) at(point string, f *Front) {
 	if s.o.Crash == 0 || s.calm || f.proc == nil || !s.chance(s.o.Crash) {
 		return
@@ -178,6 +179,15 @@
 		return
 	}
 	s.did("at %s:", point)
+	if point == "granted" && s.chance(2) { // between the record's word and the write
+		f.Pause()
+		span := s.between(700*ms, 6*second)
+		if s.o.Variant.HastyHeir { // what shows it is a span shorter than that word is good for
+			span = s.between(800*ms, 2*second)
+		}
+		s.after(span, f.Resume)
+		return
+	}
 	f.Kill(empty)
 	s.after(s.between(50*ms, 4*second), f.Start)
 }
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -209,13 +209,16 @@
 func (p presence) Replaced(i ledger.Incarnation) bool { return p.Set.Replaced(uint64(i)) }
 
 func (p presence) Missing(i ledger.Incarnation) bool {
-	return uint64(i) != p.n.cfg.Incarnation && p.Set.Missing(uint64(i))
+	return i == 0 || uint64(i) != p.n.cfg.Incarnation && p.Set.Missing(uint64(i))
 }
 
 func (p presence) Present() (list []ledger.Incarnation) {
-	list = append(list, ledger.Incarnation(p.n.cfg.Incarnation))
+	n := p.n
+	if !n.leaving {
+		list = append(list, ledger.Incarnation(n.cfg.Incarnation))
+	}
 	for _, m := range p.List() {
-		if m.State == member.Alive {
+		if s := n.others[m.Name]; m.State == member.Alive && s != nil && !s.Leaving {
 			list = append(list, ledger.Incarnation(m.Incarnation))
 		}
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,10 +5,13 @@
 package gateway
 
 import (
+	"cmp"
 	"container/heap"
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
+	"slices"
 
 	"chutechute/decide"
 	"chutechute/identity"
@@ -68,6 +71,7 @@
 // Request is an open request.
 type Request struct {
 	*Call
+	seq      uint64 // in the order in which requests came
 	id       uint64
 	caller   Caller
 	taken    Micros
@@ -199,7 +203,7 @@
 		tenant = c.settings.TenantOf[call.Tenant]
 	}
 	c.count.Taken++
-	r := &Request{Call: call, id: c.newID(), caller: caller, taken: now, deadline: now + call.TTL - margin,
+	r := &Request{Call: call, id: c.newID(), seq: c.lastID, caller: caller, taken: now, deadline: now + call.TTL - margin,
 		completion: read, from: from}
 	if len(c.open) >= c.bounds.Open || c.held+len(call.Statement) > c.bounds.Held {
 		r.refuse(c, busyAfter)
@@ -262,9 +266,18 @@
 	c.giveUp(r, decide.TimedOut)
 }
 
-// ExpireAll ends all that is open, as at its deadline.
+// ExpireAll ends all that is open, as at its deadline, in the order in which it came. A load that runs and that a record vouches for
+// is not called off: another front end is to look after it.
 func (c *Core) ExpireAll() {
-	for _, r := range c.open {
+	list := slices.SortedFunc(maps.Values(c.open), func(a, b *Request) int { return cmp.Compare(a.seq, b.seq) })
+	for _, r := range list {
+		if e := r.entry; e != nil && e.begun && !e.kept && !r.answered && !e.handed {
+			e.handed = true
+			c.count.Expired++
+			c.record.HandOn(c.now, e)
+			r.fail(c)
+			continue
+		}
 		c.expire(r)
 	}
 }
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -17,6 +17,8 @@
 	// Leave ends this front end's part in a load that was not kept. Nothing of it runs or will begin; ran says whether some
 	// attempt may have.
 	Leave(now Micros, e *Entry, ran bool)
+	// HandOn has another front end look after a load that runs, as this one ends. Leave may follow, and changes nothing then.
+	HandOn(now Micros, e *Entry)
 	// Doubt says whether some attempt of the load may have begun, on whichever front end.
 	Doubt(e *Entry) bool
 }
@@ -36,6 +38,8 @@
 	ran   bool // an attempt that is over may have run
 	kept  bool // its rows were handed to the record
 	gone  bool // Leave was called
+	// handed says that another front end was to look after it.
+	handed bool
 }
 
 // Call is what the client sent.
@@ -154,7 +158,7 @@
 	if c.ids[s.Run] {
 		return nil
 	}
-	r := &Request{Call: &Call{ID: s.Run, Once: s.Once, Key: s.Key, Class: s.Class, TTL: s.TTL}, id: c.newID(), caller: nobody{}, taken: now,
+	r := &Request{Call: &Call{ID: s.Run, Once: s.Once, Key: s.Key, Class: s.Class, TTL: s.TTL}, id: c.newID(), seq: c.lastID, caller: nobody{}, taken: now,
 		deadline: now + s.TTL - margin}
 	c.open[r.id], c.ids[s.Run] = r, true
 	r.due = c.after(r.deadline, func() { c.expire(r) })
--- a/ledger/loads/loads.go
+++ b/ledger/loads/loads.go
@@ -151,6 +151,11 @@
 			at.Note(l.owner, l.once)
 		}
 		return nil
+	case Hand:
+		if l != nil && l.owner == asker && l.epoch == c.Epoch && l.phase == Started {
+			l.owner, l.epoch, l.changed = 0, at.Index, at.Index
+		}
+		return nil
 	case Forget:
 		if l != nil && l.changed == c.Changed && l.phase.Over() {
 			s.remove(at, l)
--- a/ledger/loads/message.go
+++ b/ledger/loads/message.go
@@ -14,6 +14,7 @@
 	Forget               // by the leader: its outcome was kept long enough
 	Look                 // how it stands, as of this place in the order of commits
 	Offer                // by the leader: its owner is missing; another is to ask after what was started
+	Hand                 // its owner ends as planned: another is to ask after what was started
 )
 
 // Phase is how far a load is.
--- a/vouch/vouch.go
+++ b/vouch/vouch.go
@@ -287,6 +287,16 @@
 	}
 }
 
+// HandOn gives a load that runs back to the record, which offers it to another front end. What comes of it here counts only if it
+// is committed before.
+func (d *Desk) HandOn(now Micros, e *gateway.Entry) {
+	d.now = now
+	if h := e.Slot.(*hold); h.runner == e && !h.ending && !h.gone {
+		slog.Info("load handed on", "dedupe", h.once, "epoch", h.epoch)
+		d.put(&loads.Command{Op: loads.Hand, Once: h.once, Epoch: h.epoch}, func(loads.View, bool) {})
+	}
+}
+
 // Doubt says whether some attempt of the load may have begun, by what the record has said since the request came. What it had said
 // before may be out of date: a repeat that it never heard of is turned away like one at a front end that knows nothing of the load,
 // and not told that a load may have run whose rows others were told meanwhile (exercise, seed 43).
