--- a/cmd/chutechute/takeover_test.go
+++ b/cmd/chutechute/takeover_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"os"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -77,3 +79,84 @@
 	}
 	f.Check()
 }
+
+// A front end ends as planned while a load runs for longer than it may stay: the load is handed on, runs once, and its rows are told to
+// who asks. Then all are restarted one after another, under loads of several keys: each is served, and none runs twice.
+func TestPlannedExitHandsOn(t *testing.T) {
+	t.Parallel()
+	f := standin.NewFleet(t, program, 3, lasting)
+	f.Leader(3)
+	owner, other := f.Fronts[0], f.Fronts[1]
+	try := load("long", "k", 6000)
+	var all sync.WaitGroup
+	all.Go(func() { f.Load(owner, try) })
+	f.Until(func(e history.Event) bool { return e.What == history.Began })
+	owner.Leave()
+	assert.NotEmpty(t, insist(t, f, other, try).Body())
+	owner.Start()
+	all.Wait()
+	assert.Len(t, history.Runs(f.Record.Events()), 1)
+	for i := range 24 {
+		all.Go(func() {
+			time.Sleep(time.Duration(i) * 250 * time.Millisecond)
+			try := load(fmt.Sprintf("once-%d", i), fmt.Sprintf("key-%d", i%4), 200)
+			for k := range 40 { // a client that repeats through whoever answers
+				if p := f.Load(f.Fronts[(i+k)%3], try); p.What == history.Answer {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+			t.Errorf("load %d was not served", i)
+		})
+	}
+	for _, n := range f.Fronts {
+		n.Leave()
+		n.Start()
+		f.Leader(3)
+	}
+	all.Wait()
+	f.Check()
+}
+
+// How soon a successor asks, and how much work is saved; long.
+func TestTakeoverFigures(t *testing.T) {
+	if os.Getenv("CHUTECHUTE_LONG") == "" {
+		t.Skip("long")
+	}
+	for _, fronts := range []int{3, 5, 9} {
+		f := standin.NewFleet(t, program, fronts, lasting)
+		f.Leader(3)
+		var gaps []int
+		kept, kills := 0, 20
+		for i := range kills {
+			owner := f.Fronts[i%fronts]
+			try := load(fmt.Sprintf("once-%d", i), fmt.Sprintf("k-%d", i), 3000)
+			var first sync.WaitGroup
+			first.Go(func() { f.Load(owner, try) })
+			began := f.Until(func(e history.Event) bool { return e.What == history.Began && e.Once == try.Once })
+			time.Sleep(time.Duration(100+i*37%400) * time.Millisecond)
+			killed := time.Now()
+			owner.Kill(true)
+			over := f.Until(func(e history.Event) bool {
+				return e.Once == try.Once && (e.What == history.Ended || e.What == history.Unasked || e.What == history.Deleted)
+			})
+			if over.What == history.Ended {
+				kept++
+			}
+			for _, w := range f.Workers {
+				if w.Name == began.Engine {
+					if at, ok := w.AskedAfter(began.Call, killed.Add(300*time.Millisecond)); ok {
+						gaps = append(gaps, int(at.Sub(killed).Milliseconds()))
+					}
+				}
+			}
+			first.Wait()
+			owner.Start()
+			f.Leader(3)
+		}
+		slices.Sort(gaps)
+		t.Logf("%d front ends: %d of %d running loads were kept alive; first question after the loss: median %d ms, most %d ms", fronts, kept, kills,
+			gaps[len(gaps)/2], gaps[len(gaps)-1])
+		f.Check()
+	}
+}
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -37,6 +37,19 @@
 
 	mu   sync.Mutex
 	runs map[string]*run
+	asks map[string][]time.Time // when each query was asked after
+}
+
+// AskedAfter is when a query was first asked after since a time.
+func (w *Worker) AskedAfter(call string, since time.Time) (at time.Time, ok bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, at := range w.asks[call] {
+		if at.After(since) {
+			return at, true
+		}
+	}
+	return at, false
 }
 
 // Seen is the keys that the engines of a fleet have run lately.
@@ -58,7 +71,7 @@
 
 // NewWorker begins an engine.
 func NewWorker(name string, record *history.Record, seen *Seen) *Worker {
-	w := &Worker{Name: name, record: record, seen: seen, runs: map[string]*run{}}
+	w := &Worker{Name: name, record: record, seen: seen, runs: map[string]*run{}, asks: map[string][]time.Time{}}
 	w.server = httptest.NewServer(http.HandlerFunc(w.serve))
 	w.Addr = w.server.Listener.Addr().(*net.TCPAddr)
 	return w
@@ -88,6 +101,9 @@
 	}
 	w.mu.Lock()
 	r := w.runs[part[3]]
+	if req.Method == "GET" {
+		w.asks[part[3]] = append(w.asks[part[3]], time.Now())
+	}
 	w.mu.Unlock()
 	if req.Method == "DELETE" {
 		if r != nil {
--- a/ledger/loads/loads.go
+++ b/ledger/loads/loads.go
@@ -146,10 +146,13 @@
 		}
 		return nil
 	case Offer:
-		if l != nil && l.changed == c.Changed && l.phase == Started {
-			l.owner, l.epoch, l.changed, l.taken, l.at = ledger.Incarnation(c.To), at.Index, at.Index, at.Now, at.Now
-			at.Note(l.owner, l.once)
+		if l == nil || l.changed != c.Changed || l.phase != Started {
+			return nil
+		}
+		if l.at = at.Now; l.owner != ledger.Incarnation(c.To) {
+			l.owner, l.epoch, l.changed, l.taken = ledger.Incarnation(c.To), at.Index, at.Index, at.Now
 		}
+		at.Note(l.owner, l.once)
 		return nil
 	case Hand:
 		if l != nil && l.owner == asker && l.epoch == c.Epoch && l.phase == Started {
@@ -352,6 +355,9 @@
 			}
 			c.Op = Offer
 			offers++
+		case l.phase == Started && offers < mostOffers && l.starts[len(l.starts)-1].owner != l.owner && now-l.at >= second:
+			c.Op, c.To = Offer, uint64(l.owner) // the word that it is the owner may have been lost
+			offers++
 		case l.phase == Waiting && now-l.taken >= life:
 			c.Op = Lapse
 		case l.phase == Waiting && seen.Gone(l.owner):
