Budgets: one that is added in service is counted before it is in force

What ran when an added budget of places came into force was not known to it, so that engines could see more than the whole for as long as it ran. It is counted from the reload on (TestCountedBeforeInForce).

--- a/budget/account/account.go
+++ b/budget/account/account.go
@@ -184,11 +184,8 @@
 			a.lease.level -= n * nano
 			until = a.until
 		}
-	case Window:
-		a.spent[a.slot%(slots+1)] += n
-		a.used += n
-	case Places:
-		a.used += n
+	default:
+		a.Count(now, n)
 	}
 	if a.kind != Rate && a.used > a.static.Much {
 		until = a.until
@@ -197,6 +194,19 @@
 	return until, true
 }
 
+// Count notes what is spent whatever there is room for: of a budget that is not in force yet, so that what runs when it comes into
+// force is known.
+func (a *Account) Count(now Micros, n int64) {
+	a.turn(now)
+	switch a.kind {
+	case Window:
+		a.spent[a.slot%(slots+1)] += n
+		a.used += n
+	case Places:
+		a.used += n
+	}
+}
+
 // MostEarned bounds what is earned and not spent, in thousandths.
 const MostEarned = 2 * Unit
 
--- a/decide/budgets.go
+++ b/decide/budgets.go
@@ -39,6 +39,7 @@
 	Cold          bool  // only engines in their cold span
 	Further       bool  // only attempts after the first
 	Probes        bool  // only probes
+	Counted       bool  // it is not in force yet: what is spent is counted, and nothing is held back
 	Earned        int64 // thousandths of a further attempt that each first one earns
 	Unit          Unit
 	Over          Over
@@ -123,8 +124,8 @@
 			b.book = o.book
 		}
 		d.budgets.list = append(d.budgets.list, b)
-		d.budgets.threads = d.budgets.threads || r.EachEngine && r.Unit == Threads && r.Kind == account.Places
-		d.budgets.cold = d.budgets.cold || r.EachEngine && r.Cold
+		d.budgets.threads = d.budgets.threads || !r.Counted && r.EachEngine && r.Unit == Threads && r.Kind == account.Places
+		d.budgets.cold = d.budgets.cold || !r.Counted && r.EachEngine && r.Cold
 	}
 	slices.SortFunc(d.budgets.list, func(a, b *budget) int {
 		if a.Name < b.Name {
@@ -184,9 +185,10 @@
 			if e != nil && !q.wanted || b.Further {
 				acc.Want(d.now, n)
 			}
-			u, _ := acc.Spend(d.now, n)
-			if u = min(u, d.now+startWithin); until == 0 || u < until {
-				until = u
+			if b.Counted {
+				acc.Count(d.now, n)
+			} else if u, _ := acc.Spend(d.now, n); until == 0 || min(u, d.now+startWithin) < until {
+				until = min(u, d.now+startWithin)
 			}
 			if b.Kind == account.Places {
 				a.places = append(a.places, place{acc, n})
--- a/decide/budgets_test.go
+++ b/decide/budgets_test.go
@@ -138,6 +138,25 @@
 	}
 }
 
+// A budget that is not in force yet holds nothing back, and counts what runs, so that it is known when it comes into force.
+func TestCountedBeforeInForce(t *testing.T) {
+	rule := Rule{Name: "p", Kind: account.Places, Class: -1, Tenant: -1, Over: Waits, Counted: true}
+	d := started(t, testConfig(), engines("a", "b"))
+	d.Step(0, []Event{Amounts{Rules: []Rule{rule}}})
+	got := sends(d.Step(Second, queries(1, 4, 0, Second)))
+	if len(got) != 4 {
+		t.Fatalf("%d sends of 4", len(got))
+	}
+	rule.Counted = false
+	d.Step(Second+1000, []Event{Amounts{Rules: []Rule{rule}, Until: 1000 * Second, Leased: []Part{{"p", "", account.Amount{Much: 4000}}}}})
+	if n := len(sends(d.Step(Second+2000, queries(9, 1, 0, Second)))); n != 0 {
+		t.Errorf("%d sends with all places held", n)
+	}
+	if n := len(sends(d.Step(Second+3000, []Event{outcome(got[0].ID, 0, got[0].Engine, Done, 1000)}))); n != 1 {
+		t.Errorf("%d sends with a place free", n)
+	}
+}
+
 // Each engine's threads are divided: past the part of one, queries go to another, and nothing is left to a guess at this gateway's
 // part of the traffic.
 func TestThreadsOfEachEngine(t *testing.T) {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -264,7 +264,8 @@
 func (d *Dispatcher) overShare(q *query) (over bool) {
 	divided := false
 	for _, b := range d.budgets.list {
-		if b.Over != Last || !b.EachTenant && b.Tenant != q.Tenant || b.Class >= 0 && b.Class != q.Request.Class {
+		if b.Over != Last || b.Counted || !b.EachTenant && b.Tenant != q.Tenant ||
+			b.Class >= 0 && b.Class != q.Request.Class {
 			continue
 		}
 		divided = true
@@ -343,7 +344,7 @@
 // short is the first budget without room that turns queries away, and when it will have some.
 func (d *Dispatcher) short(q *query) (b *budget, after Micros) {
 	for _, b := range d.budgets.list {
-		if b.Over != Turned || b.EachEngine {
+		if b.Over != Turned || b.EachEngine || b.Counted {
 			continue
 		}
 		if a, n := d.charge(b, q, nil); a != nil && !a.Room(d.now, n) && !a.New(d.now) {
@@ -641,7 +642,7 @@
 func (d *Dispatcher) affords(q *query, e *engine) bool {
 	ok := true
 	for _, b := range d.budgets.list {
-		if a, n := d.charge(b, q, e); a != nil && !a.Room(d.now, n) {
+		if a, n := d.charge(b, q, e); a != nil && !b.Counted && !a.Room(d.now, n) {
 			ok = false
 			if e != nil && !q.wanted {
 				a.Want(d.now, n)
@@ -937,7 +938,7 @@
 // mayProbe spends a probe.
 func (d *Dispatcher) mayProbe() bool {
 	for _, b := range d.budgets.list {
-		if b.Probes {
+		if b.Probes && !b.Counted {
 			a := b.book.Of(d.now, "")
 			a.Want(d.now, account.Unit)
 			if _, ok := a.Spend(d.now, account.Unit); !ok {
--- a/purse/purse.go
+++ b/purse/purse.go
@@ -128,9 +128,6 @@
 		p.Unknown = map[string]string{}
 		for i := range g.Set.Specs {
 			spec := &g.Set.Specs[i]
-			if slices.Contains(g.Waits, spec.Name) {
-				continue
-			}
 			var s Scope
 			err := json.Unmarshal(spec.Scope, &s)
 			var r decide.Rule
@@ -141,6 +138,7 @@
 				p.Unknown[spec.Name] = err.Error()
 				continue
 			}
+			r.Counted = slices.Contains(g.Waits, spec.Name)
 			ev.Rules = append(ev.Rules, r)
 		}
 	}
