--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,8 @@
 	cd bench/parsers && go test -v -run Coverage -bench . -benchmem
 	CHUTECHUTE_LONG=1 go test -count=1 -v -run '^TestIdle|IdentityCost|FloodAnswerTimes' ./cmd/chutechute
 
-fleet: ## what copies cost, for docs/design/copies.md
-	CHUTECHUTE_LONG=1 go test -count=1 -v -run '^TestFleetFigures$$' ./cmd/chutechute
+fleet: ## what copies and taking over cost, for docs/design/copies.md and takeover.md
+	CHUTECHUTE_LONG=1 go test -count=1 -v -run '^Test(Fleet|CatchUp|Takeover)Figures$$' ./cmd/chutechute
 
 budgets: ## what dividing budgets costs and gives, for docs/design/budgets.md, and 10,000 histories of it
 	CHUTECHUTE_LONG=1 go test -count=1 -v -run 'Share|Cost' ./budget
--- a/cmd/chutechute/fleet_measure_test.go
+++ b/cmd/chutechute/fleet_measure_test.go
@@ -1,9 +1,12 @@
 package main
 
 import (
+	"bytes"
 	"fmt"
 	"os"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -65,12 +68,17 @@
 		times(t, f, "warm", 3, 20)
 		median, p99 := quantiles(times(t, f, "one", 1, 200))
 		t.Logf("%-6s one client: a load takes %.1f ms at the median, %.1f at p99", form.name, ms(median), ms(p99))
-		began, before := time.Now(), commits(f)
+		began, committed := time.Now(), commits(f)
 		many := times(t, f, "many", 24, 40)
 		span := time.Since(began).Seconds()
 		median, p99 = quantiles(many)
 		t.Logf("%-6s 24 clients: %.1f ms at the median, %.1f at p99, %.0f loads a second, %.0f commits a second", form.name, ms(median),
-			ms(p99), float64(len(many))/span, (commits(f)-before)/span)
+			ms(p99), float64(len(many))/span, (commits(f)-committed)/span)
+		before, n := coreTime(t, f.Fronts[0]), 1000
+		for range n {
+			require.Equal(t, history.Answer, f.Fronts[0].Lookup())
+		}
+		t.Logf("%-6s a look-up takes %.0f us of a core, one client and nothing beside", form.name, (coreTime(t, f.Fronts[0])-before)*1e6/float64(n))
 		var looks []time.Duration
 		var stop atomic.Bool
 		var all sync.WaitGroup
@@ -131,3 +139,46 @@
 	}
 	return n
 }
+
+// coreTime is the seconds of a core that a front end has taken.
+func coreTime(t *testing.T, n *standin.Front) float64 {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.Cmd.Process.Pid))
+	require.NoError(t, err)
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')'):]))
+	user, err := strconv.Atoi(fields[12])
+	require.NoError(t, err)
+	system, err := strconv.Atoi(fields[13])
+	require.NoError(t, err)
+	return float64(user+system) / 100
+}
+
+// How soon a front end that has lost its disk is a copy again, by the size of the record: 'make fleet'.
+func TestCatchUpFigures(t *testing.T) {
+	if os.Getenv("CHUTECHUTE_LONG") == "" {
+		t.Skip("measures: make fleet")
+	}
+	for _, mb := range []int{0, 1, 4, 12} {
+		f := standin.NewFleet(t, program, 3, lasting)
+		f.Leader(3)
+		for i := range mb * 1024 / 40 {
+			try := load(fmt.Sprintf("large-%d", i), "", 0)
+			try.Statement += " kb=40"
+			require.Equal(t, history.Answer, f.Load(f.Fronts[i%3], try).What)
+		}
+		var spans []string
+		for range 3 {
+			leader := f.Leader(3)
+			n := f.Fronts[(leader.N+1)%3]
+			n.Kill(true)
+			began := time.Now()
+			n.Start()
+			f.Leader(3)
+			spans = append(spans, fmt.Sprintf("%.0f", ms(time.Since(began))))
+		}
+		t.Logf("%v bytes on record: a copy again %s ms after its start with an empty disk", f.Leader(3).Status()["load_bytes"],
+			strings.Join(spans, ", "))
+		for _, n := range f.Fronts {
+			n.Kill(true)
+		}
+	}
+}
--- a/cmd/chutechute/takeover_test.go
+++ b/cmd/chutechute/takeover_test.go
@@ -126,10 +126,11 @@
 	for _, fronts := range []int{3, 5, 9} {
 		f := standin.NewFleet(t, program, fronts, lasting)
 		f.Leader(3)
-		var gaps []int
+		gaps := map[bool][]int{} // whether the owner led the record too
 		kept, kills := 0, 20
 		for i := range kills {
-			owner := f.Fronts[i%fronts]
+			leader := f.Leader(3)
+			owner := f.Fronts[(leader.N+i%4%fronts)%fronts] // one in four leads
 			try := load(fmt.Sprintf("once-%d", i), fmt.Sprintf("k-%d", i), 3000)
 			var first sync.WaitGroup
 			first.Go(func() { f.Load(owner, try) })
@@ -146,7 +147,7 @@
 			for _, w := range f.Workers {
 				if w.Name == began.Engine {
 					if at, ok := w.AskedAfter(began.Call, killed.Add(300*time.Millisecond)); ok {
-						gaps = append(gaps, int(at.Sub(killed).Milliseconds()))
+						gaps[owner == leader] = append(gaps[owner == leader], int(at.Sub(killed).Milliseconds()))
 					}
 				}
 			}
@@ -154,9 +155,12 @@
 			owner.Start()
 			f.Leader(3)
 		}
-		slices.Sort(gaps)
-		t.Logf("%d front ends: %d of %d running loads were kept alive; first question after the loss: median %d ms, most %d ms", fronts, kept, kills,
-			gaps[len(gaps)/2], gaps[len(gaps)-1])
+		t.Logf("%d front ends: %d of %d running loads were kept alive", fronts, kept, kills)
+		for leads, list := range gaps {
+			slices.Sort(list)
+			t.Logf("  owner led the record %v: first question after the loss at the median %d ms, at most %d ms, of %d", leads,
+				list[len(list)/2], list[len(list)-1], len(list))
+		}
 		f.Check()
 	}
 }
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -83,7 +83,10 @@
 	w.server.Close()
 }
 
-var millis = regexp.MustCompile(`ms=(\d+)`)
+var (
+	millis = regexp.MustCompile(`ms=(\d+)`)
+	sized  = regexp.MustCompile(`kb=(\d+)`) // of its rows
+)
 
 func (w *Worker) serve(out http.ResponseWriter, req *http.Request) {
 	body, err := io.ReadAll(req.Body)
@@ -141,6 +144,10 @@
 	}
 	r := &run{call: call, once: once, asked: time.Now(), rows: fmt.Sprintf("%s\t%s\t%s\n", call, once, w.Name),
 		changed: make(chan struct{}), stop: make(chan struct{})}
+	if m := sized.FindStringSubmatch(statement); m != nil {
+		kb, _ := strconv.Atoi(m[1])
+		r.rows += strings.Repeat(r.rows, kb*1024/len(r.rows))
+	}
 	w.mu.Lock()
 	w.runs[call] = r
 	w.record.Add(history.Event{What: history.Began, Engine: w.Name, Call: call, Once: once, Body: statement})
