--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -34,6 +35,7 @@
 // Serve answers with a result of one page.
 func Serve(w http.ResponseWriter, page string) {
 	w.Header().Set("X-Batches", "1")
+	w.Header().Set("Content-Length", strconv.Itoa(len(page))) // engines send no chunks
 	fmt.Fprint(w, page)
 }
 
