Read again: one ordering of keys, one span for the unasked, counts nobody read are out

The span after which engines end what nobody asks for stood in four places (ledger and gateway have it now), the order of budgets' keys in five, units and lingering in two each. Counters without a reader, a second bound on an attempt's start, and the settings of the exchange that is out are gone. The rig cuts a front end from all others in one place.

--- a/budget/authority.go
+++ b/budget/authority.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"chutechute/budget/account"
@@ -30,13 +31,17 @@
 	notes   map[ledger.Incarnation]bool
 	now     Micros
 	index   uint64
-
-	// Refused counts reports that came late, Denied settings that could not be taken.
-	Refused, Denied int
 }
 
 type key struct{ budget, subject string }
 
+func (k key) compare(o key) int {
+	return cmp.Or(cmp.Compare(k.budget, o.budget), cmp.Compare(k.subject, o.subject))
+}
+
+// keys are those of all insts, in order.
+func (a *Authority) keys() []key { return slices.SortedFunc(maps.Keys(a.insts), key.compare) }
+
 // state is a budget's, over all its subjects.
 type state struct {
 	open     bool
@@ -59,14 +64,12 @@
 	enrolled bool   // it has a static part
 	static   uint64 // the grant of the static parts that its answer told
 	lease    Micros // the longest that it was told
-	version  uint64 // of its settings
 	statics  map[string]*pair
 	holds    []*hold // by budget and subject
 
 	over     Micros // by this machine's clock: when its lease is over for certain
 	lapsedAt Micros // by this machine: since when it surely is
 	replaced Micros // by this machine: since when its process is no more
-	proposed Micros
 }
 
 // pair is what a holder has said that it holds, and what it was told since.
@@ -193,11 +196,10 @@
 		a.holders = slices.Insert(a.holders, i, h)
 	}
 	if c.N <= h.n || c.Base != 0 && c.Base != h.n {
-		a.Refused++
 		ans.Late = true
 		return ans
 	}
-	h.n, h.version = c.N, c.Version
+	h.n = c.N
 	divides := true
 	switch {
 	case c.Adopted == 0: // nothing but what it says that it has in use; what it had is over
@@ -267,7 +269,6 @@
 	if len(c.Set) > 0 && (a.set == nil || c.Version > a.set.Version) {
 		set, err := DecodeSet(c.Set)
 		if err != nil || set.Version != c.Version || !a.follows(set) {
-			a.Denied++
 			ans.Differs = true
 		} else {
 			a.put(set, append([]byte(nil), c.Set...), at.Now)
@@ -381,9 +382,7 @@
 	return m.Much
 }
 
-func byKey(o *hold, k key) int {
-	return cmp.Or(cmp.Compare(o.i.budget, k.budget), cmp.Compare(o.i.subject, k.subject))
-}
+func byKey(o *hold, k key) int { return o.i.key.compare(k) }
 
 // noted takes over what a report wants and has in use.
 func (a *Authority) noted(h *holder, c *command) {
@@ -656,10 +655,18 @@
 	a.gone(h)
 }
 
+// ends is how long what lingers does so at most: that of places ends sooner where its process is certainly no more.
+func ends(lingers Micros, kind account.Kind, certain bool) Micros {
+	if certain && kind == account.Places {
+		return min(lingers, ledger.Unasked)
+	}
+	return lingers
+}
+
 // free frees what a lapsed holder had begun and that lingers no longer than a span.
 func (a *Authority) free(h *holder, span Micros, certain bool) {
 	a.each(h, func(o *hold) {
-		if o.i.lingers <= span || certain && o.i.kind == account.Places && Unasked <= span {
+		if ends(o.i.lingers, o.i.kind, certain) <= span {
 			o.pair, o.inUse = pair{}, 0
 		}
 	})
@@ -667,7 +674,7 @@
 	if certain {
 		for name := range h.statics {
 			p := a.set.Of(name)
-			if p == nil || p.lingers() <= span || p.Kind == account.Places && Unasked <= span {
+			if p == nil || ends(p.lingers(), p.Kind, certain) <= span {
 				delete(h.statics, name)
 			}
 		}
--- a/budget/holder.go
+++ b/budget/holder.go
@@ -1,7 +1,6 @@
 package budget
 
 import (
-	"cmp"
 	"log/slog"
 	"math"
 	"slices"
@@ -73,7 +72,6 @@
 	Reports, Moved, Lapsed, Late int
 	Differs                      bool // this front end's settings have the record's version and say something else
 	Behind                       bool // the record has a newer version
-	InForce                      Micros
 }
 
 // NewHolder is a front end that may spend nothing yet.
@@ -89,7 +87,7 @@
 		list = append(list, decide.Part{Budget: k.budget, Subject: k.subject, Amount: m})
 	}
 	slices.SortFunc(list, func(a, b decide.Part) int {
-		return cmp.Or(cmp.Compare(a.Budget, b.Budget), cmp.Compare(a.Subject, b.Subject))
+		return key{a.Budget, a.Subject}.compare(key{b.Budget, b.Subject})
 	})
 	return list
 }
@@ -104,7 +102,6 @@
 // put has the spender go by another set. What is leased stays in force: it is the record's word.
 func (h *Holder) put(set *Set) {
 	h.use(set)
-	h.InForce = h.now
 	h.spender.Allow(h.now, Grant{Set: set, Waits: h.waits, Until: h.until, Leased: h.list(), Static: h.statics})
 }
 
@@ -244,7 +241,7 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b want) int {
-		return cmp.Or(cmp.Compare(a.Budget, b.Budget), cmp.Compare(a.Subject, b.Subject))
+		return key{a.Budget, a.Subject}.compare(key{b.Budget, b.Subject})
 	})
 	return list
 }
@@ -391,6 +388,3 @@
 func (h *Holder) Show(now Micros) Shown {
 	return Shown{h.set.Version, h.cfg.Set.Version, h.Differs, h.adopted, max(0, h.until-now), h.Reports, h.Moved, h.Lapsed, h.Late, h.static != 0}
 }
-
-// Set is the budgets in force as far as this front end knows.
-func (h *Holder) Set() *Set { return h.set }
--- a/budget/show.go
+++ b/budget/show.go
@@ -1,10 +1,7 @@
 package budget
 
 import (
-	"cmp"
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"chutechute/budget/account"
@@ -48,6 +45,14 @@
 // mostShown bounds the subjects of a budget that are shown.
 const mostShown = 100
 
+// units is an amount as operators read it: a second's for rates.
+func (s *Spec) units(m Amount) float64 {
+	if s.Kind == account.Rate {
+		return float64(m.Rate) / account.Unit
+	}
+	return float64(m.Much) / account.Unit
+}
+
 // SetVersion is the version of the settings on record; 0 without any.
 func (a *Authority) SetVersion() uint64 {
 	if a.set == nil {
@@ -62,23 +67,15 @@
 	if a.set == nil {
 		return list
 	}
-	keys := slices.SortedFunc(maps.Keys(a.insts), func(a, b key) int {
-		return cmp.Or(cmp.Compare(a.budget, b.budget), cmp.Compare(a.subject, b.subject))
-	})
+	keys := a.keys()
 	for j := range a.set.Specs {
 		p := &a.set.Specs[j]
 		if name != "" && name != p.Name {
 			continue
 		}
 		s := a.specs[p.Name]
-		units := func(m Amount) float64 {
-			if p.Kind == account.Rate {
-				return float64(m.Rate) / account.Unit
-			}
-			return float64(m.Much) / account.Unit
-		}
-		v := Standing{Name: p.Name, Kind: p.Kind.String(), Whole: units(p.Whole), WindowMS: p.Span / 1000, Reserve: units(s.reserved),
-			Newcomers: units(p.kept()), Open: s.open, InForce: !a.above(p), Subjects: []Held{}}
+		v := Standing{Name: p.Name, Kind: p.Kind.String(), Whole: p.units(p.Whole), WindowMS: p.Span / 1000, Reserve: p.units(s.reserved),
+			Newcomers: p.units(p.kept()), Open: s.open, InForce: !a.above(p), Subjects: []Held{}}
 		if p.Kind == account.Rate {
 			v.Burst = float64(p.Whole.Much) / account.Unit
 		}
@@ -90,10 +87,10 @@
 				continue
 			}
 			i := a.insts[k]
-			h := Held{Subject: k.subject, Leased: units(i.leased), Free: units(p.Whole.Sub(i.leased).Sub(s.reserved)), Holders: []Holds{}}
+			h := Held{Subject: k.subject, Leased: p.units(i.leased), Free: p.units(p.Whole.Sub(i.leased).Sub(s.reserved)), Holders: []Holds{}}
 			for _, o := range i.holds {
 				h.Holders = append(h.Holders, Holds{Name: o.h.name, Process: fmt.Sprintf("%016x", uint64(o.h.who)),
-					Want: float64(o.want) / account.Unit, Granted: units(o.cur), Counted: units(o.counted()),
+					Want: float64(o.want) / account.Unit, Granted: p.units(o.cur), Counted: p.units(o.counted()),
 					InUse: float64(o.inUse) / account.Unit, Lapsed: o.h.lapsed})
 			}
 			v.Subjects = append(v.Subjects, h)
@@ -133,19 +130,13 @@
 func (s *Set) Plan() (list []Plan) {
 	for i := range s.Specs {
 		p := &s.Specs[i]
-		units := func(m Amount) float64 {
-			if p.Kind == account.Rate {
-				return float64(m.Rate) / account.Unit
-			}
-			return float64(m.Much) / account.Unit
-		}
 		each := p.part(s.Most)
 		all := Amount{Much: each.Much * int64(s.Most), Rate: each.Rate * int64(s.Most)}
 		lost := certainly(s.Lease)
 		if p.lingers() > 0 {
 			lost += certainly(p.lingers())
 		}
-		list = append(list, Plan{p.Name, p.Kind.String(), units(p.Whole), units(p.Whole.Sub(all).Sub(p.kept())), units(each), units(p.kept()),
+		list = append(list, Plan{p.Name, p.Kind.String(), p.units(p.Whole), p.units(p.Whole.Sub(all).Sub(p.kept())), p.units(each), p.units(p.kept()),
 			(time.Duration(lost) * time.Microsecond).Round(time.Millisecond).String()})
 	}
 	return list
--- a/budget/snapshot.go
+++ b/budget/snapshot.go
@@ -56,12 +56,7 @@
 
 // leaves says whether a span frees something that a lapsed holder had begun.
 func (a *Authority) leaves(h *holder, span Micros, certain bool) bool {
-	over := func(lingers Micros, kind account.Kind) bool {
-		if certain && kind == account.Places {
-			lingers = min(lingers, Unasked)
-		}
-		return span >= certainly(lingers)
-	}
+	over := func(lingers Micros, kind account.Kind) bool { return span >= certainly(ends(lingers, kind, certain)) }
 	for _, o := range h.holds {
 		if over(o.i.lingers, o.i.kind) {
 			return true
@@ -93,9 +88,7 @@
 		m = proto.Bool(m, 4, s.added)
 		b = proto.Message(b, 2, m)
 	}
-	for _, k := range slices.SortedFunc(maps.Keys(a.insts), func(a, b key) int {
-		return cmp.Or(cmp.Compare(a.budget, b.budget), cmp.Compare(a.subject, b.subject))
-	}) {
+	for _, k := range a.keys() {
 		i := a.insts[k]
 		m := proto.String(nil, 1, i.budget)
 		m = proto.String(m, 2, i.subject)
@@ -122,7 +115,6 @@
 	b = proto.Bool(b, 7, h.enrolled)
 	b = proto.Uint(b, 8, h.static)
 	b = proto.Uint(b, 9, uint64(h.lease))
-	b = proto.Uint(b, 10, h.version)
 	for _, name := range sorted(h.statics) {
 		b = proto.Message(b, 11, h.statics[name].encode(proto.String(nil, 1, name)))
 	}
@@ -257,8 +249,6 @@
 			h.static = f.Uint
 		case 9:
 			h.lease = bounded(f.Uint)
-		case 10:
-			h.version = f.Uint
 		case 11:
 			p, name := &pair{}, ""
 			err := proto.Each(f.Data, func(f proto.Field) error {
--- a/budget/spec.go
+++ b/budget/spec.go
@@ -48,8 +48,6 @@
 
 const (
 	second = 1_000_000
-	// Unasked is how long an engine goes on with what nobody asks for, one call that is out included.
-	Unasked = 2_350_000
 	// slack is added to each span that has to be over for certain.
 	slack = second / 4
 )
@@ -86,7 +84,7 @@
 func (s *Spec) lingers() Micros {
 	switch s.Kind {
 	case account.Places:
-		return s.Life + Unasked
+		return s.Life + ledger.Unasked
 	case account.Window:
 		return s.Span
 	}
--- a/cmd/chutechute/budgets_test.go
+++ b/cmd/chutechute/budgets_test.go
@@ -37,7 +37,7 @@
 	return 0
 }
 
-// load under which a budget is tested: clients that ask without end, and what engines saw of it.
+// pressure is the load under which a budget is tested: clients that ask without end, and what engines saw of it.
 type pressure struct {
 	t    *testing.T
 	f    *standin.Fleet
@@ -259,18 +259,9 @@
 	time.Sleep(5 * time.Second)
 	leader.Continue()
 	leader = f.Leader(3)
-	for _, n := range f.Fronts {
-		if n != leader {
-			f.Did("%s to %s cut", leader.Name, n.Name)
-			f.Way(leader, n).Cut(true)
-		}
-	}
+	f.Mute(leader, true)
 	time.Sleep(2 * time.Second)
-	for _, n := range f.Fronts {
-		if n != leader {
-			f.Way(leader, n).Cut(false)
-		}
-	}
+	f.Mute(leader, false)
 	f.Leader(3)
 	time.Sleep(2 * time.Second)
 	from, to := p.during(2 * time.Second)
--- a/cmd/chutechute/copies_test.go
+++ b/cmd/chutechute/copies_test.go
@@ -190,35 +190,17 @@
 			}
 		})
 	}
-	f.Did("leader %s to followers cut", leader.Name)
-	for _, n := range f.Fronts {
-		if n != leader {
-			f.Way(leader, n).Cut(true)
-		}
-	}
+	f.Mute(leader, true)
 	time.Sleep(2 * time.Second)
-	for _, n := range f.Fronts {
-		if n != leader {
-			f.Way(leader, n).Cut(false)
-		}
-	}
+	f.Mute(leader, false)
 	leader = f.Leader(3)
 	leader.Stop()
 	time.Sleep(5 * time.Second)
 	leader.Continue()
 	leader = f.Leader(3)
-	for _, n := range f.Fronts {
-		if n != leader {
-			f.Did("%s to leader %s cut", n.Name, leader.Name)
-			f.Way(n, leader).Cut(true)
-		}
-	}
+	f.Deafen(leader, true)
 	time.Sleep(2 * time.Second)
-	for _, n := range f.Fronts {
-		if n != leader {
-			f.Way(n, leader).Cut(false)
-		}
-	}
+	f.Deafen(leader, false)
 	f.Leader(3)
 	insist(t, f, f.Fronts[0], load("last", "key-0", 10))
 	f.Check()
--- a/decide/api.go
+++ b/decide/api.go
@@ -33,7 +33,6 @@
 	MostGrant       float64 // largest share of an engine's memory for one query
 	NotePeriod      Micros  // time between progress notes; 0 without notes
 	ProbePrice      float64 // points of the result for one probe a query
-	PeerPrice       float64 // points for one full message a query
 	CrossZonePrice  float64 // points for each query sent to another zone
 	OverShareWorth  float64 // worth of a query beyond its tenant's share
 	ReportsByProbe  bool    // load reports come with probes only
@@ -112,7 +111,7 @@
 
 // Limits are the caller's permissions.
 type Limits struct {
-	Cancel, Probes, Peers, Duplicates, RetryAfter bool
+	Cancel, Probes, Duplicates, RetryAfter bool
 
 	MaxAttempts   int
 	MaxRetryAfter Micros
--- a/decide/budgets.go
+++ b/decide/budgets.go
@@ -64,7 +64,6 @@
 	Denied        int
 	Lease, Static account.Amount
 	Until         Micros
-	Over          Over
 }
 
 // startWithin is how long what was spent for an attempt is good for: one that is not written by then spends anew, so that what
@@ -268,7 +267,7 @@
 	for _, b := range d.budgets.list {
 		b.book.Each(func(subject string, a *account.Account) {
 			s := Spending{Demand: Demand{b.Name, subject, a.Demand(now), a.InUse(now)}, Used: a.Used(now), Spent: a.Spent,
-				Denied: a.Denied, Over: b.Over}
+				Denied: a.Denied}
 			s.Lease, s.Static, s.Until = a.Amounts(now)
 			list = append(list, s)
 		})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -96,7 +96,6 @@
 	Until   Micros // no byte of its start is written later; 0: no such bound
 	Running bool   // another front end started it: it is asked after, and not started
 
-	within  Micros // the module's bound on Until
 	number  int
 	asking  bool // the record has not said yet whether it may begin
 	at      Micros
@@ -307,7 +306,7 @@
 		return
 	}
 	if a.Running && neverRan(result) { // it was not asked after here, which says nothing of what runs there
-		c.after(now+unasked, func() { c.Ended(c.now, a, decide.Reset, nil, nil) })
+		c.after(now+Unasked, func() { c.Ended(c.now, a, decide.Reset, nil, nil) })
 		return
 	}
 	a.ended = true
@@ -459,7 +458,7 @@
 		return
 	}
 	a := &Attempt{Request: r, Engine: s.Engine, GrantMB: r.grantMB, number: len(r.attempts), at: c.now,
-		Until: s.Until, within: s.Until}
+		Until: s.Until}
 	a.Wait = r.deadline - c.now
 	if s.Timeout > 0 && s.Timeout < a.Wait {
 		a.Wait = s.Timeout
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -140,8 +140,8 @@
 // long who takes over from this front end waits for a start that its engine knows nothing of (see package loads).
 const grantedFor = 1900 * decide.Second / 1000
 
-// unasked is how long an engine goes on with what nobody asks for, one call that is out included.
-const unasked = 2350 * decide.Second / 1000
+// Unasked is how long an engine goes on with what nobody asks for: 2 s, and one call that is out may last 250 ms.
+const Unasked = 2350 * decide.Second / 1000
 
 // Succession is a load that another front end started and does not look after any more.
 type Succession struct {
@@ -185,9 +185,9 @@
 		}
 		a.entry.begun = true
 		a.Wait = min(a.Wait, a.deadline-now)
-		a.Until = min(a.deadline, a.at+grantedFor)
-		if a.within != 0 {
-			a.Until = min(a.Until, a.within)
+		until := min(a.deadline, a.at+grantedFor)
+		if a.Until == 0 || until < a.Until {
+			a.Until = until
 		}
 		c.engines.Start(a)
 	})
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -18,10 +18,10 @@
 	answerWithin = 300 * ms  // an engine answers each call within 250 ms
 	silentAfter  = 1000 * ms // and stands still for 600 at most, unless it is heard on other connections
 	suspectFor   = 50 * ms
-	partAfter    = 100 * ms  // an answer comes at one go
-	unaskedAfter = 2350 * ms // an engine gives up what nobody has asked for in 2 s; one ask may last 250 ms
-	mostResumes  = 3         // connections, one after another, on which a query is asked after again
-	mostRedials  = 2         // connections that may break before they carry anything of a query
+	partAfter    = 100 * ms // an answer comes at one go
+	unaskedAfter = gateway.Unasked
+	mostResumes  = 3 // connections, one after another, on which a query is asked after again
+	mostRedials  = 2 // connections that may break before they carry anything of a query
 	probeWait    = 250 * ms
 	freeAfter    = 1000 * ms // idle connections hold no storage
 	maxCall      = 512 << 10 // bytes of one call: a client's frame and its headers
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -48,7 +48,6 @@
 	Limits         struct {
 		Cancel        bool    `json:"cancel"`
 		Probes        bool    `json:"probes"`
-		Peers         bool    `json:"peers"`
 		MayDuplicate  bool    `json:"may_duplicate"`
 		RetryAfter    bool    `json:"retry_after"`
 		MaxAttempts   int     `json:"max_attempts"`
@@ -75,7 +74,6 @@
 	} `json:"rules"`
 	Tariffs struct {
 		Probe     float64 `json:"probe"`
-		Peer      float64 `json:"peer"`
 		CrossZone float64 `json:"cross_zone"`
 	} `json:"tariffs"`
 	Tenants []struct {
@@ -136,9 +134,9 @@
 	l, r, dom := s.Limits, s.Rules, s.Domain
 	cfg := decide.Config{Gateways: s.Balancers, Rank: s.Rank, Zone: s.Zone, AskList: s.Discovery == "ask",
 		Grants: dom.Grants, Priorities: dom.LanesCount, MostGrant: dom.MostGrant, NotePeriod: micros(dom.NotePeriod),
-		ProbePrice: s.Tariffs.Probe, PeerPrice: s.Tariffs.Peer, CrossZonePrice: s.Tariffs.CrossZone,
+		ProbePrice: s.Tariffs.Probe, CrossZonePrice: s.Tariffs.CrossZone,
 		OverShareWorth: s.OverShare, ReportsByProbe: s.Report.How == "probe", ReportsByAnswer: s.Report.How == "answers",
-		Limits: decide.Limits{Cancel: l.Cancel, Probes: l.Probes, Peers: l.Peers, Duplicates: l.MayDuplicate,
+		Limits: decide.Limits{Cancel: l.Cancel, Probes: l.Probes, Duplicates: l.MayDuplicate,
 			RetryAfter: l.RetryAfter, MaxAttempts: l.MaxAttempts, MaxRetryAfter: micros(l.MaxRetryAfter)},
 		Rules: decide.Rules{AskWithin: micros(r.AskWithin), Cold: micros(r.Cold), ColdFrom: r.ColdFrom,
 			Fall: micros(r.Fall), FallMultiple: r.FallMultiple, DrainGrace: micros(r.DrainGrace),
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -279,6 +279,26 @@
 	}
 }
 
+// Mute cuts the ways from a front end to all others, or heals them.
+func (f *Fleet) Mute(n *Front, cut bool) {
+	f.Did("cut %s to all others: %v", n.Name, cut)
+	for _, o := range f.Fronts {
+		if o != n {
+			f.Way(n, o).Cut(cut)
+		}
+	}
+}
+
+// Deafen cuts the ways from all others to a front end, or heals them.
+func (f *Fleet) Deafen(n *Front, cut bool) {
+	f.Did("cut all others to %s: %v", n.Name, cut)
+	for _, o := range f.Fronts {
+		if o != n {
+			f.Way(o, n).Cut(cut)
+		}
+	}
+}
+
 // Status is what a front end says of itself on its operators' socket; nil where it does not answer.
 func (n *Front) Status() map[string]any { return n.Question("status") }
 
--- a/ledger/kind.go
+++ b/ledger/kind.go
@@ -3,6 +3,9 @@
 // Micros is a time or a span in microseconds of one machine's own clock.
 type Micros = int64
 
+// Unasked is how long an engine goes on with what nobody asks for, one call that is out included.
+const Unasked Micros = 2_350_000
+
 // Incarnation names one run of one front end's process. It is drawn anew at each start and never comes again.
 type Incarnation uint64
 
--- a/ledger/loads/loads.go
+++ b/ledger/loads/loads.go
@@ -35,8 +35,6 @@
 const (
 	second = 1_000_000 // microseconds
 
-	// unasked is how long an engine goes on with a query that nobody asks for, one call that is out included.
-	unasked = 2_350_000
 	// drift is the bound on how much faster one machine's clock may run than another's, as one part in so many.
 	drift = 100
 	// overhead is what a record takes besides its texts, in bytes.
@@ -347,7 +345,7 @@
 		switch {
 		case l.phase.Over() && now-l.at >= s.o.Keep:
 			c.Op = Forget
-		case l.phase == Started && now-l.taken >= life+unasked:
+		case l.phase == Started && now-l.taken >= life+ledger.Unasked:
 			c.Op = Lapse
 		case l.phase == Started && offers < mostOffers && seen.Missing(l.owner):
 			if c.To = uint64(successor(l.once, seen.Present())); c.To == uint64(l.owner) {
--- a/vouch/vouch.go
+++ b/vouch/vouch.go
@@ -53,8 +53,6 @@
 	order []*hold // those of holds, in the order in which they came
 	// Conflicts counts repeats with another statement, Adopted loads taken over, Waited repeats that waited with another's.
 	Conflicts, Adopted, Waited, Kept int
-	// Succeeded counts loads of missing front ends whose running query was looked after here.
-	Succeeded int
 }
 
 // hold is one load here, with all requests for it.
@@ -226,7 +224,6 @@
 	if e == nil {
 		return // its own client's call goes by that id; the load ends by its time
 	}
-	d.Succeeded++
 	slog.Info("load taken over", "dedupe", h.once, "engine", v.Engine, "call", v.Run, "epoch", v.Epoch)
 	e.Slot, e.Checked, h.runner = h, true, e
 	h.entries = append(h.entries, e)
