Discovery: events in order and each once, odd ones not waited for forever, redials spread

Cause, by review: feed.ready took any number above the last, so that of two events that change places, or of one lost before its successor, the earlier was dropped for good: a drain never heard of. A record that can't be read (a zone or state that the settings lack) ended each connection from the same event on, and nothing after it was ever heard. After a break each front end dialled at fixed spans: all 300 in one moment.

--- a/cmd/chutechute/endings_test.go
+++ b/cmd/chutechute/endings_test.go
@@ -157,3 +157,68 @@
 	assert.Equal(t, "answer", c.Read().What)
 	assert.NoError(t, <-r.Exited)
 }
+
+// What comes on a connection after its answer is another request's at best: a second copy some milliseconds late was given to the
+// next request as its rows, and half a line stood before the next answer.
+func TestNothingLateReachesAnotherRequest(t *testing.T) {
+	for name, more := range map[string]string{"second copy": whole, "half a line": whole[:20], "no news": "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"} {
+		for _, pause := range []time.Duration{0, 150 * time.Millisecond} {
+			r := start(t, 1, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+				if c.Header.Get("Request-Id") == standin.ID(1) {
+					standin.Twice(w, whole, 5*time.Millisecond, more)
+					return
+				}
+				standin.Serve(w, "own\trow\tonly\n")
+			})
+			c := r.Client()
+			load2(c, 1)
+			assert.Equal(t, standin.Row, c.Read().Body())
+			time.Sleep(pause)
+			load2(c, 2)
+			p := c.Read()
+			require.Equal(t, "answer", p.What, name)
+			assert.Equal(t, "own\trow\tonly\n", p.Body(), name)
+			assert.Len(t, r.Got("POST", "/"), 2, name)
+			assert.Empty(t, r.Got("GET", "/"), name)
+		}
+	}
+}
+
+// A copy of "no news" passes for the answer to the next question of the same query, and that one's answer is still to come when the
+// query has ended: the connection rests for longer, so that it does not become another query's.
+func TestNoNewsTwiceStaysWithItsQuery(t *testing.T) {
+	var gets atomic.Int32
+	r := start(t, 1, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		switch {
+		case c.Header.Get("Request-Id") == standin.ID(2):
+			standin.Serve(w, "own\trow\tonly\n")
+		case c.Method == "POST":
+			conn, in, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				return
+			}
+			go func() { // one answer more than questions, from here on
+				say := func(s string) { _, _ = io.WriteString(conn, s) }
+				question := func() { _, _ = http.ReadRequest(in.Reader) }
+				const none = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+				say(none)
+				question()
+				say(none) // the copy, or as good as one
+				question()
+				gets.Add(1)
+				say(whole)
+				time.Sleep(120 * time.Millisecond)
+				say(whole)
+			}()
+		}
+	})
+	c := r.Client()
+	load2(c, 1)
+	assert.Equal(t, standin.Row, c.Read().Body())
+	time.Sleep(80 * time.Millisecond)
+	load2(c, 2)
+	p := c.Read()
+	require.Equal(t, "answer", p.What)
+	assert.Equal(t, "own\trow\tonly\n", p.Body())
+	assert.EqualValues(t, 1, gets.Load())
+}
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -38,6 +38,7 @@
 	Relieved    int `name:"connections closed for want of storage"`
 	Spoilt      int `name:"connections to engines spoilt"`
 	Frames      int `name:"frames from the journal"`
+	OddEvents   int `name:"events of the journal that ended its connection"`
 	Reconnected int `name:"connections to the journal"`
 	Reloaded    int `name:"configurations taken over"`
 	Rejected    int `name:"configurations rejected"`
--- a/internal/epoll/feed.go
+++ b/internal/epoll/feed.go
@@ -1,6 +1,7 @@
 package epoll
 
 import (
+	"errors"
 	"log/slog"
 
 	"golang.org/x/sys/unix"
@@ -10,81 +11,88 @@
 	"chutechute/internal/ring"
 )
 
-const (
-	feedSilent = 2500 * ms // an empty frame comes each second
-	feedRetry  = 200 * ms
-	feedDial   = 1000 * ms
-)
+const feedDial = 1000 * ms // for a connection to come up
 
 // feed is the connection to the journal service. It is made again whenever it breaks or falls silent,
 // from the last event known: what the journal tells counts as told soon after, heard or not.
 type feed struct {
 	stream
 	s          *Server
-	names      journal.Names
-	last       uint64
+	follower   journal.Follower
+	redial     *journal.Redial
 	connecting bool
 	since      Micros // of the last sign of life, or of the last try
+	silence    Micros // that this connection may keep
+	retryAt    Micros // when to try again, while there is none
 }
 
 func newFeed(s *Server) *feed {
-	f := &feed{s: s, last: s.cfg.LastPos, names: journal.Names{Zones: s.cfg.Settings.Zones}}
+	names := journal.Names{Zones: s.cfg.Settings.Zones}
 	for _, k := range s.cfg.Settings.Kinds {
-		f.names.Kinds = append(f.names.Kinds, k.Name)
+		names.Kinds = append(names.Kinds, k.Name)
 	}
+	f := &feed{s: s, follower: journal.Follower{Names: names, Last: s.cfg.LastPos}, redial: journal.NewRedial(s.cfg.Seed)}
 	f.closed = true
 	return f
 }
 
 func (f *feed) connect() {
-	f.since = f.s.now
+	f.since, f.silence = f.s.now, f.redial.Silence()
 	fd, err := dial(f.s.cfg.Journal)
 	if err != nil {
-		slog.Warn("journal", "error", err)
+		f.lose(err)
 		return
 	}
 	f.s.count.Reconnected++
 	f.stream = newStream(f.s.loop, fd, journal.MaxFrame, 64, &ring.Budget{Most: journal.MaxFrame + 64})
 	f.connecting, f.want = true, unix.EPOLLOUT
 	if err := f.s.loop.add(fd, f.want, f); err != nil {
-		slog.Warn("journal", "error", err)
-		f.close()
+		f.lose(err)
 	}
 }
 
+// lose ends a connection; the next is tried for after a while of this process's own.
+func (f *feed) lose(why error) {
+	slog.Warn("journal", "error", why)
+	f.close()
+	f.retryAt = f.s.now + f.redial.Wait()
+}
+
 // move leaves the journal service's old address for the one now in force, and goes on from the last event.
 func (f *feed) move() {
 	f.close()
 	f.connect()
 }
 
+var (
+	errFeedSilent = errors.New("it is silent")
+	errFeedEnded  = errors.New("it ended the connection")
+)
+
 func (f *feed) tick() {
 	age := f.s.now - f.since
 	switch {
-	case f.closed && age >= feedRetry:
-		f.connect()
-	case !f.closed && (age >= feedSilent || f.connecting && age >= feedDial):
-		slog.Warn("journal is silent")
-		f.close()
+	case f.closed && f.s.now >= f.retryAt:
 		f.connect()
+	case !f.closed && (age >= f.silence || f.connecting && age >= feedDial):
+		f.lose(errFeedSilent)
 	}
 }
 
 func (f *feed) ready(events uint32) {
 	if f.connecting {
 		if err := dialled(f.fd); err != nil {
-			slog.Warn("journal", "error", err)
-			f.close()
+			f.lose(err)
 			return
 		}
 		f.connecting = false
-		if _, err := f.out.Write(journal.Hello(f.last)); err != nil {
-			f.close()
+		if _, err := f.out.Write(journal.Hello(f.follower.Last)); err != nil {
+			f.lose(err)
 			return
 		}
 	}
 	if err := f.flush(); err != nil {
-		f.close()
+		f.lose(err)
 		return
 	}
 	f.watch(true)
@@ -93,26 +101,25 @@
 	}
 	more := f.fill()
 	for {
-		e, news, ok, err := f.names.Next(f.in)
+		e, news, ok, err := f.follower.Next(f.in)
 		if err != nil {
-			slog.Warn("journal", "error", err)
-			f.s.count.Malformed++
-			f.close()
+			f.s.count.OddEvents++
+			f.lose(err)
 			return
 		}
 		if !ok {
 			break
 		}
 		f.since = f.s.now
+		f.redial.Heard()
 		f.s.count.Frames++
 		f.s.life.Reloaded()
-		if news && e.Number > f.last {
-			f.last = e.Number
+		if news {
 			f.s.listed(e)
 		}
 	}
 	if !more {
-		f.close()
+		f.lose(errFeedEnded)
 	}
 }
 
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -224,7 +224,7 @@
 	s.listener.budget.Most, s.pool.budget.Most = s.cfg.BufferBytes(), s.cfg.BufferBytes()
 	s.core.Bound(s.cfg.Bounds())
 	debug.SetMemoryLimit(s.cfg.HeapLimit())
-	slog.Info("reloaded", "journal", s.cfg.Journal, "last", s.feed.last)
+	slog.Info("reloaded", "journal", s.cfg.Journal, "last", s.feed.follower.Last)
 	if moved {
 		s.life.Reload()
 		s.feed.move()
--- /dev/null
+++ b/internal/journal/follower.go
@@ -0,0 +1,78 @@
+package journal
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"chutechute/decide"
+	"chutechute/internal/ring"
+)
+
+// ErrGap says that an event came whose predecessor has not: the connection has to end, and the next begins from the last one known.
+var ErrGap = errors.New("journal: an event is missing")
+
+// Follower takes events in the order of their numbers, each once, over one connection after another. An event that can't be taken
+// as it stands ends its connection, since the next may bring it whole. One that comes again just so is how the journal service
+// has it: it is taken as far as it can be read, or the list would stand still from there on.
+type Follower struct {
+	Names Names
+	Last  uint64 // the number of the last event taken
+	Odd   int    // events that were taken though they were not whole
+	again uint64 // the event for which a connection was ended last; 0: none
+}
+
+// Next takes the next whole frame from what has come; ok is false until there is one, and news is false where it brings nothing new.
+func (f *Follower) Next(in *ring.Buffer) (e Event, news, ok bool, err error) {
+	e, news, ok, err = f.Names.next(in)
+	if !ok || !news {
+		return e, false, ok, err
+	}
+	if e.Number <= f.Last { // it has been taken before
+		return e, false, true, nil
+	}
+	if err == nil && e.Number > f.Last+1 && e.Kind == decide.ListChanges {
+		err = fmt.Errorf("%w: %d after %d", ErrGap, e.Number, f.Last)
+	}
+	if err != nil {
+		if f.again != e.Number {
+			f.again = e.Number
+			return e, false, false, err
+		}
+		f.Odd++
+	}
+	f.Last = e.Number
+	return e, true, true, nil
+}
+
+// Spans of Redial, in microseconds. What the journal has to tell counts as told after 7 s, heard or not, which leaves time for a
+// silence to be noticed, for a dial that comes to nothing and for two more.
+const (
+	silentAfter = 2250 * decide.Second / 1000 // an empty frame comes each second
+	silentMore  = 500 * decide.Second / 1000
+	waitFirst   = 200 * decide.Second / 1000
+	waitMost    = 800 * decide.Second / 1000
+)
+
+// Redial says when to give a connection up for silent, and when to try for the next. All front ends lose theirs in one moment, when
+// the journal service goes: each goes by times of its own, further apart the longer it lasts.
+type Redial struct {
+	rng   *rand.Rand
+	tries int
+}
+
+// NewRedial begins with a seed of the process's own.
+func NewRedial(seed uint64) *Redial { return &Redial{rng: rand.New(rand.NewPCG(seed, 2))} }
+
+// Heard says that a whole frame has come.
+func (r *Redial) Heard() { r.tries = 0 }
+
+// Silence is how long the next connection may be silent.
+func (r *Redial) Silence() decide.Micros { return silentAfter + r.rng.Int64N(silentMore) }
+
+// Wait is how long to wait before the next try.
+func (r *Redial) Wait() decide.Micros {
+	most := min(waitMost, waitFirst<<min(r.tries, 8))
+	r.tries++
+	return most/4 + r.rng.Int64N(most*3/4)
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -43,9 +43,9 @@
 // Hello is what a connection begins with: the number of the last event known.
 func Hello(last uint64) []byte { return binary.BigEndian.AppendUint64(nil, last) }
 
-// Next takes the next whole frame from what has come. ok is false until there is one; news is false for
-// the empty frame of each second.
-func (n Names) Next(in *ring.Buffer) (e Event, news, ok bool, err error) {
+// next takes the next whole frame from what has come. ok is false until there is one; news is false for the empty frame of each
+// second. What of its records can't be read is left out, with an error that names the first.
+func (n Names) next(in *ring.Buffer) (e Event, news, ok bool, err error) {
 	if in.Len() < 4 {
 		return e, false, false, nil
 	}
@@ -69,19 +69,21 @@
 	case 2:
 		e.Kind = decide.ListChanges
 	default:
-		return e, false, false, fmt.Errorf("%w: kind %d", ErrFrame, kind)
+		e.Kind = decide.ListChanges // without any: who goes on without it has missed it
+		return e, true, true, fmt.Errorf("%w: kind %d", ErrFrame, kind)
 	}
 	if len(payload)%recordSize != 0 {
-		return e, false, false, fmt.Errorf("%w: %d bytes of records", ErrFrame, len(payload))
+		err = fmt.Errorf("%w: %d bytes of records", ErrFrame, len(payload))
 	}
-	for ; len(payload) > 0; payload = payload[recordSize:] {
-		engine, err := n.record(payload[:recordSize])
-		if err != nil {
-			return e, false, false, err
+	for ; len(payload) >= recordSize; payload = payload[recordSize:] {
+		engine, bad := n.record(payload[:recordSize])
+		if bad == nil {
+			e.Engines = append(e.Engines, engine)
+		} else if err == nil {
+			err = bad
 		}
-		e.Engines = append(e.Engines, engine)
 	}
-	return e, true, true, nil
+	return e, true, true, err
 }
 
 func (n Names) record(b []byte) (Engine, error) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -51,6 +51,16 @@
 	}
 }
 
+// Twice answers with bytes of the test's own, and with others a while later; the connection stays open.
+func Twice(w http.ResponseWriter, answer string, later time.Duration, more string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	_, _ = io.WriteString(conn, answer)
+	time.AfterFunc(later, func() { _, _ = io.WriteString(conn, more) })
+}
+
 // Store is an engine that keeps each query running until it has been asked so many times, then serves rows.
 func Store(asks int, rows ...string) Answer {
 	asked := map[string]int{}
