--- a/cmd/chutechute/client_gone_test.go
+++ b/cmd/chutechute/client_gone_test.go
@@ -27,11 +27,8 @@
 }
 
 // settled waits until the front end has taken the news of as many clients' ends.
-func settled(r *standin.Rig, left string) {
-	require.Eventually(r.T, func() bool {
-		r.Signal(syscall.SIGUSR1)
-		return strings.Contains(r.Log.String(), "connections ended by their clients            "+left+"\n")
-	}, standin.Patience, 5*time.Millisecond)
+func settled(r *standin.Rig, left int) {
+	require.Eventually(r.T, func() bool { return r.Counter("connections ended by their clients") == left }, standin.Patience, 5*time.Millisecond)
 }
 
 // Nothing begins for a client whose end has come in, however much it sent before: of a burst longer than one turn's share the rest
@@ -57,7 +54,7 @@
 				other.Lookup(5000, "5000")
 			})
 			assert.Equal(t, "answer", other.Read().What)
-			settled(r, "2")
+			settled(r, 2)
 			posts := r.Got("POST", "/")
 			require.Len(t, posts, 1)
 			assert.Equal(t, standin.ID(5000), posts[0].Header.Get("Request-Id"))
--- a/cmd/chutechute/endings_test.go
+++ b/cmd/chutechute/endings_test.go
@@ -222,3 +222,69 @@
 	assert.Equal(t, "own\trow\tonly\n", p.Body())
 	assert.EqualValues(t, 1, gets.Load())
 }
+
+// An engine that drains refuses new connections and runs on. That the only one left was reset says nothing of its process: taken
+// for gone, it had the next of the key started beside what ran there.
+func TestResetByADrainingEngineIsNoEnd(t *testing.T) {
+	var cut atomic.Int64
+	r := start(t, 2, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		switch {
+		case c.Method == "POST" && cut.Load() != 0:
+			standin.Serve(w, standin.Row)
+		case c.Method == "GET" && cut.Load() == 0:
+			for _, e := range r.Engines {
+				if e.Name == c.Engine {
+					e.Server.Listener.Close()
+				}
+			}
+			cut.Store(time.Now().UnixNano())
+			panic(http.ErrAbortHandler)
+		default:
+			w.WriteHeader(202)
+		}
+	})
+	c := r.Client()
+	c.Load(1, "20000")
+	r.Await(1, "GET", "/v1/store/"+standin.ID(1))
+	time.Sleep(1500 * time.Millisecond) // not so long before its turn that it lapses
+	c.Load(2, "20000")
+	for range 2 {
+		c.Read()
+	}
+	posts := r.Got("POST", "/")
+	require.GreaterOrEqual(t, len(posts), 2)
+	assert.GreaterOrEqual(t, posts[1].At.UnixNano()-cut.Load(), int64(2*time.Second))
+}
+
+// A process that dies ends all its connections in one moment and refuses new ones: what ran there is sent elsewhere at once.
+func TestDeadProcessIsNotWaitedFor(t *testing.T) {
+	var died atomic.Int64
+	r := start(t, 2, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		if died.Load() != 0 {
+			standin.Serve(w, standin.Row)
+			return
+		}
+		time.Sleep(250 * time.Millisecond)
+		w.WriteHeader(202)
+	})
+	c := r.Client()
+	for n := range 8 {
+		c.Ask("INSERT INTO s_1.t", "call", standin.ID(n), "op", "load", "ttl", "20000", "dedupe", standin.ID(n), "work", "1.0")
+	}
+	var first []standin.Call
+	require.Eventually(t, func() bool { first = r.Got("POST", "/"); return len(first) == 8 }, standin.Patience, time.Millisecond)
+	dead := r.Engines[0]
+	if first[0].Engine != dead.Name {
+		dead = r.Engines[1]
+	}
+	died.Store(time.Now().UnixNano())
+	dead.Server.Listener.Close()
+	dead.Server.CloseClientConnections()
+	for range 8 {
+		require.Equal(t, "answer", c.Read().What)
+	}
+	posts := r.Got("POST", "/")
+	require.Greater(t, len(posts), 8)
+	assert.Less(t, posts[8].At.UnixNano()-died.Load(), int64(2*time.Second), "sooner than by waiting for it unasked")
+	assert.Less(t, r.Counter("connections to engines"), 60, "those that wait for each other's dial in turn without a pause")
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -185,6 +185,11 @@
 	NotSent
 )
 
+// NeverRan says whether an end proves that its attempt never ran, and never will: whatever else is known of it, only then may a
+// query that is not safe to repeat be sent again, and only then is a refusal of it true. A time-out, a reset and an error prove
+// nothing, and neither does a cancel.
+func (r Result) NeverRan() bool { return r == Full || r == NoConnection || r == NotSent }
+
 // NoteKind is the matter of a progress note.
 type NoteKind int
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -668,7 +668,7 @@
 		}
 		same := q.class.Scope == ScopeAll || q.class.Scope == ScopeZone && a.zone == e.Zone ||
 			q.class.Scope == ScopeCell && a.cell == e.Cell
-		if q.repeat() == Unsafe || !same || d.now >= a.at+q.class.Window {
+		if q.repeat() == Unsafe || !same || d.now >= q.repeatUntil() {
 			return false
 		}
 	}
@@ -727,6 +727,7 @@
 	exec := d.price(q)
 	a := attempt{engine: e, at: d.now, exec: exec, open: true, mark: markFrom, zone: e.Zone, cell: e.Cell}
 	until, life := d.pay(q, &a, e)
+	until = earlier(until, q.repeatUntil())
 	q.attempts = append(q.attempts, a)
 	q.open++
 	d.book(q, e, 1)
@@ -787,7 +788,7 @@
 	}
 	a.open = false
 	a.giveBack()
-	a.harmless = o.Result == Full || o.Result == NoConnection || o.Result == NotSent
+	a.harmless = o.Result.NeverRan()
 	q.open--
 	d.book(q, a.engine, -1)
 	d.judge(q, a, o)
--- /dev/null
+++ b/decide/repeats_test.go
@@ -0,0 +1,98 @@
+package decide
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// allResults is each end that an attempt may have, and whether it proves that nothing ran.
+var allResults = map[Result]bool{Done: false, Errored: false, Full: true, TimedOut: false, NoConnection: true, Reset: false,
+	Canceled: false, NotSent: true}
+
+// Over every end of an attempt and every effect of a class: what may have run is not sent again where a second execution does harm,
+// nor called refused; what surely never ran is sent again whatever the effect; and no request has two attempts out.
+func TestRepeatsByEffectOverEveryEnd(t *testing.T) {
+	for result, never := range allResults {
+		assert.Equal(t, never, result.NeverRan(), "%d", result)
+		for _, effect := range []Repeat{Safe, Keyed, Unsafe} {
+			for _, scope := range []Scope{ScopeAll, ScopeZone, ScopeCell} {
+				cfg := testConfig()
+				cfg.Limits.Probes = true
+				cfg.Classes[0].Repeat, cfg.Classes[0].Scope, cfg.Classes[0].Window = effect, scope, 2*Second
+				l := engines("a", "b", "c")
+				for i := range l.Entries { // each alone in its zone and cell
+					l.Entries[i].Zone, l.Entries[i].Cell = string(rune('x'+i)), i
+				}
+				d := started(t, cfg, l)
+				first := sends(d.Step(Second, []Event{ask(1, 0, Second)}))
+				require.Len(t, first, 1)
+				var further []Send
+				var actions []Action
+				for now := Second; now < 3*Second; now += Second / 50 { // nothing while it is out
+					events := []Event{Timer{Token: "sweep"}}
+					if now == Second+Second/10 {
+						events = append(events, outcome(1, 0, first[0].Engine, result, Second/10))
+					}
+					step := d.Step(now, events)
+					if now < Second+Second/10 {
+						require.Empty(t, sends(step), "a second one beside the first")
+					}
+					further, actions = append(further, sends(step)...), append(actions, step...)
+				}
+				name := []any{"result %d, effect %d, scope %d", result, effect, scope}
+				if result == Done {
+					assert.Empty(t, further, name...)
+					continue
+				}
+				elsewhere := never || effect == Safe || effect == Keyed && scope == ScopeAll
+				for _, s := range further {
+					assert.True(t, elsewhere || effect == Keyed && s.Engine == first[0].Engine, name...)
+					if effect == Keyed && !never {
+						assert.Equal(t, 3*Second, s.Until, name...)
+					} else {
+						assert.Zero(t, s.Until, name...)
+					}
+				}
+				assert.LessOrEqual(t, len(further), 1, name...)
+				if elsewhere && (result != Full || len(refusals(actions)) == 0) { // a full engine is pressure, and may end it
+					assert.Len(t, further, 1, name...)
+				}
+				if effect == Unsafe && !never {
+					assert.Empty(t, further, name...)
+					assert.Empty(t, refusals(actions), name...)
+					assert.Contains(t, actions, Action(Fail{ID: 1}), name...)
+				}
+			}
+		}
+	}
+}
+
+// The window in which engines drop a repeat counts from the first send that may have run, not from the last, and it bounds the
+// write as well as the decision.
+func TestWindowCountsFromTheFirstThatMayHaveRun(t *testing.T) {
+	cfg := testConfig()
+	cfg.Limits.MaxAttempts, cfg.Limits.Probes = 9, true
+	cfg.Classes[0].Repeat, cfg.Classes[0].Window = Keyed, Second
+	d := started(t, cfg, engines("a", "b", "c"))
+	s := sends(d.Step(Second, []Event{ask(1, 0, Second)}))
+	require.Len(t, s, 1)
+	assert.Zero(t, s[0].Until)
+	s = sends(d.Step(Second+Second/10, []Event{outcome(1, 0, s[0].Engine, NoConnection, Second/10)}))
+	require.Len(t, s, 1, "nothing ran: this is the first")
+	assert.Zero(t, s[0].Until)
+	s = sends(d.Step(Second*16/10, []Event{outcome(1, 1, s[0].Engine, Errored, Second/2)}))
+	require.Len(t, s, 1)
+	assert.Equal(t, Second*21/10, s[0].Until)
+	s = sends(d.Step(Second*20/10, []Event{outcome(1, 2, s[0].Engine, Errored, Second*4/10)}))
+	require.Len(t, s, 1)
+	assert.Equal(t, Second*21/10, s[0].Until)
+	for now := Second * 21 / 10; now < 4*Second; now += Second / 50 {
+		events := []Event{Timer{Token: "sweep"}}
+		if now == Second*21/10 {
+			events = append(events, outcome(1, 3, s[0].Engine, Errored, Second/10))
+		}
+		assert.Empty(t, sends(d.Step(now, events)))
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -307,6 +307,26 @@
 	return q.class.Repeat
 }
 
+// repeatUntil is until when engines know a further attempt for a repeat: in keyed classes they forget the key some time after they
+// were first sent what may have run; 0 where that does not matter. It bounds the decision and what of it is on its way: a connection
+// may come up late.
+func (q *query) repeatUntil() Micros {
+	for _, a := range q.attempts {
+		if !a.harmless && q.repeat() == Keyed {
+			return a.at + q.class.Window // the first is the earliest
+		}
+	}
+	return 0
+}
+
+// earlier is the earlier of two times, of which 0 is none.
+func earlier(a, b Micros) Micros {
+	if a == 0 || b > 0 && b < a {
+		return b
+	}
+	return a
+}
+
 // estimate is the told work, or one for all where none is told.
 func (q *query) estimate() float64 {
 	if q.Cost > 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -305,7 +305,7 @@
 	if a.ended {
 		return
 	}
-	if a.Running && neverRan(result) { // it was not asked after here, which says nothing of what runs there
+	if a.Running && result.NeverRan() { // it was not asked after here, which says nothing of what runs there
 		c.after(now+Unasked, func() { c.Ended(c.now, a, decide.Reset, nil, nil) })
 		return
 	}
@@ -313,7 +313,7 @@
 	c.cancel(a.due)
 	c.out--
 	a.out--
-	if a.dropped && result != decide.Done && !neverRan(result) {
+	if a.dropped && result != decide.Done && !result.NeverRan() {
 		result = a.reason
 	}
 	c.tally(result)
@@ -323,7 +323,7 @@
 	case result == decide.Done && a.entry != nil:
 		final = true
 		c.settle(now, a, rows)
-	case a.entry != nil && !neverRan(result):
+	case a.entry != nil && !result.NeverRan():
 		a.entry.ran = true
 	case result == decide.Done && !a.answered:
 		a.answered, final = true, true
@@ -340,10 +340,6 @@
 	c.forget(a.Request)
 }
 
-func neverRan(r decide.Result) bool {
-	return r == decide.Full || r == decide.NoConnection || r == decide.NotSent
-}
-
 // Probed answers a probe.
 func (c *Core) Probed(engine string, result decide.Result, elapsed Micros, load *decide.Load) {
 	c.events = append(c.events, decide.Probed{Engine: engine, Result: result, Elapsed: elapsed, Load: load})
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -22,8 +22,9 @@
 	partAfter    = 100 * ms // an answer comes at one go
 	unaskedAfter = gateway.Unasked
 	redialAfter  = 100 * ms
-	mostResumes  = 3 // connections, one after another, on which a query is asked after again
-	mostRedials  = 2 // connections that may break before they carry anything of a query
+	atOnce       = 50 * ms // what ends in one moment is read within
+	mostResumes  = 3       // connections, one after another, on which a query is asked after again
+	mostRedials  = 2       // connections that may break before they carry anything of a query
 	probeWait    = 250 * ms
 	freeAfter    = 1000 * ms // idle connections hold no storage
 	restFor      = 50 * ms   // that a connection rests between two queries: what crosses, a second answer too, does so within that
@@ -52,6 +53,8 @@
 	heard   Micros // when it last answered anything
 	removed bool   // and forgotten once nothing of it is left
 	refused bool   // it took no connection when it was last asked for one
+	cuts    int    // connections that it ended under a call, in one moment and since it was last heard
+	cutAt   Micros // when that was
 	waiting []*job // for a connection, where no descriptor is left: in turn
 	now     func() Micros
 }
@@ -310,8 +313,8 @@
 }
 
 // lost settles a job that has no connection. What was never posted never ran. One that drains refuses new
-// connections and runs on, so the job waits for one of those that are left. Where there is none and the engine has
-// ended the last, its process is gone and nothing runs any more. Else a connection may have come up too late, and another may
+// connections and runs on, so the job waits for one of those that are left; that none is left proves nothing, as the last may have
+// been reset on its way. A process that is gone has ended all at once, or is listed as gone. Else a connection may have come up too late, and another may
 // come up in time: it is tried for until the engine has given the query up by itself. A DELETE that was left undelivered for one
 // late connection had the next of its key start while the query ran.
 func (p *pool) lost(j *job, refused bool) {
@@ -321,9 +324,9 @@
 	switch e := j.engine; {
 	case !j.posted:
 		p.finish(j, decide.NoConnection)
-	case refused && e.conns > 0:
+	case refused && p.up(e):
 		e.wait(j)
-	case refused && j.cut:
+	case refused && j.cut && (e.removed || e.cuts > 1):
 		p.finish(j, decide.Reset)
 		if next := e.next(); next != nil {
 			p.carry(next)
@@ -333,6 +336,17 @@
 	}
 }
 
+// up says whether some connection to an engine has come up. Those that are dialled do not count: jobs of an engine that refuses all
+// would wait for each other's, and dial in turn without a pause.
+func (p *pool) up(e *engine) bool {
+	for c := range p.conns {
+		if c.engine == e && !c.connecting {
+			return true
+		}
+	}
+	return false
+}
+
 // broken settles a job whose call has no readable answer; arrived says that something came in its place, so
 // that the call itself has come whole. No connection owns a query, and its engine gives its answer again, so
 // it is asked after on another connection. One that comes spoilt again and again is given up.
@@ -340,6 +354,7 @@
 	j.trace("broken", "arrived", arrived)
 	j.conn = nil
 	j.cut = !arrived
+	j.asked = p.s.now // as far as its engine may know
 	j.resumes++
 	switch {
 	case j.attempt == nil:
@@ -533,7 +548,7 @@
 			}
 			return
 		}
-		c.engine.refused = false
+		c.engine.refused, c.engine.cuts = false, 0
 		if c.p.shakes() {
 			c.greet()
 			return
@@ -602,7 +617,7 @@
 // answer takes a whole answer; what follows goes out at once over the same connection.
 func (c *conn) answer(r rest.Response, more bool) {
 	j := c.job
-	c.engine.heard = c.p.s.now
+	c.engine.heard, c.engine.cuts = c.p.s.now, 0
 	result, ended, err := decide.Done, false, error(nil)
 	if j != nil {
 		result, ended, err = j.query.Take(r)
@@ -693,6 +708,12 @@
 // fail ends a broken connection and settles its job; arrived says that its call has come whole.
 func (c *conn) fail(arrived bool) {
 	j := c.job
+	if e := c.engine; c.busy && !arrived {
+		if c.p.s.now-e.cutAt > atOnce {
+			e.cuts, e.cutAt = 0, c.p.s.now
+		}
+		e.cuts++
+	}
 	c.end()
 	switch {
 	case j == nil:
--- a/internal/standin/rig.go
+++ b/internal/standin/rig.go
@@ -17,6 +17,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -190,6 +191,22 @@
 // Signal sends the front end a signal.
 func (r *Rig) Signal(s syscall.Signal) { require.NoError(r.T, r.Cmd.Process.Signal(s)) }
 
+// Counter is the present value of one of the front end's counters.
+func (r *Rig) Counter(name string) (n int) {
+	r.T.Helper()
+	line := regexp.MustCompile("(?m)^" + regexp.QuoteMeta(name) + " +([0-9]+)$")
+	before := len(r.Log.String())
+	r.Signal(syscall.SIGUSR1)
+	require.Eventually(r.T, func() bool {
+		m := line.FindStringSubmatch(r.Log.String()[before:])
+		if m != nil {
+			n, _ = strconv.Atoi(m[1])
+		}
+		return m != nil
+	}, Patience, time.Millisecond)
+	return n
+}
+
 // State is the program's state as the system tells it: T where it is stopped.
 func (r *Rig) State() (byte, error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.Cmd.Process.Pid))
