--- /dev/null
+++ b/decide/cold_test.go
@@ -0,0 +1,238 @@
+package decide
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// coldDay is a day on which engines start cold under a whole fleet, in virtual time.
+type coldDay struct {
+	fronts, warm, cold int
+	skew               float64 // of traffic: the exponent of Zipf's law over the fronts; 0: even
+	load               float64 // of what the warm engines can do
+	late               Micros  // the most by which the lists of some fronts come late
+	restarts           bool    // all fronts are started anew in the middle, a tenth at a time
+	seed               uint64
+}
+
+// coldKind is one of the classes, with its mix and work in core milliseconds.
+var coldMix = []struct {
+	class  Class
+	share  float64
+	work   float64
+	spread float64 // sigma of its logarithm
+}{
+	{Class{Name: "look", Aim: Second, AimStretch: 1.5, GiveUp: 5 * Second, Worth: 1, Threads: 1}, 0.79, 180, 0.8},
+	{Class{Name: "sum", Aim: 3 * Second, AimStretch: 2.5, GiveUp: 25 * Second, Worth: 7.5, Threads: 3}, 0.15, 4000, 0.9},
+	{Class{Name: "load", Aim: 3 * Second, AimStretch: 2.5, GiveUp: 25 * Second, Worth: 5, Threads: 2, Repeat: Keyed,
+		Window: 25 * Second, Ordered: true, Loads: true}, 0.06, 3800, 0.6},
+}
+
+type coldEvent struct {
+	at    Micros
+	front int
+	event Event
+	gen   int // of the front: what a restart has forgotten does not come
+}
+
+type coldQueue []coldEvent
+
+func (q coldQueue) Len() int           { return len(q) }
+func (q coldQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q coldQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *coldQueue) Push(x any)        { *q = append(*q, x.(coldEvent)) }
+func (q *coldQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// coldResult is what a day came to: the most that a cold engine got within a span of the rule, as a part of what is allowed, and
+// the worth served in time on cold and warm engines, of all that was asked.
+type coldResult struct {
+	most              float64
+	cold, warm, asked float64
+}
+
+// play runs the day. An engine has cores for what it holds and slows down beyond; a cold one has fewer.
+func (day coldDay) play() (res coldResult) {
+	const cores, length = 8, 30 * Second
+	rng := rand.New(rand.NewPCG(day.seed, 9))
+	cfg := Config{Gateways: day.fronts, Kinds: []Kind{{Name: "k", Cores: cores, MemoryMB: 1 << 20}},
+		Limits: Limits{Probes: true, MaxAttempts: 5, MaxRetryAfter: 2 * Second},
+		Rules:  Rules{Cold: 14 * Second, ColdFrom: 0.32, Fall: Second, FallMultiple: 2, DrainGrace: Second / 2}}
+	mean := 0.0
+	for _, m := range coldMix {
+		cfg.Classes = append(cfg.Classes, m.class)
+		mean += m.share * m.work
+	}
+	total := day.load * float64(day.warm) * cores * 1000 / mean // queries a second
+	cfg.Tenants = []Tenant{{Name: "t", Share: 1, Quota: total / 0.82 * 0.9}}
+	parts, sum := make([]float64, day.fronts), 0.0
+	for i := range parts {
+		parts[i] = math.Pow(float64(i+1), -day.skew)
+		sum += parts[i]
+	}
+	var q coldQueue
+	fronts, gens := make([]*Dispatcher, day.fronts), make([]int, day.fronts)
+	var entries []Entry
+	starts := map[string]Micros{}
+	for i := range day.warm + day.cold {
+		e := Entry{Engine: fmt.Sprintf("s-%d", i), Kind: "k"}
+		if i >= day.warm {
+			e.Started = 4*Second + Micros(i-day.warm)*Second/2
+			starts[e.Engine] = e.Started
+		}
+		entries = append(entries, e)
+	}
+	list := func(now Micros) (l List) {
+		l.Kind = ListComplete
+		for _, e := range entries {
+			if e.Started <= now {
+				l.Entries = append(l.Entries, e)
+			}
+		}
+		return l
+	}
+	begin := func(i int, now Micros) {
+		cfg.Rank = i
+		d, err := New(cfg, day.seed<<20|uint64(gens[i])<<10|uint64(i))
+		if err != nil {
+			panic(err)
+		}
+		fronts[i] = d
+		heap.Push(&q, coldEvent{now, i, list(now), gens[i]})
+	}
+	for i := range fronts {
+		begin(i, Second)
+		for _, e := range entries {
+			if e.Started > 0 {
+				heap.Push(&q, coldEvent{e.Started + Second/2 + rng.Int64N(day.late+1), i, List{Entries: []Entry{e}}, 0})
+			}
+		}
+		if day.restarts {
+			at := 8*Second + Micros(i*10/day.fronts)*Second/4
+			heap.Push(&q, coldEvent{at, i, nil, -1})
+		}
+		rate := total * parts[i] / sum
+		for at := Second; at < length; {
+			at += max(1, Micros(rng.ExpFloat64()/rate*float64(Second)))
+			heap.Push(&q, coldEvent{at, i, Request{}, -2})
+		}
+	}
+	type asked struct {
+		class int
+		work  float64
+		at    Micros
+	}
+	queries, id, busy := map[uint64]asked{}, uint64(0), map[string]float64{}
+	type sent struct {
+		at   Micros
+		work float64
+	}
+	got := map[string][]sent{}
+	for len(q) > 0 && q[0].at < length {
+		ev := heap.Pop(&q).(coldEvent)
+		now, i := ev.at, ev.front
+		event := ev.event
+		switch {
+		case ev.gen == -1:
+			gens[i]++
+			begin(i, now)
+			continue
+		case ev.gen == -2:
+			x, class := rng.Float64(), 0
+			for x > coldMix[class].share && class < 2 {
+				x -= coldMix[class].share
+				class++
+			}
+			m := coldMix[class]
+			work := m.work * math.Exp(rng.NormFloat64()*m.spread-m.spread*m.spread/2)
+			id++
+			queries[id] = asked{class, work, now}
+			res.asked += m.class.Worth
+			event = Request{ID: id, Class: class, Tenant: 0, Key: fmt.Sprint(id), Deadline: now + m.class.GiveUp, Cost: max(1, Micros(work*1000)),
+				Group: rng.IntN(40)}
+		case ev.gen != gens[i]:
+			if o, ok := event.(Outcome); ok {
+				busy[o.Engine] -= float64(coldMix[queries[o.ID].class].class.Threads)
+			}
+			continue
+		}
+		if o, ok := event.(Outcome); ok {
+			a := queries[o.ID]
+			m := coldMix[a.class]
+			busy[o.Engine] -= float64(m.class.Threads)
+			if now-a.at <= m.class.Aim+Micros(m.class.AimStretch*a.work*1000/float64(m.class.Threads)) {
+				if from, cold := starts[o.Engine]; cold && now < from+cfg.Rules.Cold {
+					res.cold += m.class.Worth
+				} else {
+					res.warm += m.class.Worth
+				}
+			}
+		}
+		for _, action := range fronts[i].Step(now, []Event{event}) {
+			switch a := action.(type) {
+			case SetTimer:
+				heap.Push(&q, coldEvent{a.At, i, Timer{Token: a.Token}, gens[i]})
+			case Probe:
+				heap.Push(&q, coldEvent{now + 2000, i, Probed{Engine: a.Engine, Result: Done}, gens[i]})
+			case Send:
+				query := queries[a.ID]
+				threads := float64(coldMix[query.class].class.Threads)
+				size := float64(cores)
+				if from, cold := starts[a.Engine]; cold {
+					size *= min(1, 0.32+0.68*float64(now-from)/float64(cfg.Rules.Cold))
+					got[a.Engine] = append(got[a.Engine], sent{now, query.work})
+				}
+				busy[a.Engine] += threads
+				took := Micros(query.work * 1000 / threads * max(1, busy[a.Engine]/size))
+				heap.Push(&q, coldEvent{now + took, i, Outcome{ID: a.ID, Engine: a.Engine, Result: Done, Elapsed: took, Final: true}, gens[i]})
+			}
+		}
+	}
+	for engine, list := range got {
+		from := starts[engine]
+		for i, first := range list {
+			work, until := 0.0, min(first.at+cfg.Rules.Fall, from+cfg.Rules.Cold)
+			for _, s := range list[i:] {
+				if s.at < until {
+					work += s.work
+				}
+			}
+			warmth := min(1, 0.32+0.68*float64(first.at-from)/float64(cfg.Rules.Cold))
+			n := cfg.Rules.FallMultiple * cores * warmth * float64(cfg.Rules.Fall) / 1000 / mean // of mean work
+			res.most = max(res.most, work/mean/(n+2*math.Sqrt(n)+2))
+		}
+	}
+	return res
+}
+
+// What all front ends together send to a cold engine within the span of the rule stays within what the settings allow it then and
+// the scatter of that, however many and uneven they are, with empty memories and late lists; and cold engines serve all the same.
+func TestFleetsKeepToColdBudgets(t *testing.T) {
+	for _, fronts := range []int{3, 20, 30, 80, 300} {
+		for _, skew := range []float64{0, 0.9} {
+			for _, restarts := range []bool{false, true} {
+				for seed := range uint64(2) {
+					day := coldDay{fronts: fronts, warm: max(6, fronts/10), cold: max(2, fronts/30), skew: skew, load: 0.9, late: 3 * Second,
+						restarts: restarts, seed: seed + 1}
+					t.Run(fmt.Sprintf("%+v", day), func(t *testing.T) {
+						t.Parallel()
+						res := day.play()
+						t.Logf("%.2f of the bound, served of all %.3f on cold, %.3f on warm", res.most, res.cold/res.asked, res.warm/res.asked)
+						assert.LessOrEqual(t, res.most, 1.0)
+						// They have a tenth of the cores while they are cold, and two thirds of their size on average then.
+						assert.Greater(t, res.cold/res.asked, 0.04)
+						assert.Greater(t, (res.cold+res.warm)/res.asked, 0.7)
+					})
+				}
+			}
+		}
+	}
+}
