--- /dev/null
+++ b/cmd/chutechute/places_test.go
@@ -0,0 +1,144 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"chutechute/internal/standin"
+)
+
+// Where the system has no descriptor left, those who wait to connect wait without costing turns of the loop, and get in once one is
+// free. The one that waits kept the loop from resting.
+func TestNoDescriptorIsWaitedForAtRest(t *testing.T) {
+	r := start(t, 0, nil) // requests are held, as there is no engine: their clients can't be done without
+	journal, _ := r.Accept()
+	defer journal.Close()
+	limit := unix.Rlimit{Cur: uint64(r.Descriptors() + 2), Max: uint64(r.Descriptors() + 2)}
+	require.NoError(t, unix.Prlimit(r.Cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+	var all []*standin.Client
+	for waits := false; !waits; {
+		n := len(all) + 1
+		require.Less(t, n, 50)
+		c := r.Client()
+		c.Ask("INSERT INTO s_1.t", "call", standin.ID(n), "op", "load", "ttl", "20000", "dedupe", fmt.Sprint(n), "work", "10.0")
+		for tries := 0; r.Counter("requests taken") < n && !waits; tries++ {
+			waits = tries > 20 && strings.Contains(r.Log.String(), "msg=accept")
+			time.Sleep(5 * time.Millisecond)
+		}
+		all = append(all, c)
+	}
+	begun, before := time.Now(), strings.Count(r.Log.String(), "msg=accept")
+	time.Sleep(500 * time.Millisecond)
+	tries := strings.Count(r.Log.String(), "msg=accept") - before
+	assert.Positive(t, tries, "the last one waits still")
+	assert.Less(t, tries, 2+int(time.Since(begun)/(20*time.Millisecond)), "one a tick")
+	taken := r.Counter("requests taken")
+	all[0].Conn.Close()
+	require.Eventually(t, func() bool { return r.Counter("requests taken") == taken+1 }, standin.Patience, time.Millisecond)
+}
+
+// Clients that rest, say half of something or nothing fill their share while discovery is down; the watch is made again, engines
+// get their connections and new clients their turn all the same.
+func TestPlacesWhileDiscoveryIsDown(t *testing.T) {
+	r := start(t, 3, standin.Store(0, standin.Row), func(r *standin.Rig) { r.Sockets = 64 })
+	conn, _ := r.Accept()
+	conn.Close()
+	addr := r.Journal.Addr().String()
+	r.Journal.Close()
+	r.AwaitLog("connection refused")
+	for n := range 90 {
+		c := r.Client()
+		switch n % 3 {
+		case 0:
+			require.True(t, c.Healthy())
+		case 1:
+			_, err := c.Conn.Write([]byte{0, 0, 1, 0, 0x80, 1})
+			require.NoError(t, err)
+		}
+	}
+	require.NoError(t, r.ListenJournal(addr))
+	back, last := r.Accept()
+	assert.EqualValues(t, 41, last)
+	_, err := back.Write(standin.Frame(42, 2, r.Engines[0].Record(1)))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return r.Counter("frames from the journal") == 1 }, standin.Patience, 5*time.Millisecond)
+	for n := range 20 {
+		c := r.Client()
+		c.Ask(fmt.Sprintf("SELECT * FROM s_%d.t", n), "call", standin.ID(n), "op", "lookup", "ttl", "5000", "work", "1.0")
+		require.Equal(t, "answer", c.Read().What)
+	}
+	assert.LessOrEqual(t, r.Descriptors(), 64)
+	for _, p := range r.Got("POST", "/") {
+		assert.NotEqual(t, r.Engines[0].Name, p.Engine, "it drains")
+	}
+}
+
+// Nothing of one request is used for another, whatever is recycled meanwhile: numbers of sequence, connections, descriptors, and
+// settings by a reload, those that can't be used too.
+func TestNothingOfAnotherRequest(t *testing.T) {
+	r := start(t, 3, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		if c.Method != "POST" {
+			w.WriteHeader(204)
+			return
+		}
+		h := c.Header
+		standin.Serve(w, h.Get("Request-Id")+"\t"+h.Get("Kind")+"/"+h.Get("Once-Key")+"\t"+c.Body+"\n")
+	}, func(r *standin.Rig) {
+		r.Settings["tenants"] = []any{map[string]any{"name": "t", "quota_per_s": 1000, "share": 0.5},
+			map[string]any{"name": "u", "quota_per_s": 1000, "share": 0.5}}
+	})
+	const clients, rounds = 4, 60
+	for round := range rounds {
+		var all []*standin.Client
+		for k := range clients {
+			c := r.Client()
+			n := round*clients + k
+			op, once := "lookup", ""
+			if n%3 == 0 {
+				op, once = "load", fmt.Sprintf("once-%d", n)
+			}
+			tenant := []string{"t", "u"}[n%2]
+			c.Ask(fmt.Sprintf("SELECT %d FROM s_%d.t", n, n%5), "call", standin.ID(n), "op", op, "ttl", "9000", "org", tenant, "dedupe", once,
+				"row", once, "work", "1.0")
+			if n%7 == 0 {
+				c.Conn.Close()
+				continue
+			}
+			all = append(all, c)
+		}
+		if round%10 == 0 {
+			r.Config["journal"] = []any{7, r.Journal.Addr().String()}[round/10%2]
+			r.Write()
+			r.Signal(syscall.SIGHUP)
+		}
+		for _, c := range all {
+			p := c.Read()
+			require.Equal(t, "answer", p.What)
+			part := strings.Split(strings.TrimSuffix(p.Body(), "\n"), "\t")
+			var n int
+			_, err := fmt.Sscanf(part[0], "%x", &n)
+			require.NoError(t, err)
+			require.Equal(t, round, n/clients)
+			want := "lookup/"
+			if n%3 == 0 {
+				want = fmt.Sprintf("load/once-%d", n)
+			}
+			require.Equal(t, want, part[1])
+			require.Equal(t, fmt.Sprintf("SELECT %d FROM s_%d.t", n, n%5), part[2])
+			c.Conn.Close()
+		}
+	}
+	seen := map[string]bool{}
+	for _, p := range r.Got("POST", "/") {
+		assert.False(t, seen[p.Header.Get("Request-Id")], "sent twice")
+		seen[p.Header.Get("Request-Id")] = true
+	}
+}
--- a/internal/standin/journal.go
+++ b/internal/standin/journal.go
@@ -26,6 +26,15 @@
 	return append(b, make([]byte, 8)...)
 }
 
+// ListenJournal has the journal service listen at an address, in place of where it did.
+func (r *Rig) ListenJournal(addr string) (err error) {
+	r.Journal.Close()
+	if r.Journal, err = net.Listen("tcp4", addr); err == nil {
+		r.T.Cleanup(func() { r.Journal.Close() })
+	}
+	return err
+}
+
 // Accept is a connection of the front end to the journal, and the number that it began with.
 func (r *Rig) Accept() (net.Conn, uint64) {
 	conn, err := r.Journal.Accept()
--- a/internal/standin/rig.go
+++ b/internal/standin/rig.go
@@ -207,6 +207,13 @@
 	return n
 }
 
+// Descriptors is how many the program holds.
+func (r *Rig) Descriptors() int {
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.Cmd.Process.Pid))
+	require.NoError(r.T, err)
+	return len(fds)
+}
+
 // State is the program's state as the system tells it: T where it is stopped.
 func (r *Rig) State() (byte, error) {
 	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", r.Cmd.Process.Pid))
