--- a/decide/decide.go
+++ b/decide/decide.go
@@ -681,7 +681,7 @@
 // drawn by hash, has coldHeavy of the budget for all but one of turnSpans spans, so that no span meets two
 // turns. A gateway that has just started sits its turn out, having forgotten its own.
 func (d *Dispatcher) coldRoom(q *query, e *engine) bool {
-	r, n, work := d.cfg.Rules, uint64(d.cfg.Gateways), q.work()
+	r, n, work := d.cfg.Rules, uint64(d.cfg.Gateways), q.class.work
 	if !e.cold || r.Fall <= 0 || d.budgets.cold {
 		return true
 	}
@@ -693,7 +693,7 @@
 		return e.sentCold.since(d.now-r.Fall)+work <= part
 	}
 	if work <= coldLot*budget {
-		e.credit.accrue(d.now, coldLight*budget*d.ownPart()/float64(r.Fall), work, min(work, q.class.work))
+		e.credit.accrue(d.now, coldLight*budget*d.ownPart()/float64(r.Fall), work)
 		return e.credit.left >= work
 	}
 	at := uint64(d.now/r.Fall) + e.hash%turnSpans
@@ -721,8 +721,8 @@
 		d.ration(&d.extras)
 	}
 	if e.cold {
-		e.sentCold.add(d.now, q.work())
-		e.credit.left -= q.work()
+		e.sentCold.add(d.now, q.class.work)
+		e.credit.left -= q.class.work
 	}
 	exec := d.price(q)
 	a := attempt{engine: e, at: d.now, exec: exec, open: true, mark: markFrom, zone: e.Zone, cell: e.Cell}
--- a/decide/state.go
+++ b/decide/state.go
@@ -183,13 +183,12 @@
 type credit struct {
 	left  float64
 	at    Micros
-	phase float64 // of a usual query's work that is there from the start
+	phase float64 // of the first query's work that is there from the start
 }
 
-// accrue adds what the span since the last call brings, at a rate in work a microsecond, up to what one query takes; usual is what
-// one takes as a rule: were it the first one's own work, many heavy first ones would have it at once.
-func (c *credit) accrue(now Micros, rate, work, usual float64) {
-	c.left += c.phase*usual + rate*float64(now-c.at)
+// accrue adds what the span since the last call brings, at a rate in work a microsecond, up to what one query takes.
+func (c *credit) accrue(now Micros, rate, work float64) {
+	c.left += c.phase*work + rate*float64(now-c.at)
 	c.left, c.at, c.phase = min(c.left, max(work, rate*float64(Second))), now, 0
 }
 
