--- a/cmd/chutechute/endings_test.go
+++ b/cmd/chutechute/endings_test.go
@@ -288,3 +288,42 @@
 	assert.Less(t, posts[8].At.UnixNano()-died.Load(), int64(2*time.Second), "sooner than by waiting for it unasked")
 	assert.Less(t, r.Counter("connections to engines"), 60, "those that wait for each other's dial in turn without a pause")
 }
+
+// A connection that comes up after its time carries nothing, and one that comes up in time carries nothing to an engine of which the
+// list has told meanwhile that it drains.
+func TestLateConnectionsCarryNothing(t *testing.T) {
+	for name, drain := range map[string]bool{"late": false, "in time, but it drains": true} {
+		t.Run(name, func(t *testing.T) {
+			var doors []*standin.Door
+			r := start(t, 2, standin.Store(0, standin.Row), func(r *standin.Rig) {
+				for _, e := range r.Engines {
+					doors = append(doors, r.Shuttable(e))
+				}
+				if drain {
+					r.Settings["limits"].(map[string]any)["dial_timeout"] = 8
+				}
+			})
+			journal, _ := r.Accept()
+			for _, d := range doors {
+				d.Shut()
+			}
+			c := r.Client()
+			load2(c, 1)
+			require.Eventually(t, func() bool { return r.Counter("connections to engines") > 0 }, standin.Patience, time.Millisecond)
+			if drain {
+				_, err := journal.Write(standin.Frame(42, 2, r.Engines[0].Record(1), r.Engines[1].Record(1)))
+				require.NoError(t, err)
+				require.Eventually(t, func() bool { return r.Counter("attempts never run") > 0 }, standin.Patience, time.Millisecond)
+			} else {
+				require.Eventually(t, func() bool { return r.Counter("attempts without a connection") > 0 }, standin.Patience, time.Millisecond)
+				c.Conn.Close()
+				settled(r, 1)
+			}
+			for _, d := range doors {
+				d.Open()
+			}
+			time.Sleep(1200 * time.Millisecond) // the system tries for a connection again after a second
+			assert.Empty(t, r.Got("POST", "/"))
+		})
+	}
+}
