Endings under load: stopped without a request lost or reset, ready whatever else fails

TestStoppedUnderLoad: 24 clients that ask without a pause, or rest between; 13 requests were sent on and not answered by the program as found.

--- a/cmd/chutechute/endings_test.go
+++ b/cmd/chutechute/endings_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -327,3 +328,72 @@
 		})
 	}
 }
+
+// Stopped under load, the front end loses nothing: each request that a client has sent is answered, or its connection ended without
+// a reset and nothing of it was sent on, so that it may go again.
+func TestStoppedUnderLoad(t *testing.T) {
+	r := start(t, 3, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		time.Sleep(time.Duration(len(c.Body)%7) * 10 * time.Millisecond)
+		standin.Serve(w, standin.Row)
+	})
+	const clients = 24
+	var mu sync.Mutex
+	var answered int
+	open := map[string]error{} // requests that got no answer, and how their connection ended
+	var all sync.WaitGroup
+	for k := range clients {
+		c := r.Client()
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for n := 0; ; n++ {
+				id := standin.ID(1000*k + n)
+				err := c.TryAsk("SELECT * FROM s_1.t"+strings.Repeat(" ", (k+n)%7), "call", id, "op", "lookup", "ttl", "5000", "org", "t", "work", "1.0")
+				if err == nil {
+					_, err = c.TryRead()
+				}
+				mu.Lock()
+				if err != nil {
+					open[id] = err
+					mu.Unlock()
+					return
+				}
+				answered++
+				mu.Unlock()
+				if k%2 == 0 { // half of them rest now and then
+					time.Sleep(time.Duration(n%5) * 10 * time.Millisecond)
+				}
+			}
+		}()
+	}
+	require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return answered > 500 }, standin.Patience, time.Millisecond)
+	r.Signal(syscall.SIGTERM)
+	assert.NoError(t, <-r.Exited)
+	all.Wait()
+	assert.Len(t, open, clients, "each connection ends under a request at last")
+	for _, p := range r.Got("POST", "/") {
+		assert.NotContains(t, open, p.Header.Get("Request-Id"), "it was sent on and not answered")
+	}
+	for id, err := range open {
+		assert.NotErrorIs(t, err, syscall.ECONNRESET, id)
+	}
+}
+
+// A front end that starts is ready at once, whatever else fails: no journal service, engines that let nobody in, clients that crowd.
+func TestReadyWhateverElseFails(t *testing.T) {
+	for range 5 {
+		r := start(t, 3, standin.Store(0, standin.Row), func(r *standin.Rig) {
+			for _, e := range r.Engines {
+				r.Shuttable(e).Shut()
+			}
+			r.Journal.Close()
+		})
+		for range 200 {
+			r.Client().Lookup(1, "5000")
+		}
+		begun := time.Now()
+		require.True(t, r.Client().Healthy())
+		t.Log("served after", r.Ready, "healthy after", time.Since(begun))
+		assert.Less(t, r.Ready+time.Since(begun), 10*time.Second, "by the operators' terms")
+	}
+}
