--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -5,6 +5,7 @@
 	"chutechute/internal/standin"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"os"
@@ -806,6 +807,15 @@
 	usable := func(settings map[string]any) map[string]any {
 		return map[string]any{"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1", "settings": settings}
 	}
+	class := func(name string, more map[string]any) any {
+		c := map[string]any{"name": name, "repeat": "safe", "on_time": 1, "give_up": 5}
+		maps.Copy(c, more)
+		return c
+	}
+	site := func(classes ...any) map[string]any {
+		return map[string]any{"balancers": 1, "classes": classes, "host_types": []any{"k"}, "failure_domains": []any{"a"}}
+	}
+	with := func(s map[string]any, key string, value any) map[string]any { s[key] = value; return s }
 	for key, config := range map[string]map[string]any{
 		"settings.balancers": usable(map[string]any{}),
 		"settings.classes":   usable(map[string]any{"balancers": 1}),
@@ -815,6 +825,11 @@
 		"limits.sockets": {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1",
 			"limits": map[string]any{"sockets": 3}},
 		"settings": {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1"},
+		`settings.classes\[0\].name: "c" stands twice`:     usable(site(class("c", nil), class("c", nil))),
+		`settings.classes\[0\].window: class "c" is keyed`: usable(site(class("c", map[string]any{"repeat": "keyed", "group": "all"}))),
+		`settings.tenants\[0\].name: "t" stands twice`: usable(with(site(class("c", nil)), "tenants",
+			[]any{map[string]any{"name": "t"}, map[string]any{"name": "t"}})),
+		"settings.rules.cold_from: 1.5": usable(with(site(class("c", nil)), "rules", map[string]any{"cold_from": 1.5})),
 		`class "c": unknown repeat "odd"`: {"listen": "127.0.0.1:0", "journal": "127.0.0.1:1", "seed": "1",
 			"settings": map[string]any{"classes": []any{map[string]any{"name": "c", "repeat": "odd"}}}},
 	} {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -238,10 +238,24 @@
 		return fmt.Errorf("config: settings.failure_domains: missing")
 	}
 	for i, c := range s.Classes {
-		if c.Aim <= 0 || c.GiveUp <= 0 {
-			return fmt.Errorf("config: settings.classes[%d]: class %q lacks on_time or give_up", i, c.Name)
+		key := fmt.Sprintf("config: settings.classes[%d]", i)
+		switch {
+		case c.Aim <= 0 || c.GiveUp <= 0:
+			return fmt.Errorf("%s: class %q lacks on_time or give_up", key, c.Name)
+		case s.ClassOf[c.Name] != i:
+			return fmt.Errorf("%s.name: %q stands twice", key, c.Name)
+		case c.Repeat == decide.Keyed && c.Window <= 0:
+			return fmt.Errorf("%s.window: class %q is keyed, and no engine would drop a repeat", key, c.Name)
 		}
 	}
+	for i, t := range s.Tenants {
+		if s.TenantOf[t.Name] != i {
+			return fmt.Errorf("config: settings.tenants[%d].name: %q stands twice", i, t.Name)
+		}
+	}
+	if f := s.Rules.ColdFrom; f < 0 || f > 1 {
+		return fmt.Errorf("config: settings.rules.cold_from: %g is no share of a capacity", f)
+	}
 	return nil
 }
 
