--- a/cmd/chutechute/facts_test.go
+++ b/cmd/chutechute/facts_test.go
@@ -55,3 +55,36 @@
 		assert.Positive(t, r.Counter("notes and costs that can't be"))
 	}
 }
+
+// The loser of two copies is given up once the other has served: one answer, and nothing of it runs on.
+func TestLoserOfTwoCopiesIsGivenUp(t *testing.T) {
+	r := start(t, 2, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		posts := r.Got("POST", "/")
+		slow := len(posts) > 10 && c.Engine == posts[10].Engine
+		switch {
+		case c.Method == "DELETE":
+			w.WriteHeader(204)
+		case slow && (c.Method == "GET" || c.Header.Get("Request-Id") == standin.ID(10)):
+			time.Sleep(50 * time.Millisecond)
+			w.WriteHeader(202)
+		default:
+			standin.Serve(w, standin.Row)
+		}
+	}, func(r *standin.Rig) { r.Settings["limits"].(map[string]any)["may_duplicate"] = true })
+	c := r.Client()
+	for n := range 10 { // a usual one takes no time
+		c.Lookup(n, "9000")
+		require.Equal(t, "answer", c.Read().What)
+	}
+	c.Lookup(10, "9000")
+	p := c.Read()
+	assert.Equal(t, "answer", p.What)
+	assert.Equal(t, standin.Row, p.Body())
+	posts := r.Got("POST", "/")
+	require.Len(t, posts, 12)
+	assert.NotEqual(t, posts[10].Engine, posts[11].Engine)
+	deleted := r.Await(1, "DELETE", "/v1/store/"+standin.ID(10))
+	assert.Equal(t, posts[10].Engine, deleted[0].Engine)
+	assert.True(t, c.Healthy(), "the next message is the answer to health")
+	assert.Eventually(t, func() bool { return r.Counter("attempts given up for clients") == 1 }, standin.Patience, time.Millisecond)
+}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -405,7 +405,7 @@
 	pressed := d.pressure()
 	for _, q := range slices.Clone(d.held) {
 		if d.now > q.Deadline-2*sweepEvery || q.arrived < d.now && d.now+Micros(d.price(q)) > d.lapse(q, pressed) {
-			d.end(q)
+			d.lapsed(q)
 		}
 	}
 }
@@ -618,7 +618,7 @@
 
 // mayGo holds the rules that bind a query whatever the engine.
 func (d *Dispatcher) mayGo(q *query) bool {
-	if q.answered || len(q.attempts) >= d.mostAttempts(q) || q.open > 0 {
+	if q.answered || len(q.attempts) >= d.mostAttempts(q) || q.open > 0 && !d.mayCopy(q) {
 		return false
 	}
 	if q.line != nil && (q.line.queue[0] != q || q.line.quiet > d.now && q.line.except != q) {
@@ -633,7 +633,7 @@
 
 // admissible is the guard of every send: drains, placement, effects and the cold budget.
 func (d *Dispatcher) admissible(q *query, e *engine) bool {
-	return !e.gone && allowed(q.class.Zones, e.Zone) && allowed(q.class.Kinds, e.Kind) &&
+	return !e.gone && !q.on(e) && allowed(q.class.Zones, e.Zone) && allowed(q.class.Kinds, e.Kind) &&
 		d.effectSafe(q, e) && d.coldRoom(q, e) && d.affords(q, e)
 }
 
@@ -739,7 +739,7 @@
 	}
 	d.terms(q)
 	timeout := Micros(0)
-	if !d.cfg.Limits.Cancel && q.repeat() == Safe { // what can't be called off must end by itself
+	if !d.cfg.Limits.Cancel && q.repeat() == Safe && !d.cfg.Limits.Duplicates { // what can't be called off must end by itself
 		timeout = Micros(q.class.patience() * exec)
 	}
 	if life > 0 && (timeout == 0 || life < timeout) {
@@ -798,7 +798,7 @@
 	switch {
 	case o.Final || q.answered:
 		d.close(q)
-	case q.open > 0:
+	case q.open > 0 || q.held:
 	case d.again(q):
 		q.held = true
 		d.held = append(d.held, q)
@@ -995,6 +995,9 @@
 		return
 	}
 	d.terms(q)
+	if !q.held && age > q.class.patience()*max(a.exec, d.price(q)) && d.mayCopy(q) && d.again(q) {
+		q.held, d.held = true, append(d.held, q)
+	}
 	if d.cfg.Limits.Cancel && d.pressure() && d.refusable(q) &&
 		float64(d.now-q.asked) > lateMost*float64(d.aim(q)-q.asked) {
 		d.end(q)
--- a/decide/repeats_test.go
+++ b/decide/repeats_test.go
@@ -122,3 +122,45 @@
 		assert.EqualValues(t, Second, q.work(), name)
 	}
 }
+
+// A query that takes too long gets a second copy where the settings allow that and a second execution does no harm: one, on another
+// engine, and the first of the two to end serves it. Else nothing goes beside the first.
+func TestSecondCopies(t *testing.T) {
+	for name, c := range map[string]struct {
+		allowed, ordered bool
+		repeat           Repeat
+		copies           int
+	}{
+		"safe": {true, false, Safe, 1}, "not allowed": {false, false, Safe, 0}, "keyed": {true, false, Keyed, 0},
+		"unsafe": {true, false, Unsafe, 0}, "in order": {true, true, Safe, 0},
+	} {
+		cfg := testConfig()
+		cfg.Limits.Cancel, cfg.Limits.Probes, cfg.Limits.Duplicates = false, true, c.allowed
+		cfg.Classes[0].Repeat, cfg.Classes[0].Window, cfg.Classes[0].Ordered = c.repeat, 25*Second, c.ordered
+		cfg.Classes[0].GiveUp = 40 * Second
+		d := started(t, cfg, engines("a", "b"))
+		for n := range uint64(20) { // a usual one takes 0.1 s
+			s := sends(d.Step(Micros(n+1)*Second, []Event{ask(n, 0, Micros(n+1)*Second)}))
+			require.Len(t, s, 1)
+			d.Step(Micros(n+1)*Second+Second/10, []Event{outcome(n, 0, s[0].Engine, Done, Second/10)})
+		}
+		r := ask(100, 0, 30*Second)
+		r.Key, r.Deadline = "k", 70*Second
+		first := sends(d.Step(30*Second, []Event{r}))
+		require.Len(t, first, 1)
+		var further []Send
+		for now := 30 * Second; now < 35*Second; now += Second / 50 {
+			further = append(further, sends(d.Step(now, []Event{Timer{Token: "sweep"}}))...)
+		}
+		require.Len(t, further, c.copies, name)
+		if c.copies == 0 {
+			continue
+		}
+		assert.NotEqual(t, first[0].Engine, further[0].Engine)
+		assert.Zero(t, further[0].Timeout)
+		d.Step(35*Second, []Event{outcome(100, 1, further[0].Engine, Done, Second)})
+		assert.Empty(t, refusals(d.Step(36*Second, []Event{Outcome{ID: 100, Engine: first[0].Engine, Result: Canceled, Elapsed: 6 * Second, Final: true}})))
+		assert.Empty(t, d.queries, "nothing of it is left")
+		assert.Empty(t, d.held)
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -242,6 +242,26 @@
 	return list
 }
 
+// mayCopy says whether a second copy of a query may go beside the one that is out: where a second execution does no harm, and no
+// order rests on its end.
+func (d *Dispatcher) mayCopy(q *query) bool {
+	return d.cfg.Limits.Duplicates && q.open == 1 && q.repeat() == Safe && !q.Single && q.line == nil
+}
+
+// on says whether an attempt of the query is out on the engine.
+func (q *query) on(e *engine) bool {
+	return slices.ContainsFunc(q.attempts, func(a attempt) bool { return a.open && a.engine == e })
+}
+
+// lapsed ends a held query that can no longer finish; a copy is let go, and the query waits for the one that is out.
+func (d *Dispatcher) lapsed(q *query) {
+	if q.open > 0 {
+		d.held, q.held = remove(d.held, q), false
+		return
+	}
+	d.end(q)
+}
+
 // remove takes q out of list, keeping the order.
 func remove(list []*query, q *query) []*query {
 	for i, other := range list {
