--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -341,13 +341,15 @@
 		c.statements.served(a.Request)
 		c.trace.answered(a.Request, "served", now)
 		a.caller.Served(rows)
-		c.giveUp(a.Request, decide.Canceled) // a second copy, where there is one: nobody waits for it
 	}
 	if a.Running && result != decide.Done { // the module does not have it, and nobody waits for an answer to it
 		a.answered = true
 	}
 	c.events = append(c.events, decide.Outcome{ID: a.id, Attempt: a.number, Engine: a.Engine, Result: result,
 		Elapsed: now - a.at, Final: final, Load: load, Spent: a.Spent, NeededMB: a.NeededMB})
+	if final { // nobody waits for a second copy
+		c.giveUp(a.Request, decide.Canceled)
+	}
 	c.forget(a.Request)
 }
 
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -158,8 +158,8 @@
 	if c.ids[s.Run] {
 		return nil
 	}
-	r := &Request{Call: &Call{ID: s.Run, Once: s.Once, Key: s.Key, Class: s.Class, TTL: s.TTL}, id: c.newID(), seq: c.lastID, caller: nobody{}, taken: now, Priority: NoPriority,
-		deadline: now + s.TTL - margin}
+	r := &Request{Call: &Call{ID: s.Run, Once: s.Once, Key: s.Key, Class: s.Class, TTL: s.TTL}, id: c.newID(), seq: c.lastID,
+		caller: nobody{}, taken: now, Priority: NoPriority, deadline: now + s.TTL - margin}
 	c.open[r.id], c.ids[s.Run] = r, true
 	r.due = c.after(r.deadline, func() { c.expire(r) })
 	r.entry = &Entry{c: c, r: r, told: true, begun: true, ran: true}
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -165,12 +165,11 @@
 		if c == nil {
 			return false
 		}
-		switch c.look(); {
-		case c.ending || l.s.unused() <= 0:
-			if c.ending || c.idle() && c.part != l.s.now {
-				c.end()
-			}
-		case c.idle() && c.part != l.s.now: // a close over what crosses it would take back its last answers
+		c.look()
+		switch spare := c.idle() && c.part != l.s.now; {
+		case c.ending || spare && l.s.unused() <= 0:
+			c.end()
+		case spare: // a close over what crosses it would take back its last answers
 			c.hangUp()
 			return true
 		}
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -320,10 +320,11 @@
 }
 
 // lost settles a job that has no connection. What was never posted never ran. One that drains refuses new
-// connections and runs on, so the job waits for one of those that are left; that none is left proves nothing, as the last may have
-// been reset on its way. A process that is gone has ended all at once, or is listed as gone. Else a connection may have come up too late, and another may
-// come up in time: it is tried for until the engine has given the query up by itself. A DELETE that was left undelivered for one
-// late connection had the next of its key start while the query ran.
+// connections and runs on, so the job waits for one of those that are left; that none is left proves nothing, as the
+// last may have been reset on its way. A process that is gone has ended all at once, or is listed as gone. Else a
+// connection may have come up too late, and another may come up in time: it is tried for until the engine has given
+// the query up by itself. A DELETE that was left undelivered for one late connection had the next of its key start
+// while the query ran.
 func (p *pool) lost(j *job, refused bool) {
 	j.trace("no connection", "refused", refused)
 	j.conn = nil
