--- a/cmd/chutechute/endings_test.go
+++ b/cmd/chutechute/endings_test.go
@@ -1,9 +1,11 @@
 package main
 
 import (
+	"encoding/json"
 	"io"
 	"net/http"
 	"os"
+	"os/exec"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -397,3 +399,24 @@
 		assert.Less(t, r.Ready+time.Since(begun), 10*time.Second, "by the operators' terms")
 	}
 }
+
+// What the README has a new operator do: the example's configuration is usable as it stands, and its settings serve.
+func TestExampleOfTheReadme(t *testing.T) {
+	const example = "../../deploy/example.json"
+	cmd := exec.Command(program, "config", "check")
+	cmd.Env = []string{"NODE_CONFIG=" + example}
+	out, err := cmd.CombinedOutput()
+	require.NoError(t, err, "%s", out)
+	text, err := os.ReadFile(example)
+	require.NoError(t, err)
+	var config struct{ Settings map[string]any }
+	require.NoError(t, json.Unmarshal(text, &config))
+	r := start(t, 1, standin.Store(0, standin.Row), func(r *standin.Rig) { r.Settings = config.Settings })
+	c := r.Client()
+	c.Ask("SELECT * FROM s_1.t", "call", standin.ID(1), "op", "lookup", "ttl", "5000", "org", "desk", "work", "10.0")
+	assert.Equal(t, "answer", c.Read().What)
+	r.Signal(syscall.SIGTERM)
+	_, err = c.TryRead()
+	assert.ErrorIs(t, err, io.EOF)
+	assert.NoError(t, <-r.Exited)
+}
