A client that says only what nobody answers is closed like one that says nothing

Now what counts is that something was answered, or is to be. TestClientsWithoutAWordAreClosed, seen to fail without.

--- a/cmd/chutechute/main_test.go
+++ b/cmd/chutechute/main_test.go
@@ -667,6 +667,24 @@
 	r.AwaitLog("connections closed for half a message or none 3")
 }
 
+// Who says only what nobody answers is closed as one who says nothing; who waits for an answer is not.
+func TestClientsWithoutAWordAreClosed(t *testing.T) {
+	r := start(t, 1, standin.Store(70, standin.Row)) // three and a half seconds
+	idle, waits := r.Client(), r.Client()
+	load2(waits, 1)
+	go func() {
+		for n := range 40 {
+			if idle.TrySend(4, "cancel", []byte{8, 0, 1, 0, 0, 0, byte(n)}) != nil {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}()
+	_, err := idle.Conn.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+	assert.Equal(t, "answer", waits.Read().What)
+}
+
 // Those who say nothing give way to newcomers, before any who have been answered.
 func TestSilentClientsGiveWay(t *testing.T) {
 	r := start(t, 1, standin.Store(0, standin.Row), func(r *standin.Rig) { r.Sockets = 64 }) // 29 clients
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -114,7 +114,7 @@
 		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
 		c := &client{stream: newStream(l.s.loop, fd, thrift.MaxFrame+4, l.maxUnread(), &l.budget), l: l,
-			open: map[int32]*gateway.Request{}, since: l.s.now, address: address(from)}
+			open: map[int32]*gateway.Request{}, born: l.s.now, since: l.s.now, address: address(from)}
 		c.always = unix.EPOLLRDHUP // its end, also while it is not read from
 		c.want = unix.EPOLLIN | c.always
 		if err := l.s.loop.add(fd, c.want, c); err != nil {
@@ -238,7 +238,7 @@
 		switch {
 		case c.ending && now-c.since >= lingerMost:
 			c.end()
-		case !c.shut && (!c.spoke && now-c.since >= silentMost || c.part != 0 && now-c.part >= partMost):
+		case !c.shut && (!c.told && len(c.open) == 0 && now-c.born >= silentMost || c.part != 0 && now-c.part >= partMost):
 			l.s.count.Silent++
 			c.hangUp()
 		case now-c.since >= freeAfter:
@@ -286,9 +286,11 @@
 	slot        bool // and takes a place among those that go
 	leaf        *x509.Certificate
 	certificate *identity.Certificate // what leaf stands for; nil without one
+	born        Micros                // when it connected, or its handshake was over
 	since       Micros                // of its connecting, its last message or its end
 	part        Micros                // since when a message has come in part; 0: none has
 	spoke       bool                  // a whole message has come
+	told        bool                  // something was answered: messages that nobody answers are as good as none
 	queued      bool                  // messages are left over for the next turn
 	shut        bool                  // nothing more is taken: it ends once nothing is owed on it
 	ending      bool                  // nothing more is read or answered
@@ -493,6 +495,7 @@
 	if c.closed || c.ending {
 		return
 	}
+	c.told = true
 	c.raw(c.sealed(answer))
 }
 
--- a/internal/epoll/secure.go
+++ b/internal/epoll/secure.go
@@ -138,7 +138,7 @@
 	default:
 		c.l.s.count.Handshakes++
 		c.secure.Finish()
-		c.shaken, c.since = true, c.l.s.now
+		c.shaken, c.since, c.born = true, c.l.s.now, c.l.s.now
 		state := c.secure.State()
 		if state.DidResume {
 			c.l.s.count.Resumed++
