--- /dev/null
+++ b/internal/journal/fuzz_test.go
@@ -0,0 +1,41 @@
+package journal
+
+import (
+	"testing"
+
+	"chutechute/internal/ring"
+)
+
+// Whatever the journal service says, in whatever pieces: events with rising numbers, or the connection's end.
+func FuzzFollower(f *testing.F) {
+	f.Add(append(frame(41, 0), frame(42, changes, record(7, 1, 0))...), 5)
+	f.Add(frame(44, whole, record(7, 1, 9), record(8, 3, 0)), 100)
+	f.Fuzz(func(t *testing.T, data []byte, piece int) {
+		follower := follower()
+		piece = max(1, piece)
+		for range 3 { // over three connections
+			in := ring.New(MaxFrame, &ring.Budget{Most: MaxFrame})
+			for rest := data; len(rest) > 0; {
+				n := min(piece, len(rest))
+				if _, err := in.Write(rest[:n]); err != nil {
+					return
+				}
+				rest = rest[n:]
+				for {
+					last := follower.Last
+					e, news, ok, err := follower.Next(in)
+					if err != nil {
+						rest = nil
+						break
+					}
+					if !ok {
+						break
+					}
+					if news != (follower.Last > last) || news && e.Number != follower.Last {
+						t.Fatalf("event %d, last %d, then %d, news %v", e.Number, last, follower.Last, news)
+					}
+				}
+			}
+		}
+	})
+}
