Strict attempts: what may not run twice, or has others wait in order, is not over on a dead connection's word

The rule's letter is 2 s unasked where no DELETE arrives, and only that is kept now: Attempt.Strict, from the class's effect and order, and pool.lost concludes nothing from connections for these. What may run twice without harm is still sent elsewhere at once.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -80,6 +80,7 @@
 	deadline Micros // when its final answer is due
 	due      *timer // for that
 	answered bool
+	strict   bool // of its attempts
 	grantMB  float64
 	// Priority is what engines are told; NoPriority where they heed none.
 	Priority int
@@ -102,6 +103,9 @@
 	GrantMB float64
 	Until   Micros // no byte of its start is written later; 0: no such bound
 	Running bool   // another front end started it: it is asked after, and not started
+	// Strict says that nothing may begin after it on the word of a connection alone: a second execution does harm, or others wait
+	// in order. It is over once its engine says so, has been told to drop it, or has not been asked after it for 2 s.
+	Strict bool
 	// Spent and NeededMB are what its engine says that it took; 0 where it does not.
 	Spent    Micros
 	NeededMB float64
@@ -228,6 +232,7 @@
 		event.Class, event.Unsafe, event.Single = read.Class, read.Unsafe, read.Single
 		event.Guessed, event.Measured = read.Guessed, true
 	}
+	r.strict = event.Unsafe || c.settings.Classes[event.Class].Repeat != decide.Safe || c.settings.Classes[event.Class].Ordered
 	r.due = c.after(r.deadline, func() { c.expire(r) })
 	if !c.enter(now, r, event) {
 		c.events = append(c.events, event)
@@ -491,7 +496,7 @@
 	}
 	a := &Attempt{Request: r, Engine: s.Engine, GrantMB: r.grantMB, number: len(r.attempts), at: c.now,
 		Until: s.Until}
-	a.Wait = r.deadline - c.now
+	a.Wait, a.Strict = r.deadline-c.now, r.strict
 	if s.Timeout > 0 && s.Timeout < a.Wait {
 		a.Wait = s.Timeout
 		a.due = c.after(c.now+a.Wait, func() { c.drop(a, decide.TimedOut) })
--- a/gateway/record.go
+++ b/gateway/record.go
@@ -163,7 +163,7 @@
 	c.open[r.id], c.ids[s.Run] = r, true
 	r.due = c.after(r.deadline, func() { c.expire(r) })
 	r.entry = &Entry{c: c, r: r, told: true, begun: true, ran: true}
-	a := &Attempt{Request: r, Engine: s.Engine, Wait: r.deadline - now, at: now, Running: true}
+	a := &Attempt{Request: r, Engine: s.Engine, Wait: r.deadline - now, at: now, Running: true, Strict: true}
 	r.attempts, r.out = append(r.attempts, a), 1
 	c.out++
 	c.engines.Start(a)
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -321,7 +321,8 @@
 
 // lost settles a job that has no connection. What was never posted never ran. One that drains refuses new
 // connections and runs on, so the job waits for one of those that are left; that none is left proves nothing, as the
-// last may have been reset on its way. A process that is gone has ended all at once, or is listed as gone. Else a
+// last may have been reset on its way. A process that is gone has ended all at once, or is listed as gone, which is
+// enough for what may run twice without harm, and for no other: there the key's next was sent too early. Else a
 // connection may have come up too late, and another may come up in time: it is tried for until the engine has given
 // the query up by itself. A DELETE that was left undelivered for one late connection had the next of its key start
 // while the query ran.
@@ -334,7 +335,7 @@
 		p.finish(j, decide.NoConnection)
 	case refused && p.up(e):
 		e.wait(j)
-	case refused && j.cut && (e.removed || e.cuts > 1):
+	case refused && j.cut && !j.attempt.Strict && (e.removed || e.cuts > 1):
 		p.finish(j, decide.Reset)
 		if next := e.next(); next != nil {
 			p.carry(next)
