A new process at a dead one's address knows nothing of it: its word is no end for a strict query

By review: once a process has ended a connection under a query and refused the next, whoever answers at its address may be another one ("a new engine may have a gone engine's address"). Its 500 to the question, and its 204 to the DELETE, were taken for the query's end, more often now that a connection is tried for each 100 ms. pool.lost puts such a strict query in doubt: 2 s unasked and a last DELETE.

--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -330,6 +330,9 @@
 	j.trace("no connection", "refused", refused)
 	j.conn = nil
 	j.engine.refused = refused
+	if refused && j.cut && j.attempt.Strict { // who answers there next may be another process, which knows nothing of it
+		j.doubt = true
+	}
 	switch e := j.engine; {
 	case !j.posted:
 		p.finish(j, decide.NoConnection)
@@ -660,9 +663,9 @@
 	if n := j.query.Note(); n != nil && j.attempt != nil && !ended {
 		c.p.s.core.Noted(j.attempt, n.Kind, n.Value)
 	}
-	if ended && j.doubt && result == decide.Errored {
+	if ended && j.doubt && !j.last && (result == decide.Errored || result == decide.Canceled) {
 		j.trace("unknown")
-		c.release(usable) // the engine knows nothing of it: what it has not read of the POST may still come
+		c.release(usable) // the engine knows nothing of it: what it has not read of the POST may still come, or another process has it
 		return
 	}
 	if ended && result == decide.Errored {
--- a/internal/standin/rig.go
+++ b/internal/standin/rig.go
@@ -163,6 +163,20 @@
 	return r
 }
 
+// Again has another process take the address of an engine whose listener was closed; it answers as the one before.
+func (r *Rig) Again(e *Engine) error {
+	l, err := net.Listen("tcp4", e.Addr.String())
+	if err != nil {
+		return err
+	}
+	server := httptest.NewUnstartedServer(e.Server.Config.Handler)
+	server.Listener.Close()
+	server.Listener = l
+	server.Start()
+	r.T.Cleanup(func() { server.CloseClientConnections(); server.Close() })
+	return nil
+}
+
 // Run starts the program; it is ended with the test, which shows its log if it failed.
 func (r *Rig) Run(config map[string]any) {
 	r.Config, r.Path = config, filepath.Join(r.T.TempDir(), "config.json")
