--- a/decide/decide.go
+++ b/decide/decide.go
@@ -739,7 +739,8 @@
 	}
 	d.terms(q)
 	timeout := Micros(0)
-	if !d.cfg.Limits.Cancel && q.repeat() == Safe && !d.cfg.Limits.Duplicates { // what can't be called off must end by itself
+	// What can't be called off must end by itself, unless a second copy goes beside it.
+	if l := d.cfg.Limits; !l.Cancel && !l.Duplicates && q.repeat() == Safe {
 		timeout = Micros(q.class.patience() * exec)
 	}
 	if life > 0 && (timeout == 0 || life < timeout) {
