epoll: what links to other front ends need of the program is a type of its own

Need: hundreds of front ends without clients, engines and decisions shall run over one loop in one process, to measure what membership costs. The links, the listener and the operators' socket took the whole Server.

Change: host (loop, clock, time, counters) is embedded in Server; program is host and what else peers ask for. No behaviour differs.

--- a/internal/epoll/admin.go
+++ b/internal/epoll/admin.go
@@ -46,7 +46,7 @@
 		return fault(err)
 	}
 	a := &adminListener{p: p, fd: fd, open: map[*adminConn]struct{}{}}
-	return a, p.s.loop.add(fd, unix.EPOLLIN, a)
+	return a, p.host.loop.add(fd, unix.EPOLLIN, a)
 }
 
 func (a *adminListener) ready(uint32) {
@@ -59,11 +59,11 @@
 			unix.Close(fd)
 			continue
 		}
-		c := &adminConn{a: a, since: a.p.s.now}
+		c := &adminConn{a: a, since: a.p.host.now}
 		c.budget.Most = adminIn + adminOut
-		c.stream = newStream(a.p.s.loop, fd, adminIn, adminOut, &c.budget)
+		c.stream = newStream(a.p.host.loop, fd, adminIn, adminOut, &c.budget)
 		c.want = unix.EPOLLIN
-		if err := a.p.s.loop.add(fd, c.want, c); err != nil {
+		if err := a.p.host.loop.add(fd, c.want, c); err != nil {
 			c.close()
 			continue
 		}
@@ -73,14 +73,14 @@
 
 func (a *adminListener) tick() {
 	for c := range a.open {
-		if a.p.s.now-c.since >= adminPatient {
+		if a.p.host.now-c.since >= adminPatient {
 			c.end()
 		}
 	}
 }
 
 func (a *adminListener) close() {
-	a.p.s.loop.drop(a.fd)
+	a.p.host.loop.drop(a.fd)
 	_ = os.Remove(a.p.cfg.Admin) // the next start takes it away too
 }
 
--- a/internal/epoll/budgets.go
+++ b/internal/epoll/budgets.go
@@ -42,27 +42,27 @@
 
 // showBudgets tells of all budgets, or of one; of a call, why it was turned away.
 func (p *peers) showBudgets(name string) FleetBudgets {
-	denied := p.s.core.Denials(name)
+	denied := p.core.Denials(name)
 	if name != "" && len(denied) > 0 {
 		name = denied[0].Budget
 	}
 	f := FleetBudgets{Name: p.cfg.Name, On: p.holder != nil, Leader: p.node.NameOf(p.node.Replica().Leader()),
-		Copy: p.node.Replica().Group() != 0, Version: p.budgets.SetVersion(), Budgets: p.budgets.Show(p.s.now, name), Here: []FleetSpending{},
+		Copy: p.node.Replica().Group() != 0, Version: p.budgets.SetVersion(), Budgets: p.budgets.Show(p.host.now, name), Here: []FleetSpending{},
 		Denied: []FleetDenial{}}
 	for _, d := range denied {
-		f.Denied = append(f.Denied, FleetDenial{d.Call, d.Budget, (p.s.now - d.At) / ms, d.After / ms})
+		f.Denied = append(f.Denied, FleetDenial{d.Call, d.Budget, (p.host.now - d.At) / ms, d.After / ms})
 	}
 	if p.holder == nil {
 		return f
 	}
-	shown := p.holder.Show(p.s.now)
+	shown := p.holder.Show(p.host.now)
 	f.Holder, f.Unknown = &shown, p.purse.Unknown
 	if !f.Copy {
 		f.Version = shown.Version
 	}
-	for _, s := range p.s.core.Spendings(p.s.now) {
+	for _, s := range p.core.Spendings(p.host.now) {
 		if name == "" || name == s.Budget {
-			f.Here = append(f.Here, spending(s, p.s.now))
+			f.Here = append(f.Here, spending(s, p.host.now))
 		}
 	}
 	return f
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -10,7 +10,6 @@
 
 	"chutechute/budget"
 	"chutechute/fleet"
-	"chutechute/gateway"
 	"chutechute/internal/config"
 	"chutechute/internal/raftlog"
 	"chutechute/ledger"
@@ -25,7 +24,7 @@
 // peers is this front end among others: the links, the disk and the stepped module between them. The server has none where
 // no fleet is set.
 type peers struct {
-	s        *Server
+	program
 	cfg      *config.Peers
 	self     *peer.Identity
 	node     *fleet.Node
@@ -52,8 +51,8 @@
 	return binary.BigEndian.Uint64(b[:])>>2 | 1
 }
 
-func newPeers(s *Server, cfg *config.Peers) (*peers, error) {
-	p := &peers{s: s, cfg: cfg, out: map[string]*outLink{}, in: map[*inLink]struct{}{}, jitter: s.cfg.Seed | 1}
+func newPeers(of program, cfg *config.Peers) (*peers, error) {
+	p := &peers{program: of, cfg: cfg, out: map[string]*outLink{}, in: map[*inLink]struct{}{}, jitter: of.seed | 1}
 	incarnation, disk := number(), (*ledger.Disk)(nil)
 	c := cfg.Node
 	c.Incarnation, c.Number = incarnation, number
@@ -75,7 +74,7 @@
 				slog.Warn("a write to the record's log had not come to its end and was cut off", "bytes", p.store.Cut)
 			}
 			if p.store.SetAside != "" {
-				s.count.StoreErrors++
+				p.host.count.StoreErrors++
 				slog.Error("the record's file could not be trusted and was set aside; this is an empty disk now", "file", p.store.SetAside)
 			}
 		}
@@ -85,15 +84,15 @@
 	c.Copies.Kinds = []ledger.Kind{p.loads, p.budgets}
 	p.node = fleet.New(c, func(about string) {
 		if about != budget.About {
-			p.desk.Note(s.now, about)
+			p.desk.Note(p.host.now, about)
 		} else if p.holder != nil {
-			p.holder.Note(s.now)
+			p.holder.Note(p.host.now)
 		}
 	})
 	p.node.Changed = func(m *member.Member) {
 		slog.Info("front end", "name", m.Name, "state", m.State.String(), "incarnation", hex(m.Incarnation))
 	}
-	if err := p.node.Open(s.now, disk); err != nil && p.storeErr == nil {
+	if err := p.node.Open(p.host.now, disk); err != nil && p.storeErr == nil {
 		p.failed(err)
 	}
 	if p.storeErr != nil {
@@ -101,7 +100,7 @@
 	}
 	v := cfg.Vouch
 	v.Incarnation = incarnation
-	p.desk = vouch.New(v, p.node, s.core)
+	p.desk = vouch.New(v, p.node, p.successor())
 	p.self = &peer.Identity{Site: cfg.Site, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation, Copy: c.Copies.ID,
 		Oldest: peer.OldestVersion, Newest: peer.NewestVersion, Settings: cfg.Digest}
 	for name, addr := range cfg.Others {
@@ -109,14 +108,16 @@
 	}
 	if p.store != nil {
 		p.writer = store.NewWriter(p.store, func(token uint64, err error) {
-			s.post(func() { p.written(token, err) })
+			p.post(func() { p.written(token, err) })
 		})
 	}
-	s.core.UseRecord(p.desk)
+	if p.core != nil {
+		p.core.UseRecord(p.desk)
+	}
 	if cfg.Budgets != nil {
-		p.purse = purse.New(s.cfg.Settings, s.core)
+		p.purse = purse.New(p.settings, p.core)
 		p.holder = budget.NewHolder(budget.HolderConfig{Name: cfg.Name, Set: cfg.Budgets, Gap: reportGap}, p.node, p.purse)
-		p.holder.Begin(s.now)
+		p.holder.Begin(p.host.now)
 	}
 	slog.Info("fleet", "site", cfg.Site, "name", cfg.Name, "incarnation", hex(incarnation), "copy", hex(c.Copies.ID),
 		"folder", cfg.Folder)
@@ -131,7 +132,7 @@
 // failed notes that the disk serves no more.
 func (p *peers) failed(err error) {
 	p.storeErr = err
-	p.s.count.StoreErrors++
+	p.host.count.StoreErrors++
 	slog.Error("the record's disk failed: this front end is no copy any more", "error", err)
 }
 
@@ -140,7 +141,7 @@
 	if err != nil && p.storeErr == nil {
 		p.failed(err)
 	}
-	p.node.Stored(p.s.now, token, err)
+	p.node.Stored(p.host.now, token, err)
 }
 
 // listen opens the door for the others, and the operators'.
@@ -164,8 +165,8 @@
 
 // tick lets time pass.
 func (p *peers) tick() {
-	now := p.s.now
-	if p.s.life.Phase() >= gateway.Draining {
+	now := p.host.now
+	if p.draining() {
 		p.node.Leave()
 	}
 	for _, l := range p.out {
@@ -211,9 +212,9 @@
 	case p.writer != nil:
 		p.writer.Add(a)
 	case p.storeErr != nil:
-		p.node.Stored(p.s.now, a.Token, p.storeErr)
+		p.node.Stored(p.host.now, a.Token, p.storeErr)
 	default: // memory is all that this copy has
-		p.node.Stored(p.s.now, a.Token, nil)
+		p.node.Stored(p.host.now, a.Token, nil)
 	}
 }
 
@@ -227,10 +228,10 @@
 		return true
 	}
 	if p.leaving == 0 {
-		p.leaving = p.s.now
-		p.holder.Leave(p.s.now)
+		p.leaving = p.host.now
+		p.holder.Leave(p.host.now)
 	}
-	return p.holder.Left() || p.s.now-p.leaving >= leaveWait
+	return p.holder.Left() || p.host.now-p.leaving >= leaveWait
 }
 
 // reload puts other budgets into force.
@@ -239,7 +240,7 @@
 	case p == nil || cfg == nil:
 	case p.holder != nil && cfg.Budgets != nil:
 		p.cfg.Budgets = cfg.Budgets
-		p.holder.Reload(p.s.now, cfg.Budgets)
+		p.holder.Reload(p.host.now, cfg.Budgets)
 	case (p.holder != nil) != (cfg.Budgets != nil):
 		slog.Warn("reload: fleet.budgets is taken in or out at the next start; an empty list takes all budgets out")
 	}
--- a/internal/epoll/links.go
+++ b/internal/epoll/links.go
@@ -55,7 +55,7 @@
 func (l *outLink) push(t fleet.Tell) {
 	if !l.open() || !l.queue.Push(t.Kind, t.Bulk, t.Body) {
 		if l.open() {
-			l.p.s.count.PeerDropped++
+			l.p.host.count.PeerDropped++
 		}
 		if t.Kind == peer.Ledger {
 			l.p.node.Lost(l.name)
@@ -82,7 +82,7 @@
 		}
 	}
 	if before == 0 {
-		l.since = l.p.s.now
+		l.since = l.p.host.now
 	}
 	l.send()
 }
@@ -94,29 +94,29 @@
 		return
 	}
 	if l.out.Len() < before || l.out.Len() == 0 {
-		l.since = l.p.s.now
+		l.since = l.p.host.now
 	}
 	l.watch(true)
 }
 
 func (l *outLink) dial() {
-	l.since = l.p.s.now
+	l.since = l.p.host.now
 	fd, err := dial(l.addr)
 	if err != nil {
 		l.later()
 		return
 	}
-	l.stream = newStream(l.p.s.loop, fd, linkIn, linkOut, &l.budget)
+	l.stream = newStream(l.p.host.loop, fd, linkIn, linkOut, &l.budget)
 	l.connecting, l.want = true, unix.EPOLLOUT
 	l.shake = &peer.Dialler{Self: l.p.self, To: l.name, Secret: l.p.cfg.Secret}
-	if err := l.p.s.loop.add(fd, l.want, l); err != nil {
+	if err := l.p.host.loop.add(fd, l.want, l); err != nil {
 		l.fail(err)
 	}
 }
 
 func (l *outLink) later() {
 	l.failures++
-	l.retry = l.p.s.now + l.p.spread(min(linkRest, linkRetry<<min(l.failures, 5)))
+	l.retry = l.p.host.now + l.p.spread(min(linkRest, linkRetry<<min(l.failures, 5)))
 }
 
 // fail ends the link; what waited for it is gone.
@@ -138,7 +138,7 @@
 )
 
 func (l *outLink) tick() {
-	now := l.p.s.now
+	now := l.p.host.now
 	switch {
 	case l.closed && now >= l.retry:
 		l.dial()
@@ -185,7 +185,7 @@
 		l.fail(errEnded)
 	case !was && l.shake.Open():
 		l.failures, l.refused = 0, ""
-		l.p.s.count.PeerLinks++
+		l.p.host.count.PeerLinks++
 		slog.Debug("link", "to", l.name, "incarnation", hex(l.shake.Other.Incarnation))
 		l.pour()
 	}
@@ -203,7 +203,7 @@
 		return nil, fmt.Errorf("fleet: %w", err)
 	}
 	l := &peerListener{p, fd}
-	return l, p.s.loop.add(fd, unix.EPOLLIN, l)
+	return l, p.host.loop.add(fd, unix.EPOLLIN, l)
 }
 
 func (l *peerListener) ready(uint32) {
@@ -217,16 +217,16 @@
 		}
 		if len(l.p.in) >= mostLinks*(len(l.p.out)+1) {
 			unix.Close(fd)
-			l.p.s.count.PeerRejected++
+			l.p.host.count.PeerRejected++
 			continue
 		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
-		in := &inLink{p: l.p, since: l.p.s.now, link: fleet.Link{Greeted: l.p.s.clock.now()}, shake: &peer.Listener{Self: l.p.self, Secret: l.p.cfg.Secret,
+		in := &inLink{p: l.p, since: l.p.host.now, link: fleet.Link{Greeted: l.p.host.clock.now()}, shake: &peer.Listener{Self: l.p.self, Secret: l.p.cfg.Secret,
 			Known: func(name string) bool { return l.p.out[name] != nil }}}
 		in.budget.Most = 2 * linkIn
-		in.stream = newStream(l.p.s.loop, fd, linkIn, linkIn, &in.budget)
+		in.stream = newStream(l.p.host.loop, fd, linkIn, linkIn, &in.budget)
 		in.want = unix.EPOLLIN
-		if err := l.p.s.loop.add(fd, in.want, in); err != nil {
+		if err := l.p.host.loop.add(fd, in.want, in); err != nil {
 			in.close()
 			continue
 		}
@@ -271,7 +271,7 @@
 const linkSilent = 10000 * ms
 
 func (l *inLink) tick() {
-	age := l.p.s.now - l.since
+	age := l.p.host.now - l.since
 	if !l.shake.Open() && age >= linkShake || age >= linkSilent {
 		l.end()
 	}
@@ -290,7 +290,7 @@
 		if l.in.Len() == 0 {
 			break
 		}
-		l.since = l.p.s.now
+		l.since = l.p.host.now
 		l.shake.Feed(l.in.Bytes())
 		l.in.Discard(l.in.Len())
 		reply, list, err := l.shake.Take()
@@ -298,11 +298,11 @@
 		for _, m := range list {
 			if err == nil {
 				l.link.From, l.link.Incarnation = l.shake.Other.Name, l.shake.Other.Incarnation
-				err = l.p.node.Receive(l.p.s.now, l.link, m.Kind, m.Body)
+				err = l.p.node.Receive(l.p.host.now, l.link, m.Kind, m.Body)
 			}
 		}
 		if err != nil {
-			l.p.s.count.PeerRejected++
+			l.p.host.count.PeerRejected++
 			slog.Warn("link closed for what came", "from", l.shake.Other.Name, "error", err)
 			l.end()
 			return
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -8,13 +8,11 @@
 	"os"
 	"runtime/debug"
 	"sync"
-	"time"
 
 	"golang.org/x/sys/unix"
 
 	"chutechute/gateway"
 	"chutechute/internal/config"
-	"chutechute/internal/counters"
 	"chutechute/internal/keyfiles"
 )
 
@@ -28,16 +26,13 @@
 
 // Server is the front end on its sockets.
 type Server struct {
+	host
 	cfg      *config.Config
-	clock    clock
-	now      Micros
-	loop     *loop
 	core     *gateway.Core
 	life     gateway.Life
 	listener *listener
 	pool     *pool
 	feed     *feed
-	count    counters.Set
 	wake     *waker
 	nextTick Micros
 	log      io.Writer
@@ -57,8 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{cfg: cfg, clock: clock{time.Now()}, loop: l, log: log, installation: cfg.Installation}
-	s.now = s.clock.now()
+	s := &Server{host: newHost(l), cfg: cfg, log: log, installation: cfg.Installation}
 	for _, c := range cfg.Settings.Classes {
 		s.life.Longest = max(s.life.Longest, c.GiveUp)
 	}
@@ -79,13 +73,17 @@
 		return nil, fmt.Errorf("installation: %w", err)
 	}
 	if cfg.Peers != nil {
-		if s.peers, err = newPeers(s, cfg.Peers); err != nil {
+		of := program{host: &s.host, seed: cfg.Seed, post: s.post, core: s.core, settings: cfg.Settings, draining: s.draining}
+		if s.peers, err = newPeers(of, cfg.Peers); err != nil {
 			return nil, err
 		}
 	}
 	return s, nil
 }
 
+// draining says whether a planned end has begun.
+func (s *Server) draining() bool { return s.life.Phase() >= gateway.Draining }
+
 // clientsMost is how many connections of clients may be open: a little over the third of all descriptors
 // that clients hold at most, since a closed one may be noticed late.
 func (s *Server) clientsMost() int { return s.cfg.Sockets/3 + 8 }
