Names: recordclient, budget/enforce and fleet's requests instead of vouch, purse and desk

Need: names that a newcomer can read. Package vouch with its Desk and holds is recordclient with Client and tracked loads; purse is budget/enforce with Enforcer; fleet's desk is its requests. The text is moved, nothing behaves differently; what operators see (JSON keys, counters, settings) keeps its names.

--- a/budget/account/account.go
+++ b/budget/account/account.go
@@ -1,4 +1,4 @@
-// Package account is one front end's purse for one budget: what it may spend of the whole, by a lease that ends and by a static
+// Package account is one front end's balance of one budget: what it may spend of the whole, by a lease that ends and by a static
 // part that does not, and what it has spent. It is plain state without I/O, clock or goroutines, spent from memory: no message,
 // lock or allocation a query.
 //
@@ -84,7 +84,7 @@
 // slots is how finely a window is kept: what was spent counts until its slot's end is a window ago.
 const slots = 32
 
-// Account is the purse.
+// Account is the balance.
 type Account struct {
 	kind   Kind
 	span   Micros // a window's, on this clock, with the drift
@@ -103,7 +103,7 @@
 	Denied int
 }
 
-// New is an empty purse; span is a window's.
+// New is an empty balance; span is a window's.
 func New(kind Kind, span Micros) *Account {
 	return &Account{kind: kind, span: span + span/Drift}
 }
@@ -131,7 +131,7 @@
 	}
 }
 
-// turn brings the purse to now.
+// turn brings the balance to now.
 func (a *Account) turn(now Micros) {
 	a.expire(now)
 	switch a.kind {
--- a/budget/account/book.go
+++ b/budget/account/book.go
@@ -11,7 +11,7 @@
 	Amount  Amount
 }
 
-// Book is one front end's purses for all subjects of one budget.
+// Book is one front end's balances for all subjects of one budget.
 type Book struct {
 	Kind     Kind
 	Span     Micros
@@ -19,7 +19,7 @@
 	accounts map[string]*Account
 }
 
-// Of is one subject's purse.
+// Of is one subject's balance.
 func (b *Book) Of(now Micros, subject string) *Account {
 	a := b.accounts[subject]
 	if a == nil {
@@ -55,14 +55,14 @@
 	}
 }
 
-// Each gives all purses, by subject.
+// Each gives all balances, by subject.
 func (b *Book) Each(do func(subject string, a *Account)) {
 	for _, subject := range slices.Sorted(maps.Keys(b.accounts)) {
 		do(subject, b.accounts[subject])
 	}
 }
 
-// Forget drops purses of which nothing is held, wanted or leased.
+// Forget drops balances of which nothing is held, wanted or leased.
 func (b *Book) Forget(now Micros) {
 	maps.DeleteFunc(b.accounts, func(subject string, a *Account) bool {
 		lease, _, _ := a.Amounts(now)
--- a/purse/purse.go
+++ b/budget/enforce/enforce.go
@@ -1,7 +1,7 @@
-// Package purse stands between the division of the fleet's budgets (budget.Holder) and the decision module that spends them: it
+// Package enforce stands between the division of the fleet's budgets (budget.Holder) and the decision module that spends them: it
 // reads what each budget applies to, in the words of the settings, and hands amounts over as the module's events. A stepped
 // module without I/O, clock or goroutines.
-package purse
+package enforce
 
 import (
 	"encoding/json"
@@ -106,41 +106,41 @@
 	Demands(now Micros) []decide.Demand
 }
 
-// Purse is one front end's.
-type Purse struct {
+// Enforcer has the decision module of one front end keep to what its budgets grant.
+type Enforcer struct {
 	site *settings.Settings
 	core Core
 	// Unknown are budgets of the record that this front end's site has no tenant or class for, with the reasons.
 	Unknown map[string]string
 }
 
-// New is a purse for a site.
-func New(site *settings.Settings, core Core) *Purse { return &Purse{site: site, core: core} }
+// New is an enforcer for a site.
+func New(site *settings.Settings, core Core) *Enforcer { return &Enforcer{site: site, core: core} }
 
 // Demands is what the module wants and has in use.
-func (p *Purse) Demands(now Micros) []decide.Demand { return p.core.Demands(now) }
+func (e *Enforcer) Demands(now Micros) []decide.Demand { return e.core.Demands(now) }
 
 // Allow hands a grant over.
-func (p *Purse) Allow(_ Micros, g budget.Grant) {
+func (e *Enforcer) Allow(_ Micros, g budget.Grant) {
 	ev := decide.Amounts{Until: g.Until, Leased: g.Leased, Static: g.Static}
 	if g.Set != nil {
 		ev.Rules = []decide.Rule{}
-		p.Unknown = map[string]string{}
+		e.Unknown = map[string]string{}
 		for i := range g.Set.Specs {
 			spec := &g.Set.Specs[i]
 			var s Scope
 			err := json.Unmarshal(spec.Scope, &s)
 			var r decide.Rule
 			if err == nil {
-				r, err = s.Rule(spec, p.site)
+				r, err = s.Rule(spec, e.site)
 			}
 			if err != nil {
-				p.Unknown[spec.Name] = err.Error()
+				e.Unknown[spec.Name] = err.Error()
 				continue
 			}
 			r.Counted = slices.Contains(g.Waits, spec.Name)
 			ev.Rules = append(ev.Rules, r)
 		}
 	}
-	p.core.Allow(ev)
+	e.core.Allow(ev)
 }
--- a/exercise/copies_test.go
+++ b/exercise/copies_test.go
@@ -11,10 +11,10 @@
 
 	"chutechute/budget"
 	"chutechute/budget/account"
+	"chutechute/budget/enforce"
 	"chutechute/exercise"
 	"chutechute/internal/history"
 	"chutechute/internal/standin"
-	"chutechute/purse"
 )
 
 const second = 1_000_000
@@ -26,7 +26,7 @@
 		{Name: "places", Kind: account.Places, Whole: budget.Amount{Much: 6000}, Life: 25 * second, Least: 1000},
 		{Name: "rate", Kind: account.Rate, Whole: budget.Amount{Much: 8000, Rate: 6000}, Reserve: 20, Least: 1000},
 	} {
-		p.Scope = (&purse.Scope{Class: "load", Over: "wait"}).Encode()
+		p.Scope = (&enforce.Scope{Class: "load", Over: "wait"}).Encode()
 		set.Specs = append(set.Specs, p)
 	}
 	return set
--- a/exercise/faults.go
+++ b/exercise/faults.go
@@ -123,7 +123,7 @@
 func (s *Sim) Open() (held int) {
 	for _, f := range s.Fronts {
 		if f.proc != nil {
-			held += f.proc.desk.Len()
+			held += f.proc.records.Len()
 		}
 	}
 	return held
--- a/exercise/front.go
+++ b/exercise/front.go
@@ -6,6 +6,7 @@
 	"go.etcd.io/raft/v3/raftpb"
 
 	"chutechute/budget"
+	"chutechute/budget/enforce"
 	"chutechute/decide"
 	"chutechute/fleet"
 	"chutechute/gateway"
@@ -15,8 +16,7 @@
 	"chutechute/ledger/loads"
 	"chutechute/member"
 	"chutechute/peer"
-	"chutechute/purse"
-	"chutechute/vouch"
+	"chutechute/recordclient"
 )
 
 // Front is one front end: its name and its disk, and the process that runs now, if one does.
@@ -45,7 +45,7 @@
 	born        Micros // true time
 	core        *gateway.Core
 	node        *fleet.Node
-	desk        *vouch.Desk
+	records     *recordclient.Client
 	holder      *budget.Holder // nil without budgets
 	count       counters.Set
 	paused      bool
@@ -105,7 +105,7 @@
 			Logger: raftlog.New(), Kinds: []ledger.Kind{kind, budget.NewAuthority(budget.Options{Instances: 1000})}}}
 	p.node = fleet.New(cfg, func(about string) {
 		if about != budget.About {
-			p.desk.Note(f.local(), about)
+			p.records.Note(f.local(), about)
 		} else if p.holder != nil {
 			p.holder.Note(f.local())
 		}
@@ -115,14 +115,14 @@
 		s.fail(err)
 		return
 	}
-	p.desk = vouch.New(vouch.Config{Incarnation: p.incarnation, Poll: 8 * tick, Patience: keep, Full: second / 2}, p.node, p.core)
-	record := gateway.Record(p.desk)
+	p.records = recordclient.New(recordclient.Config{Incarnation: p.incarnation, Poll: 8 * tick, Patience: keep, Full: second / 2}, p.node, p.core)
+	record := gateway.Record(p.records)
 	if s.o.Variant.Record != nil {
 		record = s.o.Variant.Record(record)
 	}
 	p.core.UseRecord(record)
 	if s.o.Budgets != nil {
-		p.holder = budget.NewHolder(budget.HolderConfig{Name: f.Name, Set: s.o.Budgets, Gap: 20 * ms}, p.node, purse.New(s.site, p.core))
+		p.holder = budget.NewHolder(budget.HolderConfig{Name: f.Name, Set: s.o.Budgets, Gap: 20 * ms}, p.node, enforce.New(s.site, p.core))
 		p.holder.Begin(f.local())
 	}
 	if err := p.node.Open(f.local(), &f.disk.kept); err != nil {
@@ -181,7 +181,7 @@
 	case p.paused:
 		p.waiting = append(p.waiting, func() { p.does(do) })
 	default:
-		p.desk.At(p.f.local())
+		p.records.At(p.f.local())
 		if p.holder != nil {
 			p.holder.At(p.f.local())
 		}
@@ -197,7 +197,7 @@
 	p.does(func() {
 		now := p.f.local()
 		p.node.Tick(now)
-		p.desk.Tick(now)
+		p.records.Tick(now)
 		if p.holder != nil {
 			p.holder.Tick(now)
 		}
@@ -216,7 +216,7 @@
 		return
 	}
 	now := p.f.local()
-	p.desk.At(now)
+	p.records.At(now)
 	p.pump()
 	p.core.Step(now)
 	p.pump()
@@ -402,5 +402,5 @@
 	index, sum := r.Applied()
 	voters, learners := r.Members()
 	return fmt.Sprintf("%s: paused=%v leads=%v votes=%v term=%d applied=%d sum=%x voters=%v learners=%v held=%+v err=%v", f.Name, f.proc.paused,
-		r.Leads(), r.Votes(), r.Term(), index, sum, voters, learners, f.proc.desk.Show(), r.Err())
+		r.Leads(), r.Votes(), r.Term(), index, sum, voters, learners, f.proc.records.Show(), r.Err())
 }
--- a/exercise/sim.go
+++ b/exercise/sim.go
@@ -1,5 +1,5 @@
 // Package exercise plays a whole fleet in one process and in virtual time: the real gateway.Core with its decision module, the
-// record, the members and the desk of each front end, unchanged, over a network, disks, clocks and engines of its own that
+// record, the members and the record client of each front end, unchanged, over a network, disks, clocks and engines of its own that
 // one seed drives. What clients and engines see is noted with true times, and package history checks it.
 //
 // Nothing here waits or reads a clock. Events are kept in one queue by time and, at one time, in the order in which they were
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -46,17 +46,17 @@
 
 // Node is one front end of a fleet.
 type Node struct {
-	cfg     Config
-	members *member.Set
-	replica *ledger.Replica
-	others  map[string]*status // the last heartbeat of each, by name
-	desk    desk
-	actions []Action
-	now     Micros
-	beatAt  Micros
-	founded []byte // the founding's word, to be said again until there is a leader
-	leaving bool
-	note    func(about string)
+	cfg      Config
+	members  *member.Set
+	replica  *ledger.Replica
+	others   map[string]*status // the last heartbeat of each, by name
+	requests requests
+	actions  []Action
+	now      Micros
+	beatAt   Micros
+	founded  []byte // the founding's word, to be said again until there is a leader
+	leaving  bool
+	note     func(about string)
 	// Relayed counts the messages that went by way of another front end.
 	Relayed int
 	// Changed is told of each change in how another front end is seen.
@@ -67,7 +67,7 @@
 func New(cfg Config, note func(about string)) *Node {
 	n := &Node{cfg: cfg, members: member.New(cfg.Members, cfg.Zones), replica: ledger.New(cfg.Copies),
 		others: map[string]*status{}, note: note, Changed: func(*member.Member) {}}
-	n.desk = desk{n: n, open: map[uint64]*question{}}
+	n.requests = requests{n: n, open: map[uint64]*pendingRequest{}}
 	return n
 }
 
@@ -136,7 +136,7 @@
 		if err != nil {
 			return err
 		}
-		n.desk.answered(a)
+		n.requests.answered(a)
 	case peer.Note:
 		n.note(string(body))
 	case peer.Found:
@@ -195,7 +195,7 @@
 		n.beat()
 		n.begin(present)
 	}
-	n.desk.tick()
+	n.requests.tick()
 	n.drain()
 }
 
@@ -350,7 +350,7 @@
 			n.actions = append(n.actions, a)
 		case ledger.Reply:
 			if uint64(a.To) == n.cfg.Incarnation {
-				n.desk.answered(a.Answer)
+				n.requests.answered(a.Answer)
 			} else if to := n.nameOfProcess(uint64(a.To)); to != "" {
 				n.tell(to, peer.Answer, false, a.Answer.Encode())
 			}
--- a/internal/config/budgets.go
+++ b/internal/config/budgets.go
@@ -8,9 +8,9 @@
 
 	"chutechute/budget"
 	"chutechute/budget/account"
+	"chutechute/budget/enforce"
 	"chutechute/decide"
 	"chutechute/internal/settings"
-	"chutechute/purse"
 )
 
 // Budgets sets what the whole fleet may spend. Of two versions the higher one counts.
@@ -23,19 +23,19 @@
 
 // Budget is one of them: a rate with a burst, places, or a total within a window.
 type Budget struct {
-	Name        string  `json:"name"`
-	Rate        float64 `json:"rate"`  // a second
-	Burst       float64 `json:"burst"` // at once, after a rest
-	Places      int     `json:"places"`
-	Total       float64 `json:"total"` // within any window
-	WindowMS    float64 `json:"window_ms"`
-	LifeS       float64 `json:"life_s"` // the longest that what holds a place is asked after
-	purse.Scope `json:",squash"`
-	Reserve     *float64           `json:"reserve"`   // the share that front ends have without a lease, in even parts
-	Newcomers   *float64           `json:"newcomers"` // the share that is kept back for who has nothing yet
-	Floor       float64            `json:"floor"`     // the share that each front end with any demand gets first
-	Weights     map[string]float64 `json:"weights"`   // of front ends; 1 where none is set
-	Without     string             `json:"without"`   // a lease: reserve or none
+	Name          string  `json:"name"`
+	Rate          float64 `json:"rate"`  // a second
+	Burst         float64 `json:"burst"` // at once, after a rest
+	Places        int     `json:"places"`
+	Total         float64 `json:"total"` // within any window
+	WindowMS      float64 `json:"window_ms"`
+	LifeS         float64 `json:"life_s"` // the longest that what holds a place is asked after
+	enforce.Scope `json:",squash"`
+	Reserve       *float64           `json:"reserve"`   // the share that front ends have without a lease, in even parts
+	Newcomers     *float64           `json:"newcomers"` // the share that is kept back for who has nothing yet
+	Floor         float64            `json:"floor"`     // the share that each front end with any demand gets first
+	Weights       map[string]float64 `json:"weights"`   // of front ends; 1 where none is set
+	Without       string             `json:"without"`   // a lease: reserve or none
 }
 
 // Defaults and bounds of budgets.
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -18,7 +18,7 @@
 	"chutechute/ledger"
 	"chutechute/ledger/loads"
 	"chutechute/member"
-	"chutechute/vouch"
+	"chutechute/recordclient"
 )
 
 // Fleet sets how front ends work together. All of one site have the same section; each finds itself by its name.
@@ -50,20 +50,20 @@
 
 // Peers is the section in force for one front end.
 type Peers struct {
-	Site     string
-	Name     string
-	Zone     string
-	Listen   netip.AddrPort
-	Others   map[string]netip.AddrPort
-	Secret   []byte
-	Folder   string
-	Admin    string
-	Digest   []byte // of what all have to agree on
-	Node     fleet.Config
-	Loads    loads.Options
-	Vouch    vouch.Config
-	Budgets  *budget.Set // nil where none are set
-	MostBulk int         // bytes of one message
+	Site         string
+	Name         string
+	Zone         string
+	Listen       netip.AddrPort
+	Others       map[string]netip.AddrPort
+	Secret       []byte
+	Folder       string
+	Admin        string
+	Digest       []byte // of what all have to agree on
+	Node         fleet.Config
+	Loads        loads.Options
+	RecordClient recordclient.Config
+	Budgets      *budget.Set // nil where none are set
+	MostBulk     int         // bytes of one message
 }
 
 // Bounds and defaults of the section.
@@ -206,7 +206,7 @@
 	p.Node = fleet.Config{Name: name, Zone: p.Zone, Zones: zones, Beat: beat, Retry: 4 * tick,
 		Members: member.Config{Suspect: suspect, Dead: dead, Pause: suspect / 2},
 		Copies:  ledger.Config{Copies: copies, Tick: tick, Replace: replace, LogBytes: 4 << 20}}
-	p.Vouch = vouch.Config{Poll: 8 * tick, Patience: keep, Full: decide.Second / 2}
+	p.RecordClient = recordclient.Config{Poll: 8 * tick, Patience: keep, Full: decide.Second / 2}
 	return p, nil
 }
 
--- a/internal/epoll/admin.go
+++ b/internal/epoll/admin.go
@@ -10,7 +10,7 @@
 
 	"chutechute/internal/ring"
 	"chutechute/ledger/loads"
-	"chutechute/vouch"
+	"chutechute/recordclient"
 )
 
 const (
@@ -130,7 +130,7 @@
 	case "status":
 		return p.status()
 	case "ledger":
-		return FleetRecord{p.status(), p.loads.Show(), p.desk.Show()}
+		return FleetRecord{p.status(), p.loads.Show(), p.records.Show()}
 	}
 	if question == "budgets" || strings.HasPrefix(question, "budgets ") {
 		return p.showBudgets(strings.TrimPrefix(strings.TrimPrefix(question, "budgets"), " "))
@@ -140,9 +140,9 @@
 
 // FleetRecord is the loads on record as this copy has them, and those that this front end holds.
 type FleetRecord struct {
-	Status FleetStatus   `json:"status"`
-	Loads  []loads.Shown `json:"loads"`
-	Held   []vouch.Held  `json:"held"`
+	Status FleetStatus            `json:"status"`
+	Loads  []loads.Shown          `json:"loads"`
+	Held   []recordclient.Tracked `json:"held"`
 }
 
 // FleetStatus is what a front end says of itself and of the others, as it sees them.
@@ -196,7 +196,7 @@
 	f := FleetStatus{Site: p.cfg.Site, Name: p.cfg.Name, Incarnation: hex(p.self.Incarnation), Copy: hex(r.ID()),
 		Lasting: p.cfg.Folder != "", Group: hex(r.Group()), Role: "none", Leader: p.node.NameOf(r.Leader()), Term: r.Term(),
 		Applied: index, Sum: hex(sum), Differing: r.Differing, Elections: r.Elections, Commits: r.Commits,
-		Snapshots: r.Snapshots, HandOvers: r.HandOvers, Relayed: p.node.Relayed, Loads: p.loads.Len(), LoadBytes: p.loads.Bytes(), Held: p.desk.Len(),
+		Snapshots: r.Snapshots, HandOvers: r.HandOvers, Relayed: p.node.Relayed, Loads: p.loads.Len(), LoadBytes: p.loads.Bytes(), Held: p.records.Len(),
 		Copies: []FleetCopy{}, Members: []FleetMembers{}}
 	voters, learners := r.Members()
 	switch {
--- a/internal/epoll/budgets.go
+++ b/internal/epoll/budgets.go
@@ -56,7 +56,7 @@
 		return f
 	}
 	shown := p.holder.Show(p.host.now)
-	f.Holder, f.Unknown = &shown, p.purse.Unknown
+	f.Holder, f.Unknown = &shown, p.enforcer.Unknown
 	if !f.Copy {
 		f.Version = shown.Version
 	}
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -9,6 +9,7 @@
 	"os"
 
 	"chutechute/budget"
+	"chutechute/budget/enforce"
 	"chutechute/fleet"
 	"chutechute/internal/config"
 	"chutechute/internal/raftlog"
@@ -17,8 +18,7 @@
 	"chutechute/ledger/store"
 	"chutechute/member"
 	"chutechute/peer"
-	"chutechute/purse"
-	"chutechute/vouch"
+	"chutechute/recordclient"
 )
 
 // peers is this front end among others: the links, the disk and the stepped module between them. The server has none where
@@ -28,11 +28,11 @@
 	cfg      *config.Peers
 	self     *peer.Identity
 	node     *fleet.Node
-	desk     *vouch.Desk
+	records  *recordclient.Client
 	loads    *loads.Loads
 	budgets  *budget.Authority
 	holder   *budget.Holder // nil where no budgets are set
-	purse    *purse.Purse
+	enforcer *enforce.Enforcer
 	store    *store.Store
 	writer   *store.Writer
 	storeErr error
@@ -84,7 +84,7 @@
 	c.Copies.Kinds = []ledger.Kind{p.loads, p.budgets}
 	p.node = fleet.New(c, func(about string) {
 		if about != budget.About {
-			p.desk.Note(p.host.now, about)
+			p.records.Note(p.host.now, about)
 		} else if p.holder != nil {
 			p.holder.Note(p.host.now)
 		}
@@ -98,9 +98,9 @@
 	if p.storeErr != nil {
 		p.node.Replica().Disable(p.storeErr)
 	}
-	v := cfg.Vouch
+	v := cfg.RecordClient
 	v.Incarnation = incarnation
-	p.desk = vouch.New(v, p.node, p.successor())
+	p.records = recordclient.New(v, p.node, p.successor())
 	p.self = &peer.Identity{Site: cfg.Site, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation, Copy: c.Copies.ID,
 		Oldest: peer.OldestVersion, Newest: peer.NewestVersion, Settings: cfg.Digest}
 	for name, addr := range cfg.Others {
@@ -112,11 +112,11 @@
 		})
 	}
 	if p.core != nil {
-		p.core.UseRecord(p.desk)
+		p.core.UseRecord(p.records)
 	}
 	if cfg.Budgets != nil {
-		p.purse = purse.New(p.settings, p.core)
-		p.holder = budget.NewHolder(budget.HolderConfig{Name: cfg.Name, Set: cfg.Budgets, Gap: reportGap}, p.node, p.purse)
+		p.enforcer = enforce.New(p.settings, p.core)
+		p.holder = budget.NewHolder(budget.HolderConfig{Name: cfg.Name, Set: cfg.Budgets, Gap: reportGap}, p.node, p.enforcer)
 		p.holder.Begin(p.host.now)
 	}
 	slog.Info("fleet", "site", cfg.Site, "name", cfg.Name, "incarnation", hex(incarnation), "copy", hex(c.Copies.ID),
@@ -157,7 +157,7 @@
 
 // at sets the time for what comes in this turn of the loop.
 func (p *peers) at(now Micros) {
-	p.desk.At(now)
+	p.records.At(now)
 	if p.holder != nil {
 		p.holder.At(now)
 	}
@@ -179,7 +179,7 @@
 		p.admin.tick()
 	}
 	p.node.Tick(now)
-	p.desk.Tick(now)
+	p.records.Tick(now)
 	if p.holder != nil {
 		p.holder.Tick(now)
 	}
--- a/internal/epoll/host.go
+++ b/internal/epoll/host.go
@@ -6,7 +6,7 @@
 	"chutechute/gateway"
 	"chutechute/internal/counters"
 	"chutechute/internal/settings"
-	"chutechute/vouch"
+	"chutechute/recordclient"
 )
 
 // host is the loop of a program with its time and counters.
@@ -35,7 +35,7 @@
 }
 
 // successor is what takes over loads of other front ends.
-func (p *program) successor() vouch.Core {
+func (p *program) successor() recordclient.Core {
 	if p.core == nil {
 		return noSuccessor{}
 	}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -244,7 +244,7 @@
 		s.count.OverCeiling = i.Over + i.Busy
 	}
 	if p := s.peers; p != nil {
-		s.count.Noted, s.count.Adopted, s.count.Shared, s.count.Conflicts = p.node.Asked(), p.desk.Adopted, p.desk.Waited, p.desk.Conflicts
+		s.count.Noted, s.count.Adopted, s.count.Shared, s.count.Conflicts = p.node.Asked(), p.records.Adopted, p.records.Waited, p.records.Conflicts
 	}
 	s.count.Print(s.log)
 }
