Unused fields: staticcheck found two that nothing reads

Need: staticcheck joins make lint; U1000 names copyOf.base of the budget histories and rows.last of the shape scan, which nothing reads or writes. Change: both fields go, no code changes. Run: go test -count=1 -p 1 ./budget ./statement/... passed.

--- a/budget/history_test.go
+++ b/budget/history_test.go
@@ -120,7 +120,6 @@
 	kind    *budget.Authority
 	applied int
 	stopped bool
-	base    int // where its last snapshot stands
 }
 
 // holder is a front end under its name; process is the one that runs.
--- a/statement/shape/shape.go
+++ b/statement/shape/shape.go
@@ -51,11 +51,11 @@
 
 // rows are the rows of a VALUES list: one that looks as the row before it is left out.
 type rows struct {
-	in           bool // within VALUES
-	depth        int  // of marks within a row; 0 between rows
-	start, end   int  // of the current and behind the last row in Shape
-	first        int  // start of the last row kept
-	values, last int  // length of Values before and behind the last row
+	in         bool // within VALUES
+	depth      int  // of marks within a row; 0 between rows
+	start, end int  // of the current and behind the last row in Shape
+	first      int  // start of the last row kept
+	values     int  // length of Values before the current row
 }
 
 // mostKept is how large a buffer is kept for the next statement, in bytes or values.
