--- a/internal/tlsio/conn_test.go
+++ b/internal/tlsio/conn_test.go
@@ -107,7 +107,7 @@
 func TestBadHandshakes(t *testing.T) {
 	server, _ := pair(t)
 	pool := tlsio.NewPool(0.5)
-	run := func(use func(c *tlsio.Conn)) (error, []byte) {
+	run := func(use func(c *tlsio.Conn)) ([]byte, error) {
 		c := tlsio.Server(server)
 		over := make(chan error, 1)
 		pool.Start(c, func(done bool, err error) {
@@ -118,16 +118,16 @@
 		use(c)
 		select {
 		case err := <-over:
-			return err, c.Output()
+			return c.Output(), err
 		case <-time.After(20 * time.Second):
 			t.Fatal("no end")
 			return nil, nil
 		}
 	}
-	err, out := run(func(c *tlsio.Conn) { assert.NoError(t, c.Feed([]byte("GET / HTTP/1.1\r\n\r\n"))) })
+	out, err := run(func(c *tlsio.Conn) { assert.NoError(t, c.Feed([]byte("GET / HTTP/1.1\r\n\r\n"))) })
 	assert.Error(t, err)
 	assert.Empty(t, out, "plain text is not answered in TLS")
-	err, _ = run(func(c *tlsio.Conn) {
+	_, err = run(func(c *tlsio.Conn) {
 		assert.NoError(t, c.Feed([]byte{22, 3, 1}))
 		assert.ErrorIs(t, c.Feed(make([]byte, 65<<10)), tlsio.ErrFlood)
 		c.Close()
--- a/ledger/store/store_test.go
+++ b/ledger/store/store_test.go
@@ -50,6 +50,7 @@
 		next := numbers()
 		s, disk, err := Open(folder, "site/n1", next)
 		require.NoError(t, err)
+		require.Zero(t, last(disk), "a new folder holds nothing")
 		number := s.Number()
 		at, term, snap := uint64(0), uint64(1), uint64(0)
 		for range rapid.IntRange(1, 12).Draw(rt, "steps") {
--- a/statement/bench_test.go
+++ b/statement/bench_test.go
@@ -1,7 +1,6 @@
 package statement_test
 
 import (
-	"fmt"
 	"os"
 	"testing"
 
@@ -110,7 +109,7 @@
 	scan, _ := best(BenchmarkScan)
 	hit, allocs := best(BenchmarkHit)
 	miss, _ := best(BenchmarkMiss)
-	t.Log(fmt.Sprintf("scan %.0f ns, hit %.2f times that, miss %.2f times", scan, hit/scan, miss/scan))
+	t.Logf("scan %.0f ns, hit %.2f times that, miss %.2f times", scan, hit/scan, miss/scan)
 	require.Zero(t, allocs)
 	require.Less(t, hit/scan, 3.0)
 	require.Less(t, miss/scan, 20.0)
