--- a/internal/config/budgets.go
+++ b/internal/config/budgets.go
@@ -8,9 +8,9 @@
 
 	"chutechute/budget"
 	"chutechute/budget/account"
+	"chutechute/budget/enforce"
 	"chutechute/decide"
 	"chutechute/internal/settings"
-	"chutechute/purse"
 )
 
 // Budgets sets what the whole fleet may spend. Of two versions the higher one counts.
@@ -31,12 +31,12 @@
 	WindowMS float64 `json:"window_ms"`
 	LifeS    float64 `json:"life_s"` // the longest that what holds a place is asked after
 	//lint:ignore SA5008 the tag is read by mapstructure, which knows squash, and not by encoding/json
-	purse.Scope `json:",squash"`
-	Reserve     *float64           `json:"reserve"`   // the share that front ends have without a lease, in even parts
-	Newcomers   *float64           `json:"newcomers"` // the share that is kept back for who has nothing yet
-	Floor       float64            `json:"floor"`     // the share that each front end with any demand gets first
-	Weights     map[string]float64 `json:"weights"`   // of front ends; 1 where none is set
-	Without     string             `json:"without"`   // a lease: reserve or none
+	enforce.Scope `json:",squash"`
+	Reserve       *float64           `json:"reserve"`   // the share that front ends have without a lease, in even parts
+	Newcomers     *float64           `json:"newcomers"` // the share that is kept back for who has nothing yet
+	Floor         float64            `json:"floor"`     // the share that each front end with any demand gets first
+	Weights       map[string]float64 `json:"weights"`   // of front ends; 1 where none is set
+	Without       string             `json:"without"`   // a lease: reserve or none
 }
 
 // Defaults and bounds of budgets.
