Engines: the last connection to one with queries is kept, as one that drains takes no other

Cause: pool.makeRoom, evict, the end of an answer and release close connections for their descriptors alone. An engine that drains takes no new ones, so what runs there could neither be asked after nor given up. Ruled out: a reset (none in the log between 3.8 and 19.5 s), silence, the end of an attempt by 2 s unasked (it took 4.2 s to the next start). Change: replaceable: the last connection that is up to an engine with calls to make is not closed for its descriptor; a counter takes the place of the scan for connections that are up. Where neither an engine's nor a client's connection can go, newcomers may overdraw 8 of the 24 spare descriptors, and more are shut unread. TestLastConnectionToADrainingEngineIsKept fails without it and with the change to makeRoom alone.

--- a/cmd/chutechute/places_test.go
+++ b/cmd/chutechute/places_test.go
@@ -142,3 +142,46 @@
 		seen[p.Header.Get("Request-Id")] = true
 	}
 }
+
+// A load runs at an engine that drains: it takes no new connections, and goes on with what is asked after. Clients without end come
+// for the descriptors that are left. The connection by which the load is asked after was closed for one of them; none could be made
+// again, and the key's next began while the engine still had the load (herd+crowd+brink of the second deployment, seed 347353815773).
+func TestLastConnectionToADrainingEngineIsKept(t *testing.T) {
+	const engines, lookups, newcomers = 14, 60, 200
+	released := make(chan struct{})
+	r := start(t, engines, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
+		select {
+		case <-released:
+			standin.Serve(w, standin.Row)
+		case <-time.After(50 * time.Millisecond):
+			w.WriteHeader(202)
+		}
+	}, func(r *standin.Rig) { r.Sockets = 64 })
+	loads := r.Client()
+	loads.Ask("INSERT INTO s_1.t", "call", standin.ID(1), "op", "load", "ttl", "60000", "dedupe", "once", "row", "key", "work", "10.0")
+	drains := r.Await(1, "POST", "/")[0].Engine
+	for _, e := range r.Engines {
+		if e.Name == drains {
+			require.NoError(t, e.Server.Listener.Close())
+		}
+	}
+	many := [2]*standin.Client{r.Client(), r.Client()}
+	for n := range lookups {
+		many[n%2].Ask(fmt.Sprintf("SELECT * FROM s_%d.t", n), "call", standin.ID(2+n), "op", "lookup", "ttl", "60000", "work", "1.0")
+	}
+	require.Eventually(t, func() bool { return len(r.Got("GET", "/")) > 10*lookups }, standin.Patience, 5*time.Millisecond)
+	for range newcomers {
+		c := r.Client()
+		_, err := c.Conn.Write([]byte{0, 0, 1, 0, 0x80, 1})
+		if err == nil {
+			defer c.Conn.Close()
+		}
+	}
+	asked := func() int { return len(r.Got("GET", "/v1/store/"+standin.ID(1))) }
+	before := asked()
+	require.Eventually(t, func() bool { return asked() > before+20 }, standin.Patience, 5*time.Millisecond, "it is asked after no more")
+	close(released)
+	assert.Equal(t, "answer", loads.Read().What)
+	assert.LessOrEqual(t, r.Descriptors(), 64)
+	assert.Len(t, r.Got("POST", "/"), 1+lookups, "nothing was sent twice")
+}
--- a/internal/epoll/clients.go
+++ b/internal/epoll/clients.go
@@ -109,8 +109,9 @@
 			unix.Close(fd)
 			continue
 		}
-		if l.s.unused() <= 0 {
-			l.s.pool.makeRoom()
+		if l.s.unused() <= 0 && !l.s.pool.makeRoom() && !l.evict() && l.s.unused() <= -overdraft {
+			unix.Close(fd)
+			continue
 		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
 		c := &client{stream: newStream(l.s.loop, fd, thrift.MaxFrame+4, l.maxUnread(), &l.budget), l: l,
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -49,6 +49,7 @@
 	addr    netip.AddrPort
 	idle    []*conn // the last used one last
 	conns   int
+	up      int // of conns, those that have come up; those that are dialled may all be refused
 	jobs    int
 	heard   Micros // when it last answered anything
 	removed bool   // and forgotten once nothing of it is left
@@ -294,7 +295,7 @@
 		return true
 	}
 	for c := range p.conns {
-		if j := c.job; j != nil && c.busy && j.query.Polling() {
+		if j := c.job; j != nil && c.busy && j.query.Polling() && p.replaceable(c) {
 			c.end()
 			j.conn = nil
 			p.carry(j)
@@ -304,11 +305,16 @@
 	return false
 }
 
-// evict closes the connection that has been idle longest.
+// replaceable says whether a connection may be closed for its descriptor alone. The last one that is up to an engine with calls to
+// make may not: an engine that drains takes no new connections, also before the news of it has come, and what runs there could
+// neither be asked after nor given up any more.
+func (p *pool) replaceable(c *conn) bool { return c.engine.jobs == 0 || c.engine.up > 1 }
+
+// evict closes the connection that has been idle longest, of those that are replaceable.
 func (p *pool) evict() bool {
 	var oldest *conn
 	for _, e := range p.engines {
-		if len(e.idle) > 0 && (oldest == nil || e.idle[0].since < oldest.since) {
+		if len(e.idle) > 0 && p.replaceable(e.idle[0]) && (oldest == nil || e.idle[0].since < oldest.since) {
 			oldest = e.idle[0]
 		}
 	}
@@ -336,7 +342,7 @@
 	switch e := j.engine; {
 	case !j.posted:
 		p.finish(j, decide.NoConnection)
-	case refused && p.up(e):
+	case refused && e.up > 0:
 		e.wait(j)
 	case refused && j.cut && !j.attempt.Strict && (e.removed || e.cuts > 1):
 		p.finish(j, decide.Reset)
@@ -348,17 +354,6 @@
 	}
 }
 
-// up says whether some connection to an engine has come up. Those that are dialled do not count: jobs of an engine that refuses all
-// would wait for each other's, and dial in turn without a pause.
-func (p *pool) up(e *engine) bool {
-	for c := range p.conns {
-		if c.engine == e && !c.connecting {
-			return true
-		}
-	}
-	return false
-}
-
 // broken settles a job whose call has no readable answer; arrived says that something came in its place, so
 // that the call itself has come whole. No connection owns a query, and its engine gives its answer again, so
 // it is asked after on another connection. One that comes spoilt again and again is given up.
@@ -569,7 +564,7 @@
 			c.greet()
 			return
 		}
-		c.connecting = false
+		c.cameUp()
 		c.call()
 		return
 	}
@@ -650,7 +645,8 @@
 	// No news before it is time may be the last answer once more, and the one to this call still to come.
 	c.unsure = c.unsure || r.Status == 202 && c.p.s.now-c.since < newsAfter-newsSlack
 	c.busy, c.job, c.since, c.part = false, nil, c.p.s.now, 0
-	usable := more && !r.Close && c.in.Len() == 0 && c.out.Len() == 0 && c.p.s.unused() >= 0 && c.quiet()
+	room := c.p.s.unused() >= 0 || !c.p.replaceable(c)
+	usable := more && !r.Close && c.in.Len() == 0 && c.out.Len() == 0 && room && c.quiet()
 	if j == nil {
 		if j = c.asking; j != nil { // it counts as asked after until now
 			c.asking, j.asked = nil, c.p.s.now
@@ -693,10 +689,10 @@
 }
 
 // release keeps a connection for another query, or ends it and gives the next job that waits for one another. Where no
-// other can be had, as the engine drains, that job waits until this one has rested.
+// other may be had, as the engine drains or this is the last one, that job waits until this one has rested.
 func (c *conn) release(usable bool) {
 	e := c.engine
-	if !usable || len(e.waiting) == 0 && e.removed || len(e.waiting) > 0 && !e.refused {
+	if !usable || len(e.waiting) == 0 && e.removed || len(e.waiting) > 0 && !e.refused && c.p.replaceable(c) {
 		c.end()
 		return
 	}
@@ -758,6 +754,12 @@
 	p.carry(j)
 }
 
+// cameUp notes that the connection may carry calls.
+func (c *conn) cameUp() {
+	c.connecting, c.shaking = false, false
+	c.engine.up++
+}
+
 // end closes the connection and takes it out of the pool; its job, if any, is its caller's to settle.
 func (c *conn) end() {
 	c.close()
@@ -767,6 +769,9 @@
 	}
 	delete(c.p.conns, c)
 	c.engine.conns--
+	if !c.connecting {
+		c.engine.up--
+	}
 	defer func() {
 		if j := c.engine.next(); j != nil {
 			c.p.carry(j)
--- a/internal/epoll/secure_engines.go
+++ b/internal/epoll/secure_engines.go
@@ -45,7 +45,8 @@
 	default:
 		c.p.s.count.EngineHandshakes++
 		c.secure.Finish()
-		c.shaken, c.shaking, c.connecting, c.since = true, false, false, c.p.s.now
+		c.shaken, c.since = true, c.p.s.now
+		c.cameUp()
 		if c.job == nil {
 			c.release(true)
 			return
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -22,6 +22,8 @@
 	// that steps for every packet runs out of its core under load.
 	leastTurn = 1 * ms
 	spare     = 24 // descriptors for the loop, the journal, the log and what the runtime holds
+	// overdraft is how many of the spare ones clients may take for a moment, where nothing else can be closed for them.
+	overdraft = 8
 )
 
 // Server is the front end on its sockets.
