Package attach: the exported API of front ends beyond the control members, without its rules yet

Front ends beyond 80 need another way to know who is there than heartbeats from all to all. Compiled and vetted, nothing else was run.

--- /dev/null
+++ b/attach/attach.go
@@ -0,0 +1,196 @@
+// Package attach lets a fleet have more front ends than may all hear one another. Control members are the front ends that the
+// settings name; among them package member works as ever. An attached front end keeps links to two control members, sends a
+// heartbeat over each, holds a lease with both, and receives the view, which is all front ends of both roles, from one of them.
+//
+// Each control member is the home of the front ends attached to it. It keeps a table of them by leases on its own clock,
+// replicates the table to all control members, merges all tables into one view, and serves that as a snapshot and numbered
+// changes. Versions and digests in the heartbeats show what was lost; gaps are filled from bounded logs, else by what differs.
+//
+// The view steers: whom to ask, whom to replace, when to look after a load. Nothing is made safe by it, since silence is not
+// death. One thing is certain: of two processes of one name the one that answered the later challenge is the later one.
+//
+// It is a stepped module without I/O, clock, goroutines or map order. All times are of this process's monotonic clock.
+package attach
+
+import "errors"
+
+// Micros is a time or a span in microseconds of this machine's monotonic clock.
+type Micros = int64
+
+// Role is what a front end is in the fleet.
+type Role uint8
+
+// The roles.
+const (
+	Control  Role = iota // named in the settings: keeps the record, and serves the view
+	Attached             // not named: keeps links to two control members
+)
+
+func (r Role) String() string {
+	if r > Attached {
+		return "unknown"
+	}
+	return [...]string{"control", "attached"}[r]
+}
+
+// State is how a front end is seen.
+type State uint8
+
+// The states.
+const (
+	Alive   State = iota // it was heard of late
+	Suspect              // it was heard nowhere for a while, or its control member is gone
+	Dead                 // it was heard nowhere for long
+	Left                 // it said that it leaves, and was not heard since
+)
+
+func (s State) String() string {
+	if s > Left {
+		return "unknown"
+	}
+	return [...]string{"alive", "suspect", "dead", "left"}[s]
+}
+
+// Entry is one front end in the view.
+type Entry struct {
+	Name        string
+	Zone        string
+	Role        Role
+	Incarnation uint64
+	State       State
+	Home        string // the control member that holds its lease and serves its view; for a control member its own name
+}
+
+// ControlMember is a control member as package member sees it.
+type ControlMember struct {
+	Name        string
+	Zone        string
+	Incarnation uint64 // 0: never seen
+	State       State  // Alive also for one that is heard only by others
+	Cut         bool   // Alive, but not heard here
+}
+
+// Link is a proven link of an attached front end to this control member.
+type Link struct {
+	From        string
+	Zone        string
+	Incarnation uint64
+	Greeted     Micros // when this side challenged it
+}
+
+// Kind says what a message is; package peer gives each a kind of frame of its own.
+type Kind uint8
+
+// The kinds.
+const (
+	Heartbeat Kind = iota + 1 // attached to control
+	ViewPart                  // control to attached: an answer to a heartbeat, changes or a snapshot
+	Pull                      // control to control: asks for a table
+	Table                     // control to control: changes or a snapshot of a table
+)
+
+func (k Kind) String() string {
+	if k == 0 || k > Table {
+		return "unknown"
+	}
+	return [...]string{"", "heartbeat", "view", "pull", "table"}[k]
+}
+
+// Message is to be sent. Its body may be shared with other messages and must not be changed.
+type Message struct {
+	To          string
+	Incarnation uint64 // 0: to a control member; else to that process of an attached front end
+	Kind        Kind
+	Bulk        bool // may wait behind others
+	Body        []byte
+}
+
+// Config sets a server or a client. A span that is 0 gets its default.
+type Config struct {
+	Name        string
+	Zone        string
+	Incarnation uint64
+	// Controls are all control members that the settings name, with name and zone; this one too where it is one.
+	Controls  []ControlMember
+	Heartbeat Micros // between two heartbeats of an attached front end
+	Suspect   Micros // of silence
+	Dead      Micros // of silence
+	// Pause is how much later than due a call comes where this process was stopped: what it has not heard meanwhile says nothing.
+	Pause Micros
+	Batch Micros // how long changes are collected
+	Most  int    // entries that a view may have
+	Seed  uint64 // for jitter; the same seed, the same run
+}
+
+// Defaults of a configuration's spans and bounds.
+const (
+	DefaultHeartbeat Micros = 1_000_000
+	DefaultSuspect   Micros = 2_500_000
+	DefaultDead      Micros = 4_000_000
+	DefaultPause     Micros = 600_000
+	DefaultBatch     Micros = 50_000
+	DefaultMost             = 8192
+)
+
+// withDefaults fills in what was left out.
+func (c Config) withDefaults() Config {
+	span := func(value *Micros, otherwise Micros) {
+		if *value <= 0 {
+			*value = otherwise
+		}
+	}
+	span(&c.Heartbeat, DefaultHeartbeat)
+	span(&c.Suspect, DefaultSuspect)
+	span(&c.Dead, DefaultDead)
+	span(&c.Pause, DefaultPause)
+	span(&c.Batch, DefaultBatch)
+	if c.Most <= 0 {
+		c.Most = DefaultMost
+	}
+	return c
+}
+
+// Errors of a peer that does not keep to the form or to what its link has proven; the link is closed.
+var (
+	ErrForm      = errors.New("attach: malformed message")
+	ErrKind      = errors.New("attach: a message that this side does not take")
+	ErrName      = errors.New("attach: a name that is not the link's")
+	ErrHome      = errors.New("attach: an unknown control member")
+	ErrReplaced  = errors.New("attach: a process whose name has a later one")
+	ErrOversized = errors.New("attach: more entries than a view may have")
+	ErrDisagree  = errors.New("attach: digests that never agree")
+)
+
+// Counters count what happened since the start; each side uses those that concern it.
+type Counters struct {
+	Heartbeats      int // sent by a client, received by a server
+	Pushes          int // batches of changes sent to subscribers, or applied by a client
+	PushBytes       int
+	Changes         int // of entries published, or applied by a client
+	Snapshots       int // whole ones sent, or applied by a client
+	SnapshotBytes   int
+	DigestRepairs   int // parts of a view sent or applied since digests differed
+	CatchUps        int // resumed from the log
+	Gaps            int // in changes of a table or of the view
+	StaleEpochs     int // messages of a past process of a control member
+	UnknownHomes    int
+	WrongNames      int
+	Oversized       int
+	Malformed       int
+	SumRepairs      int // snapshots of a table since its sum differed at the same version
+	Disagreements   int // digests that did not agree after a snapshot or changes
+	Limited         int // snapshots or repairs put off by the bounded rate
+	Damped          int // changes put off by the bounded rate of one name
+	Doubts          int // times a home doubted itself
+	Refused         int // queues that were full
+	Replaced        int // processes whose name has come back with a later one
+	LateOfReplaced  int // messages or links of such processes
+	Pauses          int // of this process
+	TablePushes     int
+	TableSnapshots  int // of tables sent
+	Pulls           int
+	HomeChanges     int // of a client
+	TargetChanges   int // of a client
+	ClosedLinks     int
+	SilentDeclaring int // leases that ended
+}
