--- a/attach/attach.go
+++ b/attach/attach.go
@@ -160,37 +160,3 @@
 	ErrOversized = errors.New("attach: more entries than a view may have")
 	ErrDisagree  = errors.New("attach: digests that never agree")
 )
-
-// Counters count what happened since the start; each side uses those that concern it.
-type Counters struct {
-	Heartbeats      int // sent by a client, received by a server
-	Pushes          int // batches of changes sent to subscribers, or applied by a client
-	PushBytes       int
-	Changes         int // of entries published, or applied by a client
-	Snapshots       int // whole ones sent, or applied by a client
-	SnapshotBytes   int
-	DigestRepairs   int // parts of a view sent or applied since digests differed
-	CatchUps        int // resumed from the log
-	Gaps            int // in changes of a table or of the view
-	StaleEpochs     int // messages of a past process of a control member
-	UnknownHomes    int
-	WrongNames      int
-	Oversized       int
-	Malformed       int
-	SumRepairs      int // snapshots of a table since its sum differed at the same version
-	Disagreements   int // digests that did not agree after a snapshot or changes
-	Limited         int // snapshots or repairs put off by the bounded rate
-	Damped          int // changes put off by the bounded rate of one name
-	Doubts          int // times a home doubted itself
-	Refused         int // queues that were full
-	Replaced        int // processes whose name has come back with a later one
-	LateOfReplaced  int // messages or links of such processes
-	Pauses          int // of this process
-	TablePushes     int
-	TableSnapshots  int // of tables sent
-	Pulls           int
-	HomeChanges     int // of a client
-	TargetChanges   int // of a client
-	ClosedLinks     int
-	SilentDeclaring int // leases that ended
-}
--- /dev/null
+++ b/attach/damping.go
@@ -0,0 +1,31 @@
+package attach
+
+// rate bounds how often something happens: burst times at once, and then once in each gap. It is the generic cell rate
+// algorithm, whose whole state is when the next would be due if all came evenly.
+type rate struct {
+	gap   Micros
+	burst int
+}
+
+// The bounded rates.
+var (
+	// changeRate is of changes published about one name: six at once, then six a minute.
+	changeRate = rate{10_000_000, 6}
+	// repairRate is of snapshots and repairs to one link.
+	repairRate = rate{3_000_000, 4}
+	// catchUpRate is of changes from the log to one link.
+	catchUpRate = rate{500_000, 8}
+	// pullRate is of pulls of one table.
+	pullRate = rate{200_000, 3}
+	// sumRate is of pulls of one table since its sum differs.
+	sumRate = rate{5_000_000, 2}
+)
+
+// allow says whether it may happen now, and notes it if so. due is the state, 0 at first.
+func (r rate) allow(now Micros, due *Micros) bool {
+	if *due-now > r.gap*Micros(r.burst-1) {
+		return false
+	}
+	*due = max(*due, now) + r.gap
+	return true
+}
--- /dev/null
+++ b/attach/pack.go
@@ -0,0 +1,64 @@
+package attach
+
+import (
+	"bytes"
+	"compress/flate"
+	"errors"
+	"fmt"
+	"io"
+)
+
+const (
+	// packAbove is the size from which packing saves more than its frame costs.
+	packAbove = 300
+	// entrySize bounds what one entry takes unpacked: three names, a number, and tags.
+	entrySize = 3*longestName + 64
+)
+
+// packer compresses; it keeps its tables, which take about a megabyte.
+type packer struct{ writer *flate.Writer }
+
+// pack gives b compressed, or b itself where that is small or gains nothing.
+func (p *packer) pack(b []byte) (out []byte, packed bool) {
+	if len(b) <= packAbove {
+		return b, false
+	}
+	var buffer bytes.Buffer
+	if p.writer == nil {
+		writer, err := flate.NewWriter(&buffer, flate.DefaultCompression)
+		if err != nil {
+			return b, false
+		}
+		p.writer = writer
+	} else {
+		p.writer.Reset(&buffer)
+	}
+	if _, err := p.writer.Write(b); err != nil {
+		return b, false
+	}
+	if err := p.writer.Close(); err != nil || buffer.Len() >= len(b) {
+		return b, false
+	}
+	return buffer.Bytes(), true
+}
+
+// unpacker reads what packer wrote.
+type unpacker struct{ reader io.ReadCloser }
+
+// unpack gives at most most bytes; more are an error.
+func (u *unpacker) unpack(b []byte, most int) ([]byte, error) {
+	source := bytes.NewReader(b)
+	if u.reader == nil {
+		u.reader = flate.NewReader(source)
+	} else if err := u.reader.(flate.Resetter).Reset(source, nil); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrForm, err)
+	}
+	out, err := io.ReadAll(io.LimitReader(u.reader, int64(most)+1))
+	switch {
+	case err != nil:
+		return nil, fmt.Errorf("%w: %w", ErrForm, err)
+	case len(out) > most:
+		return nil, errors.Join(ErrOversized, ErrForm)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/attach/rig_test.go
@@ -0,0 +1,459 @@
+package attach
+
+import (
+	"container/heap"
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	ms     Micros = 1000
+	second        = 1000 * ms
+)
+
+// event is something that happens at a time in the rig; equal times in the order they were planned.
+type event struct {
+	at    Micros
+	order int
+	do    func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// rigLink is an open link of a client to a server, as both sides know it.
+type rigLink struct {
+	client  *rigClient
+	server  *rigServer
+	link    Link
+	control uint64 // the server's incarnation
+	closed  bool
+}
+
+type rigServer struct {
+	*Server
+	cfg     Config
+	up      bool
+	paused  bool
+	backlog []func()
+	bytes   int // sent to clients
+	log     []string
+}
+
+type rigClient struct {
+	*Client
+	cfg      Config
+	up       bool
+	paused   bool
+	backlog  []func()
+	links    map[string]*rigLink
+	dialling map[string]bool
+	in, out  int
+	seen     map[uint64]bool // incarnations that its view has shown and replaced
+}
+
+// rig is servers and clients over a network that may lose, delay and double what it carries. Links are opened by a dial that
+// takes a while; a message is lost with its link. Everything follows from the seed.
+type rig struct {
+	t        testing.TB
+	now      Micros
+	queue    events
+	order    int
+	random   random
+	servers  []*rigServer
+	clients  []*rigClient
+	names    map[string]*rigServer
+	lossy    int // per thousand of messages
+	doubled  int // per thousand
+	slowest  Micros
+	cut      func(from, to string) bool
+	next     uint64 // incarnation
+	controls []ControlMember
+	refuse   func(c *rigClient) bool // the queue to it is full
+	check    func()
+	errors   []error
+}
+
+func newRig(t testing.TB, seed uint64, zones ...string) *rig {
+	r := &rig{t: t, random: random(seed), names: map[string]*rigServer{}, next: 100, slowest: 5 * ms,
+		cut: func(_, _ string) bool { return false }, refuse: func(*rigClient) bool { return false }, check: func() {}}
+	for i, zone := range zones {
+		r.controls = append(r.controls, ControlMember{Name: fmt.Sprintf("m%02d", i), Zone: zone})
+	}
+	for _, c := range r.controls {
+		s := &rigServer{cfg: Config{Name: c.Name, Zone: c.Zone, Controls: r.controls, Seed: seed}}
+		r.servers = append(r.servers, s)
+		r.names[c.Name] = s
+		r.start(s)
+	}
+	for _, s := range r.servers {
+		r.every(50*ms, func() { r.tickServer(s) })
+		r.every(100*ms, func() { r.tellVersions(s) })
+	}
+	return r
+}
+
+func (r *rig) after(span Micros, do func()) {
+	r.order++
+	heap.Push(&r.queue, event{r.now + span, r.order, do})
+}
+
+func (r *rig) every(span Micros, do func()) {
+	var again func()
+	again = func() {
+		do()
+		r.after(span, again)
+	}
+	r.after(r.random.span(0, span), again)
+}
+
+// run lets time pass.
+func (r *rig) run(span Micros) {
+	end := r.now + span
+	for len(r.queue) > 0 && r.queue[0].at <= end {
+		e := heap.Pop(&r.queue).(event)
+		r.now = e.at
+		e.do()
+	}
+	r.now = end
+}
+
+func (r *rig) incarnation() uint64 {
+	r.next++
+	return r.next<<20 | r.random.next()>>44
+}
+
+// start begins a server's next process.
+func (r *rig) start(s *rigServer) {
+	s.cfg.Incarnation = r.incarnation()
+	s.Server, s.up = NewServer(s.cfg), true
+}
+
+func (r *rig) stop(s *rigServer) {
+	s.up = false
+	for _, c := range r.clients {
+		if l := c.links[s.cfg.Name]; l != nil {
+			r.closeLink(l)
+		}
+	}
+}
+
+// seen is the control members as one of them sees them: without a cut as they are.
+func (r *rig) seen(s *rigServer) (list []ControlMember) {
+	for _, o := range r.servers {
+		if o == s {
+			continue
+		}
+		m := ControlMember{Name: o.cfg.Name, Zone: o.cfg.Zone, Incarnation: o.cfg.Incarnation, State: Alive}
+		switch cut := r.cut(o.cfg.Name, s.cfg.Name); {
+		case !o.up || o.paused:
+			m.State = Dead
+		case cut && slices.ContainsFunc(r.servers, func(via *rigServer) bool {
+			return via != o && via != s && via.up && !r.cut(o.cfg.Name, via.cfg.Name) && !r.cut(via.cfg.Name, s.cfg.Name)
+		}):
+			m.Cut = true
+		case cut:
+			m.State = Dead
+		}
+		list = append(list, m)
+	}
+	return list
+}
+
+func (r *rig) tickServer(s *rigServer) {
+	if !s.up || s.paused {
+		return
+	}
+	s.Tick(r.now, r.seen(s))
+	r.flushServer(s)
+	r.check()
+}
+
+func (r *rig) tellVersions(s *rigServer) {
+	if !s.up || s.paused {
+		return
+	}
+	body, incarnation := s.Versions(r.now), s.cfg.Incarnation
+	for _, o := range r.servers {
+		if o != s {
+			r.carry(s.cfg.Name, o.cfg.Name, func() {
+				r.atServer(o, func() {
+					if err := o.PeerVersions(r.now, s.cfg.Name, incarnation, body); err != nil {
+						r.errors = append(r.errors, err)
+					}
+				})
+			})
+		}
+	}
+}
+
+// carry brings a message over, perhaps late, twice or not at all.
+func (r *rig) carry(from, to string, do func()) {
+	times := 1
+	if int(r.random.next()%1000) < r.doubled {
+		times = 2
+	}
+	for range times {
+		if r.cut(from, to) || int(r.random.next()%1000) < r.lossy {
+			continue
+		}
+		r.after(r.random.span(ms/2, r.slowest), do)
+	}
+}
+
+func (r *rig) atServer(s *rigServer, do func()) {
+	switch {
+	case !s.up:
+	case s.paused:
+		s.backlog = append(s.backlog, do)
+	default:
+		do()
+		r.flushServer(s)
+	}
+}
+
+func (r *rig) atClient(c *rigClient, do func()) {
+	switch {
+	case !c.up:
+	case c.paused:
+		c.backlog = append(c.backlog, do)
+	default:
+		do()
+		r.flushClient(c)
+	}
+}
+
+func (r *rig) flushServer(s *rigServer) {
+	incarnation := s.cfg.Incarnation
+	for _, m := range s.Actions() {
+		if m.Incarnation == 0 {
+			o := r.names[m.To]
+			r.carry(s.cfg.Name, m.To, func() {
+				r.atServer(o, func() {
+					if err := o.ReceiveControl(r.now, s.cfg.Name, incarnation, m.Kind, m.Body); err != nil {
+						r.errors = append(r.errors, err)
+					}
+				})
+			})
+			continue
+		}
+		for _, c := range r.clients {
+			l := c.links[s.cfg.Name]
+			if c.cfg.Name != m.To || c.cfg.Incarnation != m.Incarnation || l == nil || l.closed {
+				continue
+			}
+			if r.refuse(c) {
+				s.Refused(r.now, m.To, m.Incarnation)
+				continue
+			}
+			s.bytes += len(m.Body) + 50
+			c.in += len(m.Body) + 50
+			r.carry(s.cfg.Name, c.cfg.Name, func() { r.deliver(c, l, m) })
+		}
+	}
+	for _, l := range s.Close() {
+		for _, c := range r.clients {
+			if o := c.links[s.cfg.Name]; o != nil && o.link == l {
+				r.closeLink(o)
+			}
+		}
+	}
+}
+
+func (r *rig) deliver(c *rigClient, l *rigLink, m Message) {
+	r.atClient(c, func() {
+		if l.closed || c.Client == nil {
+			return
+		}
+		if err := c.Receive(r.now, l.server.cfg.Name, l.control, m.Kind, m.Body); err != nil {
+			r.errors = append(r.errors, err)
+			r.closeLink(l)
+		}
+	})
+}
+
+func (r *rig) closeLink(l *rigLink) {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	delete(l.client.links, l.name())
+	r.after(ms, func() {
+		if l.server.cfg.Incarnation == l.control {
+			r.atServer(l.server, func() { l.server.Unlinked(r.now, l.link) })
+		}
+		if l.client.cfg.Incarnation == l.link.Incarnation {
+			r.atClient(l.client, func() { l.client.Unlinked(r.now, l.server.cfg.Name) })
+		}
+	})
+}
+
+func (l *rigLink) name() string { return l.server.cfg.Name }
+
+// attach adds a client.
+func (r *rig) attach(name, zone string) *rigClient {
+	c := &rigClient{cfg: Config{Name: name, Zone: zone, Controls: r.controls, Seed: 1}}
+	r.clients = append(r.clients, c)
+	r.restart(c)
+	return c
+}
+
+// restart begins a client's next process; the links of the one before break.
+func (r *rig) restart(c *rigClient) {
+	r.halt(c)
+	c.cfg.Incarnation = r.incarnation()
+	c.Client, c.up, c.paused, c.backlog = NewClient(c.cfg), true, false, nil
+	c.links, c.dialling, c.seen = map[string]*rigLink{}, map[string]bool{}, map[uint64]bool{}
+	r.tickClient(c, c.cfg.Incarnation)
+}
+
+func (r *rig) halt(c *rigClient) {
+	c.up = false
+	for _, s := range r.servers {
+		if l := c.links[s.cfg.Name]; l != nil {
+			r.closeLink(l)
+		}
+	}
+}
+
+// tickClient ticks a client whenever it says.
+func (r *rig) tickClient(c *rigClient, incarnation uint64) {
+	if !c.up || c.cfg.Incarnation != incarnation {
+		return
+	}
+	if !c.paused {
+		c.Tick(r.now)
+		r.flushClient(c)
+		r.check()
+	}
+	r.after(max(ms, min(c.Next()-r.now, 100*ms)), func() { r.tickClient(c, incarnation) })
+}
+
+func (r *rig) flushClient(c *rigClient) {
+	r.dial(c)
+	for _, m := range c.Actions() {
+		l := c.links[m.To]
+		if l == nil || l.closed {
+			continue
+		}
+		c.out += len(m.Body) + 50
+		r.carry(c.cfg.Name, m.To, func() {
+			if l.closed || l.server.cfg.Incarnation != l.control {
+				return
+			}
+			r.atServer(l.server, func() {
+				if err := l.server.Receive(r.now, l.link, m.Kind, m.Body); err != nil {
+					r.errors = append(r.errors, err)
+					r.closeLink(l)
+				}
+			})
+		})
+	}
+}
+
+// dial opens the links that a client wants, and closes those that it doesn't.
+func (r *rig) dial(c *rigClient) {
+	targets := c.Targets(r.now)
+	for _, s := range r.servers {
+		name := s.cfg.Name
+		wanted := slices.Contains(targets, name)
+		if l := c.links[name]; l != nil && !wanted {
+			r.closeLink(l)
+		}
+		if !wanted || c.links[name] != nil || c.dialling[name] {
+			continue
+		}
+		c.dialling[name] = true
+		incarnation := c.cfg.Incarnation
+		r.after(r.random.span(ms, 4*ms), func() { r.dialled(c, s, incarnation) })
+	}
+}
+
+func (r *rig) dialled(c *rigClient, s *rigServer, incarnation uint64) {
+	if c.cfg.Incarnation != incarnation || !c.up {
+		return
+	}
+	name := s.cfg.Name
+	delete(c.dialling, name)
+	if !s.up || s.paused || c.paused || r.cut(c.cfg.Name, name) || r.cut(name, c.cfg.Name) {
+		r.atClient(c, func() { c.Unlinked(r.now, name) })
+		return
+	}
+	l := &rigLink{client: c, server: s, control: s.cfg.Incarnation,
+		link: Link{From: c.cfg.Name, Zone: c.cfg.Zone, Incarnation: incarnation, Greeted: r.now - ms/2}}
+	c.links[name] = l
+	r.atServer(s, func() { s.Linked(r.now, l.link) })
+	if !l.closed {
+		r.atClient(c, func() { c.Linked(r.now, name, l.control) })
+	}
+}
+
+// pause stops a process as SIGSTOP does; resume lets it go on with all that came meanwhile.
+func (r *rig) resumeClient(c *rigClient) {
+	c.paused = false
+	list := c.backlog
+	c.backlog = nil
+	for _, do := range list {
+		r.atClient(c, do)
+	}
+}
+
+func (r *rig) resumeServer(s *rigServer) {
+	s.paused = false
+	list := s.backlog
+	s.backlog = nil
+	for _, do := range list {
+		r.atServer(s, do)
+	}
+}
+
+func (r *rig) client(name string) *rigClient {
+	for _, c := range r.clients {
+		if c.cfg.Name == name {
+			return c
+		}
+	}
+	return nil
+}
+
+// agreed checks that all views are the same and show every process that runs alive, under its incarnation.
+func (r *rig) agreed() {
+	r.t.Helper()
+	first := r.servers[slices.IndexFunc(r.servers, func(s *rigServer) bool { return s.up })].View()
+	for _, s := range r.servers {
+		if s.up {
+			r.same(first, s.View(), "server "+s.cfg.Name)
+		}
+	}
+	for _, c := range r.clients {
+		if !c.up {
+			continue
+		}
+		r.same(first, c.View(), "client "+c.cfg.Name)
+		require.Less(r.t, c.View().Age(r.now), 3*second, c.cfg.Name)
+		e, _ := first.Of(c.cfg.Name)
+		require.Equal(r.t, c.cfg.Incarnation, e.Incarnation, c.cfg.Name)
+		require.Equal(r.t, Alive, e.State, c.cfg.Name)
+		require.Equal(r.t, c.Home(), e.Home, c.cfg.Name)
+	}
+}
+
+func (r *rig) same(a, b *View, who string) {
+	r.t.Helper()
+	require.Equal(r.t, a.List(), b.List(), who)
+	require.Equal(r.t, a.Digest(), b.Digest(), who)
+}
--- a/attach/view.go
+++ b/attach/view.go
@@ -1,31 +1,239 @@
 package attach
 
+import (
+	"math"
+	"slices"
+	"strings"
+)
+
+// NeverConfirmed is the age of a view that was never confirmed.
+const NeverConfirmed Micros = math.MaxInt64
+
 // View is all front ends of both roles, as one of them sees it.
-type View struct{}
+type View struct {
+	byName        map[string]*Entry
+	byIncarnation map[uint64]*Entry
+	list          []*Entry // by name
+	sums          [buckets]uint64
+	total         uint64
+	past          pastSet
+	texts         map[string]string // zones and homes, each kept once
+	confirmed     Micros
+	known         bool // confirmed holds a time
+	authority     bool // a control member's own view has no age
+}
 
-func newView() *View { return &View{} }
+func newView() *View {
+	return &View{byName: map[string]*Entry{}, byIncarnation: map[uint64]*Entry{}, texts: map[string]string{}}
+}
 
 // List is all entries by name. It is the caller's own.
-func (v *View) List() []Entry { return nil }
+func (v *View) List() []Entry {
+	list := make([]Entry, len(v.list))
+	for i, e := range v.list {
+		list[i] = *e
+	}
+	return list
+}
 
 // Of is the entry of a name.
-func (v *View) Of(name string) (Entry, bool) { return Entry{}, false }
+func (v *View) Of(name string) (Entry, bool) {
+	e := v.byName[name]
+	if e == nil {
+		return Entry{}, false
+	}
+	return *e, true
+}
 
 // Len is how many entries there are.
-func (v *View) Len() int { return 0 }
+func (v *View) Len() int { return len(v.list) }
 
 // Digest is over all entries: views with the same entries have the same.
-func (v *View) Digest() uint64 { return 0 }
+func (v *View) Digest() uint64 { return v.total }
 
 // Gone says whether a process is held for no more: its name has another, it has left, or it is heard nowhere for long.
-func (v *View) Gone(incarnation uint64) bool { return false }
+func (v *View) Gone(incarnation uint64) bool {
+	if e := v.byIncarnation[incarnation]; e != nil {
+		return e.State == Dead || e.State == Left
+	}
+	return v.past.contains(incarnation)
+}
 
 // Alive says whether a process is seen alive.
-func (v *View) Alive(incarnation uint64) bool { return false }
+func (v *View) Alive(incarnation uint64) bool {
+	e := v.byIncarnation[incarnation]
+	return e != nil && e.State == Alive
+}
 
 // Replaced says whether the view has had a later process under that one's name.
-func (v *View) Replaced(incarnation uint64) bool { return false }
+func (v *View) Replaced(incarnation uint64) bool {
+	return v.byIncarnation[incarnation] == nil && v.past.contains(incarnation)
+}
+
+// Age is how long ago the home last confirmed this view, counted from when it was asked; at a control member 0, and
+// NeverConfirmed for one that never was.
+func (v *View) Age(now Micros) Micros {
+	switch {
+	case v.authority:
+		return 0
+	case !v.known:
+		return NeverConfirmed
+	}
+	return max(0, now-v.confirmed)
+}
+
+// confirm notes that the home had this view at a time after asked.
+func (v *View) confirm(asked Micros) {
+	if !v.known || asked > v.confirmed {
+		v.known, v.confirmed = true, asked
+	}
+}
+
+func (v *View) place(name string) (int, bool) {
+	return slices.BinarySearchFunc(v.list, name, func(e *Entry, name string) int { return strings.Compare(e.Name, name) })
+}
+
+// put sets one entry.
+func (v *View) put(e Entry) {
+	e.Zone, e.Home = v.text(e.Zone), v.text(e.Home)
+	old := v.byName[e.Name]
+	if old == nil {
+		kept := e
+		at, _ := v.place(e.Name)
+		v.list = slices.Insert(v.list, at, &kept)
+		v.byName[e.Name] = &kept
+		v.index(&kept)
+		v.count(&kept, 1)
+		return
+	}
+	v.count(old, -1)
+	e.Name = old.Name
+	if old.Incarnation != e.Incarnation {
+		v.unindex(old)
+		v.past.add(old.Incarnation)
+	}
+	*old = e
+	v.index(old)
+	v.count(old, 1)
+}
+
+// remove drops the entry of a name; its process stays past.
+func (v *View) remove(name string) {
+	at, ok := v.place(name)
+	if !ok {
+		return
+	}
+	old := v.list[at]
+	v.list = slices.Delete(v.list, at, at+1)
+	delete(v.byName, name)
+	v.unindex(old)
+	v.past.add(old.Incarnation)
+	v.count(old, -1)
+}
+
+func (v *View) index(e *Entry) {
+	if e.Incarnation != 0 {
+		v.past.remove(e.Incarnation)
+		v.byIncarnation[e.Incarnation] = e
+	}
+}
+
+func (v *View) unindex(e *Entry) {
+	if v.byIncarnation[e.Incarnation] == e {
+		delete(v.byIncarnation, e.Incarnation)
+	}
+}
+
+// count adds an entry to the sums, or takes it away.
+func (v *View) count(e *Entry, sign int) {
+	share := e.digest() * uint64(sign)
+	v.sums[bucketOf(e.Name)] += share
+	v.total += share
+}
+
+// mostTexts bounds the zones and homes that are kept once; beyond it they are kept as often as they come.
+const mostTexts = 1024
+
+func (v *View) text(s string) string {
+	if kept, ok := v.texts[s]; ok {
+		return kept
+	}
+	if len(v.texts) < mostTexts {
+		v.texts[s] = s
+	}
+	return s
+}
+
+// digestAfter is the digest that the view would have after changes, which name each front end once.
+func (v *View) digestAfter(changes []change) uint64 {
+	total := v.total
+	for i := range changes {
+		if old := v.byName[changes[i].Name]; old != nil {
+			total -= old.digest()
+		}
+		if !changes[i].removed {
+			total += changes[i].Entry.digest()
+		}
+	}
+	return total
+}
+
+// lenAfter is how many entries the view would have after changes.
+func (v *View) lenAfter(changes []change) int {
+	n := len(v.list)
+	for i := range changes {
+		_, has := v.byName[changes[i].Name]
+		switch {
+		case has && changes[i].removed:
+			n--
+		case !has && !changes[i].removed:
+			n++
+		}
+	}
+	return n
+}
+
+func (v *View) apply(changes []change) {
+	for i := range changes {
+		if changes[i].removed {
+			v.remove(changes[i].Name)
+			continue
+		}
+		v.put(changes[i].Entry)
+	}
+}
+
+// replacing is the changes that make the parts of the view in mask hold just the entries, given by name.
+func (v *View) replacing(mask uint64, entries []change) []change {
+	list := make([]change, 0, len(entries))
+	next := 0
+	for _, e := range v.list {
+		for next < len(entries) && entries[next].Name < e.Name {
+			list = append(list, entries[next])
+			next++
+		}
+		if next < len(entries) && entries[next].Name == e.Name {
+			list = append(list, entries[next])
+			next++
+			continue
+		}
+		if mask&(1<<bucketOf(e.Name)) != 0 {
+			list = append(list, change{Entry: Entry{Name: e.Name}, removed: true})
+		}
+	}
+	return append(list, entries[next:]...)
+}
+
+// in gives the entries that lie in the parts of mask, by name.
+func (v *View) in(mask uint64) []change {
+	var list []change
+	for _, e := range v.list {
+		if mask == allBuckets || mask&(1<<bucketOf(e.Name)) != 0 {
+			list = append(list, change{Entry: *e})
+		}
+	}
+	return list
+}
 
-// Age is how long ago the home last confirmed this view, counted from when it was asked; at a control member 0. A view that was
-// never confirmed is as old as the process's clock.
-func (v *View) Age(now Micros) Micros { return 0 }
+// allBuckets is the mask of a whole view.
+const allBuckets uint64 = math.MaxUint64
