peer: links of attached front ends carry messages both ways

Front ends that the settings do not name are to link to control members. They do not listen, so what control members have for them comes over the links that they dial.

Frame kinds for package attach and for Forward; the hello says whether its side is attached (a new optional field); a listener that allows it takes names that are no members in that role, and a name and a role that don't fit one another are refused with ErrRole or ErrName. The queue of a slow reader can drop what waits without breaking a message that was begun. Between control members nothing differs.

go test ./peer passes; the hello's and the welcome's bytes are compared with those of the build before. With DropWaiting replaced by Clear its test fails.

--- /dev/null
+++ b/peer/attached_test.go
@@ -0,0 +1,192 @@
+package peer_test
+
+import (
+	"bytes"
+	"encoding/hex"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"chutechute/peer"
+)
+
+// The hello and the welcome of control members have the bytes that they had before front ends could attach.
+func TestHelloOfControlMembersIsAsBefore(t *testing.T) {
+	self := func(name, zone string, incarnation, disk uint64) *peer.Identity {
+		return &peer.Identity{Site: "legon", Name: name, Zone: zone, Incarnation: incarnation, Copy: disk, Oldest: 1, Newest: 1,
+			Settings: []byte{1, 2, 3, 4, 5, 6, 7, 8}}
+	}
+	secret := peer.Secret("0123456789abcdef")
+	d := &peer.Dialler{Self: self("n1", "room-a", 0x1234567890, 77), To: "n2", Secret: secret}
+	l := &peer.Listener{Self: self("n2", "room-b", 9, 78), Secret: secret, Known: func(string) bool { return true }, Attaches: true}
+	d.Feed(l.Greet([16]byte{}, 1<<20))
+	hello, err := d.Take()
+	require.NoError(t, err)
+	assert.Equal(t, "000000580200000000000a2e0a056c65676f6e12026e311a06726f6f6d2d612090f1d9a2a302284d30013801420801020304050607084a026e32122084735e08"+
+		"b2aa7c8e0f4d80a1c9a4599f5249ae1c195cb949486fb454914e9ecf", hex.EncodeToString(hello))
+	l.Feed(hello)
+	welcome, _, err := l.Take()
+	require.NoError(t, err)
+	assert.Equal(t, "000000530300000000000a290a056c65676f6e12026e321a06726f6f6d2d622009284e30013801420801020304050607084a026e311220472b1687f1b0fe5385"+
+		"ccef70ebb39d1ca71ad06a3162915f82582ec92ccd7c8b", hex.EncodeToString(welcome))
+}
+
+// Who may link with whom, by names and roles.
+func TestNameAndRoleFitOneAnother(t *testing.T) {
+	for _, c := range []struct {
+		about             string
+		name              string
+		attached, attache bool
+		want              error
+	}{
+		{"a control member, as ever", "a", false, false, nil},
+		{"a control member where others may attach", "a", false, true, nil},
+		{"a stranger that says it is a control member", "x", false, true, peer.ErrName},
+		{"an attached one", "x-1.Y_2", true, true, nil},
+		{"an attached one where none may", "x", true, false, peer.ErrRole},
+		{"an attached one under a control member's name", "a", true, true, peer.ErrRole},
+		{"an attached one under the listener's name", "b", true, true, peer.ErrRole},
+		{"no name", "", true, true, peer.ErrName},
+		{"a name with a line's end", "x\n", true, true, peer.ErrName},
+		{"a name that is not ASCII", "xé", true, true, peer.ErrName},
+		{"the longest name", strings.Repeat("x", peer.MostName), true, true, nil},
+		{"a name that is too long", strings.Repeat("x", peer.MostName+1), true, true, peer.ErrName},
+	} {
+		d, l := pair(nil, nil)
+		d.Self.Name, d.Self.Attached, l.Attaches = c.name, c.attached, c.attache
+		err := open(d, l)
+		if c.want == nil {
+			require.NoError(t, err, c.about)
+			assert.Equal(t, c.attached, l.Other.Attached, c.about)
+			continue
+		}
+		assert.ErrorIs(t, err, c.want, c.about)
+		assert.False(t, l.Open(), c.about)
+	}
+	d, l := pair(nil, nil)
+	l.Self.Attached = true
+	assert.ErrorIs(t, open(d, l), peer.ErrRole, "no front end attaches to an attached one")
+}
+
+// attachedPair is an attached front end, which takes messages up to a limit, and a control member.
+func attachedPair(limit int) (*peer.Dialler, *peer.Listener) {
+	d, l := pair(nil, nil)
+	d.Self.Name, d.Self.Attached, d.Limit, l.Attaches = "x", true, limit, true
+	return d, l
+}
+
+// Only an attached front end is sent messages over the link that it has dialled.
+func TestOnlyAttachedFrontEndsReceiveWhereTheyDial(t *testing.T) {
+	d, l := pair(nil, nil)
+	require.NoError(t, open(d, l))
+	d.Feed(peer.AppendFrame(nil, peer.View, 0, false, []byte("view")))
+	_, err := d.Take()
+	assert.ErrorIs(t, err, peer.ErrOrder)
+	assert.Empty(t, d.Messages())
+
+	d, l = attachedPair(4 * peer.MostBody)
+	require.NoError(t, open(d, l))
+	q := peer.Queue{MostUrgent: 1 << 20, MostBulk: 1 << 20}
+	long := bytes.Repeat([]byte("v"), 3*peer.MostBody)
+	require.True(t, q.Push(peer.View, true, long))
+	d.Feed(q.Pop())
+	require.True(t, q.Push(peer.View, false, []byte("urgent")), "between two parts of the same kind")
+	for frame := q.Pop(); frame != nil; frame = q.Pop() {
+		d.Feed(frame)
+		_, err := d.Take()
+		require.NoError(t, err)
+	}
+	assert.Equal(t, []peer.Message{{Kind: peer.View, Body: []byte("urgent")}, {Kind: peer.View, Body: long}}, d.Messages())
+	assert.Empty(t, d.Messages())
+	require.True(t, q.Push(peer.View, true, bytes.Repeat([]byte("v"), 5*peer.MostBody)))
+	for frame := q.Pop(); frame != nil; frame = q.Pop() {
+		d.Feed(frame)
+	}
+	_, err = d.Take()
+	assert.ErrorIs(t, err, peer.ErrLength)
+	assert.Empty(t, d.Messages(), "a message above the limit")
+}
+
+// A queue that drops what waits leaves the rest of a message that was begun, so that the reader can go on.
+func TestDroppingKeepsWhatWasBegun(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		d, l := attachedPair(1 << 22)
+		require.NoError(rt, open(d, l))
+		q := peer.Queue{MostUrgent: 1 << 22, MostBulk: 1 << 22}
+		sent := 0
+		for range rapid.IntRange(1, 30).Draw(rt, "steps") {
+			switch rapid.IntRange(0, 3).Draw(rt, "step") {
+			case 0:
+				body := bytes.Repeat([]byte{byte(sent)}, rapid.IntRange(1, 4*peer.MostBody).Draw(rt, "size"))
+				if q.Push(peer.View, true, body) {
+					sent++
+				}
+			case 1:
+				require.True(rt, q.Push(peer.Answer, false, make([]byte, rapid.IntRange(1, 2*peer.MostBody).Draw(rt, "size"))))
+			case 2:
+				q.DropWaiting()
+			default:
+				d.Feed(q.Pop())
+			}
+		}
+		q.DropWaiting()
+		require.LessOrEqual(rt, q.Len(), 8*(peer.MostBody+10))
+		for frame := q.Pop(); frame != nil; frame = q.Pop() {
+			d.Feed(frame)
+		}
+		require.Zero(rt, q.Len())
+		require.True(rt, q.Push(peer.View, true, bytes.Repeat([]byte{255}, 3*peer.MostBody)))
+		for frame := q.Pop(); frame != nil; frame = q.Pop() {
+			d.Feed(frame)
+		}
+		_, err := d.Take()
+		require.NoError(rt, err)
+		list := d.Messages()
+		require.NotEmpty(rt, list)
+		require.Len(rt, list[len(list)-1].Body, 3*peer.MostBody)
+		for _, m := range list {
+			require.Equal(rt, len(m.Body), bytes.Count(m.Body, m.Body[:1]), "a message is of one piece")
+		}
+	})
+}
+
+// FuzzListener feeds what anyone may send to a listener that attached front ends may link to: it never panics, gives no message before
+// a hello that holds, and takes none that is longer than its bound.
+func FuzzListener(f *testing.F) {
+	identity := &peer.Identity{Site: "s", Name: "x", Zone: "z", Incarnation: 3, Oldest: 1, Newest: 1, Settings: []byte("x"), Attached: true}
+	d := &peer.Dialler{Self: identity, To: "b"}
+	d.Feed(peer.AppendFrame(nil, peer.Challenge, 0, false, make([]byte, 16)))
+	hello, err := d.Take()
+	require.NoError(f, err)
+	f.Add(hello)
+	f.Add(append(bytes.Clone(hello), peer.AppendFrame(nil, peer.Heartbeat, 0, false, []byte("beat"))...))
+	f.Add(append(bytes.Clone(hello), peer.AppendFrame(nil, peer.Ask, 0, true, []byte("part"))...))
+	f.Add(append(bytes.Clone(hello), peer.AppendFrame(nil, peer.Ask, 7, false, []byte("later part"))...))
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 2, 0, 0, 0, 0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		const most = 1 << 17
+		_, l := pair(nil, nil)
+		l.Attaches = true
+		l.Greet([16]byte{}, most)
+		for len(b) > 0 {
+			n := min(len(b), 1+len(b)/3)
+			l.Feed(b[:n])
+			b = b[n:]
+			_, list, err := l.Take()
+			if !l.Open() && len(list) > 0 {
+				t.Fatal("a message before the hello")
+			}
+			for _, m := range list {
+				if m.Kind <= peer.Welcome || len(m.Body) > most {
+					t.Fatalf("%s of %d bytes", m.Kind, len(m.Body))
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	})
+}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -26,6 +26,12 @@
 	Note
 	Found
 	Relay // one of the others, by way of a third
+	// Of front ends that are attached to control members; see package attach.
+	Heartbeat // of an attached front end
+	View      // to an attached front end
+	Pull      // asks a control member for a table
+	Table     // of one control member's attached front ends
+	Forward   // for the record or from it, by way of an attached front end's control member
 	kinds
 )
 
@@ -33,13 +39,15 @@
 	if k == 0 || k >= kinds {
 		return "unknown"
 	}
-	return [...]string{"", "challenge", "hello", "welcome", "status", "ledger", "ask", "answer", "note", "found", "relay"}[k]
+	return [...]string{"", "challenge", "hello", "welcome", "status", "ledger", "ask", "answer", "note", "found", "relay",
+		"heartbeat", "view", "pull", "table", "forward"}[k]
 }
 
 const (
 	header = 10 // length:4 kind:1 flags:1 offset:4
 	// MostBody is the most that one frame carries; longer messages go in parts.
 	MostBody = 64 << 10
+	flagsAt  = 5
 	moreFlag = 1
 )
 
@@ -91,7 +99,7 @@
 		if len(r.buf) < header+size {
 			return 0, nil, false, nil
 		}
-		more, offset := r.buf[5]&moreFlag != 0, int(binary.BigEndian.Uint32(r.buf[6:]))
+		more, offset := r.buf[flagsAt]&moreFlag != 0, int(binary.BigEndian.Uint32(r.buf[6:]))
 		part := append([]byte(nil), r.buf[header:header+size]...)
 		r.buf = r.buf[header+size:]
 		if len(r.buf) == 0 {
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -25,6 +25,7 @@
 	Oldest      uint64 // versions that it speaks
 	Newest      uint64
 	Settings    []byte // a digest of what all front ends of a site must agree on
+	Attached    bool   // it is no control member: it attaches to them
 }
 
 func (i *Identity) encode(to string) []byte {
@@ -37,7 +38,8 @@
 	b = proto.Uint(b, 6, i.Oldest)
 	b = proto.Uint(b, 7, i.Newest)
 	b = proto.Bytes(b, 8, i.Settings)
-	return proto.String(b, 9, to)
+	b = proto.String(b, 9, to)
+	return proto.Bool(b, 10, i.Attached)
 }
 
 func decodeIdentity(b []byte) (i Identity, to string, err error) {
@@ -61,6 +63,8 @@
 			i.Settings = f.Copy()
 		case 9:
 			to = f.Text()
+		case 10:
+			i.Attached = f.Uint != 0
 		}
 		return nil
 	})
@@ -77,6 +81,7 @@
 	ErrVersion  = errors.New("peer: no version in common")
 	ErrSettings = errors.New("peer: its settings differ")
 	ErrSelf     = errors.New("peer: this process itself")
+	ErrRole     = errors.New("peer: a role that does not fit")
 )
 
 // Secret proves both sides of a link to one another. Without one only loopback addresses are allowed, where whoever may
@@ -130,23 +135,52 @@
 	return nil
 }
 
-// Dialler is the sending side of a link.
+// MostName is the longest name of an attached front end, in bytes.
+const MostName = 64
+
+// ValidName says whether an attached front end may have a name: 1 to MostName letters, digits, dots, hyphens and underscores.
+func ValidName(name string) bool {
+	if name == "" || len(name) > MostName {
+		return false
+	}
+	for i := range len(name) {
+		switch c := name[i]; {
+		case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9', c == '.', c == '-', c == '_':
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// Dialler is the sending side of a link. That of an attached front end receives messages on it too.
 type Dialler struct {
 	Reader
 	Self   *Identity
 	To     string // the name that is meant
 	Secret Secret
+	Limit  int      // of a message from the listener, in bytes, where this side is attached
 	Other  Identity // once it is open
 	nonce  []byte
 	open   bool
+	list   []Message
 }
 
 // Open says whether messages may be sent.
 func (d *Dialler) Open() bool { return d.open }
 
-// Take handles what the listener sends; reply goes out before all else.
+// Messages gives what the listener has sent to an attached front end, and forgets it.
+func (d *Dialler) Messages() []Message {
+	list := d.list
+	d.list = nil
+	return list
+}
+
+// Take handles what the listener sends; reply goes out before all else. Messages gives what came after the welcome.
 func (d *Dialler) Take() (reply []byte, err error) {
-	d.Most = MostBody
+	if !d.open {
+		d.Most = MostBody
+	}
 	for {
 		kind, body, ok, err := d.Next()
 		if !ok || err != nil {
@@ -171,7 +205,15 @@
 			if other.Name != d.To || to != d.Self.Name {
 				return nil, fmt.Errorf("%w: %q instead of %q", ErrName, other.Name, d.To)
 			}
+			if other.Attached {
+				return nil, fmt.Errorf("%w: %q is attached itself", ErrRole, other.Name)
+			}
 			d.Other, d.open = other, true
+			if d.Self.Attached {
+				d.Most = max(d.Limit, MostBody)
+			}
+		case d.open && d.Self.Attached && kind > Welcome:
+			d.list = append(d.list, Message{kind, body})
 		default:
 			return nil, fmt.Errorf("%w: %s", ErrOrder, kind)
 		}
@@ -183,12 +225,14 @@
 	Reader
 	Self   *Identity
 	Secret Secret
-	// Known says whether a name is of this fleet.
+	// Known says whether a name is a control member's.
 	Known func(name string) bool
-	Other Identity // once it is open
-	nonce []byte
-	open  bool
-	limit int
+	// Attaches says that front ends of other names may attach here.
+	Attaches bool
+	Other    Identity // once it is open
+	nonce    []byte
+	open     bool
+	limit    int
 }
 
 // Greet begins: the nonce has to be new for each link.
@@ -234,10 +278,24 @@
 		if err := l.Self.check(&other); err != nil {
 			return nil, nil, err
 		}
-		if to != l.Self.Name || !l.Known(other.Name) {
-			return nil, nil, fmt.Errorf("%w: from %q to %q", ErrName, other.Name, to)
+		if err := l.admits(&other, to); err != nil {
+			return nil, nil, err
 		}
 		l.Other, l.open, l.Most = other, true, l.limit
 		reply = AppendFrame(reply, Welcome, 0, false, l.Secret.sealed(2, l.nonce, l.Self.encode(other.Name)))
 	}
 }
+
+// admits checks that the dialler's name and role fit one another, and that this side is meant.
+func (l *Listener) admits(other *Identity, to string) error {
+	member := l.Known(other.Name)
+	switch {
+	case to != l.Self.Name || !other.Attached && !member || other.Attached && !ValidName(other.Name):
+		return fmt.Errorf("%w: from %q to %q", ErrName, other.Name, to)
+	case other.Attached && !l.Attaches:
+		return fmt.Errorf("%w: %q is attached, and no front ends may attach here", ErrRole, other.Name)
+	case other.Attached && (member || other.Name == l.Self.Name):
+		return fmt.Errorf("%w: %q is attached under a control member's name", ErrRole, other.Name)
+	}
+	return nil
+}
--- a/peer/queue.go
+++ b/peer/queue.go
@@ -9,13 +9,15 @@
 
 	urgent, bulk   [][]byte // frames
 	urgentN, bulkN int      // bytes
-	status         int      // place, from 1, of the status that waits: a newer one takes it; 0 without one
+	urgentMid      bool     // the last urgent frame that was popped is not the last of its message
+	bulkMid        bool
+	status         int // place, from 1, of the status that waits: a newer one takes it; 0 without one
 }
 
 // Push adds a message; false says that there was no room.
 func (q *Queue) Push(kind Kind, bulk bool, body []byte) bool {
-	size := len(body) + header*(1+len(body)/MostBody)
-	if bulk && q.bulkN+size > q.MostBulk || !bulk && q.urgentN+size > q.MostUrgent {
+	length := len(body) + header*(1+len(body)/MostBody)
+	if bulk && q.bulkN+length > q.MostBulk || !bulk && q.urgentN+length > q.MostUrgent {
 		q.Dropped++
 		return false
 	}
@@ -27,11 +29,11 @@
 	}
 	for offset := 0; ; offset += MostBody {
 		part := body[offset:]
-		more := len(part) > MostBody
-		if more {
+		further := len(part) > MostBody
+		if further {
 			part = part[:MostBody]
 		}
-		frame := AppendFrame(nil, kind, offset, more, part)
+		frame := AppendFrame(nil, kind, offset, further, part)
 		if bulk {
 			q.bulk, q.bulkN = append(q.bulk, frame), q.bulkN+len(frame)
 		} else {
@@ -40,7 +42,7 @@
 				q.status = len(q.urgent)
 			}
 		}
-		if !more {
+		if !further {
 			return true
 		}
 	}
@@ -51,6 +53,7 @@
 	if len(q.urgent) > 0 {
 		frame := q.urgent[0]
 		q.urgent, q.urgentN = q.urgent[1:], q.urgentN-len(frame)
+		q.urgentMid = more(frame)
 		q.status = max(0, q.status-1)
 		if len(q.urgent) == 0 {
 			q.urgent = nil
@@ -62,6 +65,7 @@
 	}
 	frame := q.bulk[0]
 	q.bulk, q.bulkN = q.bulk[1:], q.bulkN-len(frame)
+	q.bulkMid = more(frame)
 	if len(q.bulk) == 0 {
 		q.bulk = nil
 	}
@@ -74,4 +78,37 @@
 // Clear drops all that waits: its connection is gone.
 func (q *Queue) Clear() {
 	q.urgent, q.bulk, q.urgentN, q.bulkN, q.status = nil, nil, 0, 0, 0
+	q.urgentMid, q.bulkMid = false, false
 }
+
+// DropWaiting drops the messages of which nothing has been popped, while the connection goes on: of one that was begun the rest
+// stays, without which the other side could not read what follows.
+func (q *Queue) DropWaiting() {
+	urgent, bulk := begun(q.urgent, q.urgentMid), begun(q.bulk, q.bulkMid)
+	urgentMid, bulkMid := q.urgentMid, q.bulkMid
+	q.Clear()
+	q.urgent, q.bulk, q.urgentN, q.bulkN = urgent, bulk, size(urgent), size(bulk)
+	q.urgentMid, q.bulkMid = urgentMid, bulkMid
+}
+
+// begun gives the frames that belong to a message of which some were popped.
+func begun(frames [][]byte, mid bool) (rest [][]byte) {
+	for _, frame := range frames {
+		if !mid {
+			break
+		}
+		rest = append(rest, frame)
+		mid = more(frame)
+	}
+	return rest
+}
+
+func size(frames [][]byte) (bytes int) {
+	for _, frame := range frames {
+		bytes += len(frame)
+	}
+	return bytes
+}
+
+// more says whether a frame is followed by others of its message.
+func more(frame []byte) bool { return frame[flagsAt]&moreFlag != 0 }
