config: fleet.attached allows front ends that are not among the members

fleet.attached {enabled, heartbeat_ms, suspect_ms, dead_ms, most} is agreed on by all of a site, and part of the agreed digest only where it is on; fleet.zone is the zone of a front end that is not listed. A name that is not among the members is attached where that is on, keeps no record (fleet.folder is passed over) and is refused otherwise as before. fleet.budgets beside it, and fleet.orphan_s at an attached front end, are refused by their keys, since budgets are not divided among attached front ends and loads are not taken over from there. The bound of 80 members says its reason.

go test ./internal/config passes; digests without the section are compared with those of the build before.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -21,7 +21,8 @@
 	"chutechute/recordclient"
 )
 
-// Fleet sets how front ends work together. All of one site have the same section; each finds itself by its name.
+// Fleet sets how front ends work together. All of one site have the same section; each finds itself by its name, or attaches
+// itself to the members where that is allowed.
 type Fleet struct {
 	Enabled    bool          `json:"enabled"`
 	Site       string        `json:"site"`
@@ -39,6 +40,8 @@
 	DeadMS     float64       `json:"dead_ms"`
 	ReplaceS   float64       `json:"replace_s"`
 	Budgets    *Budgets      `json:"budgets,omitempty"`
+	Attached   *Attached     `json:"attached,omitempty"`
+	Zone       string        `json:"zone,omitempty"` // of a front end that is not among the members
 }
 
 // FleetMember is one front end of the site.
@@ -64,6 +67,7 @@
 	RecordClient recordclient.Config
 	Budgets      *budget.Set // nil where none are set
 	MostBulk     int         // bytes of one message
+	Attached     *Attachment // nil where no front ends may attach
 }
 
 // Bounds and defaults of the section.
@@ -95,7 +99,8 @@
 		return fault("site", "missing")
 	}
 	if len(f.Members) > mostMembers {
-		return fault("members", "%d are above %d", len(f.Members), mostMembers)
+		return fault("members", "%d are above %d: each sends heartbeats to all others, which grow with the square; further front ends attach "+
+			"themselves to these, see fleet.attached", len(f.Members), mostMembers)
 	}
 	seen := map[string]bool{}
 	for i, m := range f.Members {
@@ -118,8 +123,16 @@
 		}
 		p.Others[m.Name], zones[m.Name] = addr, m.Zone
 	}
-	if !seen[name] {
+	listed := seen[name]
+	switch {
+	case !listed && !f.Attached.on():
 		return fault("members", "this front end, %q, is not among them", name)
+	case !listed:
+		p.Zone, p.Folder = f.Zone, "" // it keeps no record
+	}
+	var err error
+	if p.Attached, err = f.attachment(name, p.Zone, listed); err != nil {
+		return nil, err
 	}
 	copies := f.Copies
 	if copies == 0 {
@@ -142,10 +155,9 @@
 	if mb == 0 {
 		mb = min(defaultLedger, float64(memoryMB)/shares)
 	}
-	if mb < 1 || mb > float64(memoryMB)/shares {
+	if mb < 1 || listed && mb > float64(memoryMB)/shares {
 		return fault("ledger_mb", "%g is not from 1 to an eighth of memory_mb, %g", mb, float64(memoryMB)/shares)
 	}
-	var err error
 	span := func(key string, value, unit float64, otherwise time.Duration) fleet.Micros {
 		v := fleet.Micros(value * unit)
 		if value == 0 {
@@ -189,6 +201,10 @@
 	}
 	agreed := *f
 	agreed.Budgets = nil // of these the highest version counts
+	agreed.Zone, agreed.Attached = "", f.agreedAttached()
+	if agreed.Attached != nil {
+		agreed.OrphanS = 0 // the members' alone
+	}
 	agreed.Members = nil // in any order, and each may be reached by addresses of its own
 	for _, m := range f.Members {
 		agreed.Members = append(agreed.Members, FleetMember{Name: m.Name, Zone: m.Zone})
@@ -202,6 +218,9 @@
 	sum := sha256.Sum256(text)
 	p.Digest = sum[:8]
 	p.MostBulk = int(mb*2)<<20 + 1<<20
+	if p.Attached != nil {
+		p.MostBulk = max(p.MostBulk, p.Attached.Config.Most*mostSnapshotEntry)
+	}
 	p.Loads = loads.Options{Bytes: int(mb * (1 << 20)), Keep: keep, Orphan: orphan}
 	p.Node = fleet.Config{Name: name, Zone: p.Zone, Zones: zones, Beat: beat, Retry: 4 * tick,
 		Members: member.Config{Suspect: suspect, Dead: dead, Pause: suspect / 2},
