--- a/attach/client.go
+++ b/attach/client.go
@@ -166,7 +166,7 @@
 	first, second := c.slots[0].current, c.slots[1].current
 	held := c.home != nil && c.home.linked && (c.home == first || c.home == second)
 	switch {
-	case c.fresh(first) && (c.home == first || !held || !c.fresh(c.home) || c.now-first.steady >= steadySpan):
+	case c.fresh(first) && (c.home == first || !held || !c.fresh(c.home) || c.returns(first)):
 		c.setHome(first)
 	case held && c.fresh(c.home):
 	case !held && c.starts():
@@ -178,6 +178,12 @@
 	}
 }
 
+// returns says whether the view is to be taken from the first slot again. A replacement does not get it back: one change of home
+// less is told to the whole fleet.
+func (c *Client) returns(first *control) bool {
+	return first == c.slots[0].preferred && c.now-first.steady >= steadySpan
+}
+
 // starts says whether the first slot may yet get its first link.
 func (c *Client) starts() bool {
 	preferred := c.slots[0].preferred
--- /dev/null
+++ b/attach/fault_test.go
@@ -0,0 +1,287 @@
+package attach
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A front end that dies is suspected and then dead everywhere within 5 s; one that comes back is alive at once, and its process
+// from before is gone for certain.
+func TestDeathAndReturn(t *testing.T) {
+	r := fleet(t, 2, 12)
+	r.run(8 * second)
+	c := r.client("f003")
+	before := c.cfg.Incarnation
+	r.halt(c)
+	r.run(3500 * ms)
+	for _, o := range r.clients {
+		if o != c {
+			e, _ := o.View().Of("f003")
+			require.Equal(t, Suspect, e.State, o.cfg.Name)
+			require.False(t, o.View().Gone(before))
+			require.False(t, o.View().Alive(before))
+		}
+	}
+	r.run(1500 * ms)
+	for _, o := range r.clients {
+		if o != c {
+			require.True(t, o.View().Gone(before), o.cfg.Name)
+			require.False(t, o.View().Replaced(before), "silence alone is not certain")
+		}
+	}
+	r.restart(c)
+	r.run(2 * second)
+	r.agreed()
+	for _, o := range r.clients {
+		if o != c {
+			require.True(t, o.View().Replaced(before), o.cfg.Name)
+			require.True(t, o.View().Alive(c.cfg.Incarnation))
+		}
+	}
+}
+
+// Front ends whose home dies are seen alive all the time, as they hold another lease; their view goes on from the second slot
+// without a snapshot; and they spread over all control members instead of all going to one.
+func TestHomeDead(t *testing.T) {
+	r := fleet(t, 3, 60)
+	r.run(10 * second)
+	r.agreed()
+	home := r.names["m00"]
+	var moved []*rigClient
+	for _, c := range r.clients {
+		if c.Home() == "m00" {
+			moved = append(moved, c)
+		}
+	}
+	require.Greater(t, len(moved), 4)
+	snapshots := 0
+	for _, c := range r.clients {
+		snapshots -= c.Counters.Snapshots
+	}
+	dead := 0
+	r.check = func() {
+		for _, s := range r.servers[1:] {
+			for _, c := range r.clients {
+				if !s.View().Alive(c.cfg.Incarnation) {
+					dead++
+				}
+			}
+		}
+	}
+	r.stop(home)
+	r.run(10 * second)
+	r.agreed()
+	assert.Zero(t, dead, "a front end that was not seen alive")
+	for _, c := range r.clients {
+		snapshots += c.Counters.Snapshots
+	}
+	assert.Zero(t, snapshots, "the view is resumed by its digest")
+	to := map[string]int{}
+	for _, c := range moved {
+		require.Len(t, c.Targets(r.now), 2)
+		for _, name := range c.Targets(r.now) {
+			to[name]++
+		}
+		require.NotContains(t, c.Targets(r.now), "m01", "the zone's other one is spared")
+	}
+	assert.Len(t, to, 4, "spread over all of the other zones")
+
+	// It comes back: its front ends return to it, spread over time.
+	r.check = func() {}
+	r.start(home)
+	r.run(8 * second)
+	for _, c := range moved {
+		require.NotContains(t, c.Targets(r.now), "m00", "only once it is back for a while")
+	}
+	r.run(settleSpan + returnSpan + 10*second)
+	r.agreed()
+	for _, c := range moved {
+		require.Equal(t, "m00", c.Home(), c.cfg.Name)
+		require.Len(t, c.Targets(r.now), 2)
+	}
+}
+
+// A control member that is cut off from all its front ends, and not from the rest, doubts itself: those that hold no other lease
+// are suspected, not dead, and have the time to attach elsewhere.
+func TestDoubt(t *testing.T) {
+	r := newRig(t, 4, "za", "zb", "zc")
+	for i := range 12 {
+		r.attach(fmt.Sprintf("f%03d", i), []string{"za", "zb", "zc"}[i%3])
+	}
+	r.run(8 * second)
+	r.agreed()
+	// Both control members of the front ends of za are cut off from them at once.
+	cut := map[string]bool{}
+	for _, c := range r.clients {
+		if c.cfg.Zone == "za" {
+			cut[c.cfg.Name] = true
+		}
+	}
+	r.cut = func(from, to string) bool { return cut[from] || cut[to] }
+	r.check = func() {
+		for _, s := range r.servers {
+			for _, c := range r.clients {
+				require.False(t, s.View().Gone(c.cfg.Incarnation), "%s at %s after %d ms", c.cfg.Name, s.cfg.Name, r.now/ms)
+			}
+		}
+	}
+	r.run(4500 * ms)
+	r.cut = func(from, to string) bool { return (cut[from] || cut[to]) && (from == "m00" || to == "m00") }
+	r.run(12 * second)
+	require.NotZero(t, r.names["m00"].Counters.Doubts)
+	r.check = func() {}
+	r.cut = func(_, _ string) bool { return false }
+	r.run(60 * second)
+	r.agreed()
+}
+
+// One or two front ends that die are no reason for doubt; and doubt ends.
+func TestDoubtEnds(t *testing.T) {
+	r := newRig(t, 5, "za", "zb")
+	for i := range 10 {
+		r.attach(fmt.Sprintf("f%03d", i), "za")
+	}
+	r.run(6 * second)
+	r.halt(r.clients[0])
+	r.run(5 * second)
+	require.True(t, r.servers[0].View().Gone(r.clients[0].cfg.Incarnation))
+	for _, c := range r.clients[1:8] {
+		r.halt(c)
+	}
+	r.run(6 * second)
+	for _, c := range r.clients[1:8] {
+		require.False(t, r.servers[0].View().Gone(c.cfg.Incarnation), "in doubt")
+	}
+	r.run(doubtSpan)
+	for _, c := range r.clients[1:8] {
+		require.True(t, r.servers[0].View().Gone(c.cfg.Incarnation), "the doubt is over")
+	}
+	require.Equal(t, 1, r.servers[0].Counters.Doubts)
+}
+
+// The rows of a home that is dead lapse: Suspect at first, and Dead after a further span, unless another home holds them.
+func TestLapse(t *testing.T) {
+	r := newRig(t, 6, "za", "zb", "zc")
+	c := r.attach("f000", "za")
+	r.run(5 * second)
+	r.agreed()
+	home := r.names[c.Home()]
+	other := r.servers[slices.IndexFunc(r.servers, func(s *rigServer) bool { return s.lessees["f000"] == nil })]
+	for _, s := range r.servers {
+		if s != other {
+			r.stop(s)
+		}
+	}
+	r.halt(c)
+	r.run(second)
+	e, _ := other.View().Of("f000")
+	require.Equal(t, Suspect, e.State, "the evidence of %s", home.cfg.Name)
+	r.run(lapseSpan - 2*second)
+	e, _ = other.View().Of("f000")
+	require.Equal(t, Suspect, e.State)
+	r.run(2 * second)
+	e, _ = other.View().Of("f000")
+	require.Equal(t, Dead, e.State)
+}
+
+// Who says that it leaves is alive while it is heard, and has left once it is silent, without being suspected first.
+func TestLeaving(t *testing.T) {
+	r := fleet(t, 7, 6)
+	r.run(6 * second)
+	c := r.client("f001")
+	c.Leave()
+	r.run(3 * second)
+	for _, s := range r.servers {
+		require.True(t, s.View().Alive(c.cfg.Incarnation))
+	}
+	r.check = func() {
+		for _, s := range r.servers {
+			e, _ := s.View().Of("f001")
+			require.Contains(t, []State{Alive, Left}, e.State)
+		}
+	}
+	r.halt(c)
+	r.run(4 * second)
+	for _, o := range r.clients {
+		if o != c {
+			e, _ := o.View().Of("f001")
+			require.Equal(t, Left, e.State, o.cfg.Name)
+			require.True(t, o.View().Gone(c.cfg.Incarnation))
+		}
+	}
+}
+
+// A control member that leaves tells its front ends, which go elsewhere before it is gone.
+func TestControlLeaves(t *testing.T) {
+	r := fleet(t, 8, 24)
+	r.run(8 * second)
+	home := r.names["m02"]
+	home.Leave()
+	r.flushServer(home)
+	r.run(3 * second)
+	for _, c := range r.clients {
+		require.NotContains(t, c.Targets(r.now), "m02")
+		require.NotEqual(t, "m02", c.Home())
+		require.Len(t, c.Targets(r.now), 2)
+	}
+	for _, c := range r.clients {
+		require.True(t, r.servers[0].View().Alive(c.cfg.Incarnation))
+	}
+}
+
+// A control member that was stopped has heard nobody, which says nothing of its front ends; nor do those that saw it stopped.
+func TestServerPause(t *testing.T) {
+	r := newRig(t, 9, "za", "zb")
+	for i := range 3 { // too few for doubt
+		r.attach(fmt.Sprintf("f%03d", i), "za")
+	}
+	r.run(6 * second)
+	s := r.servers[0]
+	s.paused = true
+	r.run(20 * second)
+	for _, c := range r.clients {
+		r.halt(c)
+	}
+	r.run(second)
+	s.backlog = nil // what came meanwhile is lost
+	s.paused = false
+	r.run(2 * second)
+	require.Equal(t, 1, s.Counters.Pauses)
+	for _, l := range s.leases {
+		require.NotEqual(t, Dead, l.state, l.name)
+	}
+	r.run(5 * second)
+	for _, l := range s.leases {
+		require.Equal(t, Dead, l.state, l.name)
+	}
+}
+
+// An attached front end that was stopped knows by its own clock that its view is old, whatever waits for it in its queues, until
+// its home has answered a question that it asked since.
+func TestClientPause(t *testing.T) {
+	r := fleet(t, 10, 6)
+	r.run(6 * second)
+	r.agreed()
+	c := r.clients[0]
+	c.paused = true
+	r.run(30 * second)
+	other := r.clients[1]
+	r.restart(other)
+	r.run(5 * second)
+	require.Less(t, 30*second, c.View().Age(r.now))
+	// What waits is handled before anything is asked: none of it makes the view young.
+	list := c.backlog
+	c.backlog = nil
+	c.paused = false
+	for _, do := range list {
+		do()
+	}
+	require.Equal(t, 1, c.Counters.Pauses)
+	require.Less(t, 30*second, c.View().Age(r.now))
+	r.run(8 * second)
+	r.agreed()
+}
--- a/attach/serve.go
+++ b/attach/serve.go
@@ -163,7 +163,7 @@
 		return nil, false, fmt.Errorf("%w: after %d repairs of %q", ErrDisagree, mostRepairs, l.name)
 	}
 	l.reader.live = true
-	mask := s.differing(h.sums)
+	mask := s.differing(h)
 	if bits.OnesCount64(mask) >= manyBuckets {
 		body = s.wholeView()
 		s.Counters.Snapshots++
@@ -176,17 +176,17 @@
 	return body, false, nil
 }
 
-// differing is the parts whose sums are not those here; all for a view without any.
-func (s *Server) differing(sums []uint32) (mask uint64) {
-	if sums == nil {
+// differing is the parts whose sums are not those here; all for a view without any, none for the same view.
+func (s *Server) differing(h *heartbeat) (mask uint64) {
+	if h.sums == nil {
 		return allBuckets
 	}
-	for i, sum := range sums {
+	for i, sum := range h.sums {
 		if sum != uint32(s.view.sums[i]) {
 			mask |= 1 << i
 		}
 	}
-	if mask == 0 {
+	if mask == 0 && h.digest != s.view.Digest() {
 		return allBuckets // they differ where 32 bits don't show it
 	}
 	return mask
