fleet: attached front ends, and control members that others attach to

A Node takes an attach.Server where its settings allow that: its versions ride in the heartbeat in a new optional field, tables and pulls go among control members, and the record's kinds see attached processes by the merged view; Missing is never said of one, since their loads are not offered to others in this version. The code of pending questions is one, behind a small interface for the way they go. Without the setting nothing differs.

--- /dev/null
+++ b/fleet/control.go
@@ -0,0 +1,186 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+
+	"chutechute/attach"
+	"chutechute/ledger"
+	"chutechute/member"
+	"chutechute/peer"
+)
+
+// Errors of a peer that says what its role doesn't allow; the link is closed.
+var (
+	ErrAsker    = errors.New("fleet: a question in the name of another process")
+	ErrAttached = errors.New("fleet: no front ends may attach here")
+)
+
+// linkedFrontEnd is an attached front end's process that has links to this control member.
+type linkedFrontEnd struct {
+	name  string
+	links int
+}
+
+// attaching begins the part of a control member that others attach to, where the settings allow that.
+func (n *Node) attaching() {
+	if n.cfg.Attach != nil {
+		n.server, n.linked = attach.NewServer(*n.cfg.Attach), map[uint64]linkedFrontEnd{}
+	}
+}
+
+// Attaches is what serves the front ends that are attached here; nil where none may.
+func (n *Node) Attaches() *attach.Server { return n.server }
+
+// View is all front ends of both roles; nil where none may attach.
+func (n *Node) View() *attach.View {
+	if n.server == nil {
+		return nil
+	}
+	return n.server.View()
+}
+
+// AttachedHere is how many processes of attached front ends have a link to this control member.
+func (n *Node) AttachedHere() int { return len(n.linked) }
+
+func (l *Link) attach() attach.Link {
+	return attach.Link{From: l.From, Zone: l.Zone, Incarnation: l.Incarnation, Greeted: l.Greeted}
+}
+
+// Linked tells that an attached front end has proven itself over a link.
+func (n *Node) Linked(now Micros, l Link) {
+	if n.server == nil || !l.Attached {
+		return
+	}
+	n.now = now
+	held := n.linked[l.Incarnation]
+	n.linked[l.Incarnation] = linkedFrontEnd{l.From, held.links + 1}
+	n.server.Linked(now, l.attach())
+}
+
+// Unlinked tells that such a link is closed.
+func (n *Node) Unlinked(now Micros, l Link) {
+	if n.server == nil || !l.Attached {
+		return
+	}
+	n.now = now
+	if held := n.linked[l.Incarnation]; held.links > 1 {
+		n.linked[l.Incarnation] = linkedFrontEnd{held.name, held.links - 1}
+	} else {
+		delete(n.linked, l.Incarnation)
+	}
+	n.server.Unlinked(now, l.attach())
+}
+
+// Refused tells that what waited for an attached front end was dropped for want of room.
+func (n *Node) Refused(now Micros, name string, incarnation uint64) {
+	n.now = now
+	n.server.Refused(now, name, incarnation)
+}
+
+// receiveAttached takes a message of an attached front end, of which there are two kinds.
+func (n *Node) receiveAttached(l Link, kind peer.Kind, body []byte) (err error) {
+	switch {
+	case n.server == nil:
+		return ErrAttached
+	case kind == peer.Heartbeat:
+		err = n.server.Receive(n.now, l.attach(), attach.Heartbeat, body)
+	case kind == peer.Ask:
+		err = n.forwardAsk(l, body)
+	default:
+		err = fmt.Errorf("%w: %s from an attached front end", peer.ErrKind, kind)
+	}
+	n.drain()
+	return err
+}
+
+// receiveAttaching takes what control members tell one another of attached front ends.
+func (n *Node) receiveAttaching(l Link, kind peer.Kind, body []byte) error {
+	switch {
+	case n.server == nil:
+		return ErrAttached
+	case kind == peer.Forward:
+		return n.takeForwarded(body)
+	case kind == peer.Pull:
+		return n.server.ReceiveControl(n.now, l.From, l.Incarnation, attach.Pull, body)
+	case kind == peer.Table:
+		return n.server.ReceiveControl(n.now, l.From, l.Incarnation, attach.Table, body)
+	}
+	return fmt.Errorf("%w: %s from a control member", peer.ErrKind, kind)
+}
+
+// tickServer lets time pass for the attached front ends.
+func (n *Node) tickServer() {
+	if n.server == nil {
+		return
+	}
+	if n.leaving {
+		n.server.Leave()
+	}
+	n.controls = n.controls[:0]
+	for _, m := range n.members.List() {
+		n.controls = append(n.controls, controlMember(m))
+	}
+	n.server.Tick(n.now, n.controls)
+}
+
+// controlMember is a control member as package attach sees it.
+func controlMember(m *member.Member) attach.ControlMember {
+	c := attach.ControlMember{Name: m.Name, Zone: m.Zone, Incarnation: m.Incarnation, Cut: m.State == member.Cut}
+	switch m.State {
+	case member.Alive, member.Cut:
+		c.State = attach.Alive
+	case member.Suspect:
+		c.State = attach.Suspect
+	case member.Left:
+		c.State = attach.Left
+	default:
+		c.State = attach.Dead
+	}
+	return c
+}
+
+// frameKind is the kind of frame that carries a message of package attach.
+func frameKind(k attach.Kind) peer.Kind {
+	switch k {
+	case attach.Heartbeat:
+		return peer.Heartbeat
+	case attach.Pull:
+		return peer.Pull
+	case attach.Table:
+		return peer.Table
+	}
+	return peer.View
+}
+
+// drainServer turns what the server wants into this front end's actions.
+func (n *Node) drainServer() {
+	if n.server == nil {
+		return
+	}
+	for _, m := range n.server.Actions() {
+		if m.Incarnation == 0 {
+			n.tell(m.To, frameKind(m.Kind), m.Bulk, m.Body)
+			continue
+		}
+		n.actions = append(n.actions, Tell{To: m.To, Incarnation: m.Incarnation, Kind: frameKind(m.Kind), Bulk: m.Bulk, Body: m.Body})
+	}
+	for _, l := range n.server.Close() {
+		n.actions = append(n.actions, CloseLink{Link{From: l.From, Zone: l.Zone, Incarnation: l.Incarnation, Greeted: l.Greeted, Attached: true}})
+	}
+}
+
+// ofMember says whether a process is, or was, one of a control member's; this one's too.
+func (p presence) ofMember(i ledger.Incarnation) bool {
+	return uint64(i) == p.n.cfg.Incarnation || p.n.nameOfProcess(uint64(i)) != "" || p.Set.Replaced(uint64(i))
+}
+
+// gone says whether a process is held for no more: of a control member as its heartbeats tell, of an attached front end as the
+// merged view tells.
+func (n *Node) gone(incarnation uint64) bool {
+	p := presence{n.members, n}
+	if n.server == nil || p.ofMember(ledger.Incarnation(incarnation)) {
+		return n.members.Gone(incarnation)
+	}
+	return n.server.View().Gone(incarnation)
+}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -6,11 +6,16 @@
 // So a record is founded only where every front end that the settings name is there and says that it belongs to none. One
 // survivor of an earlier record, or one front end that can't be heard and might be such a survivor, keeps all others from
 // founding a second beside it.
+//
+// A front end has one of two roles. A Node is one that the settings name, a control member: it hears all others of them and may keep
+// a copy of the record. An Attached is one that they do not name: it keeps links to two control members, has its view of the fleet
+// from them, and puts its questions to the record through one of them.
 package fleet
 
 import (
 	"slices"
 
+	"chutechute/attach"
 	"chutechute/ledger"
 	"chutechute/member"
 	"chutechute/peer"
@@ -26,9 +31,10 @@
 	Incarnation uint64
 	Zones       map[string]string // of the others, by name
 	Members     member.Config
-	Copies      ledger.Config // its ID is this disk's number
-	Beat        Micros        // between heartbeats
-	Retry       Micros        // until a question is asked again
+	Copies      ledger.Config  // its ID is this disk's number
+	Beat        Micros         // between heartbeats
+	Retry       Micros         // until a question is asked again
+	Attach      *attach.Config // of those that attach to this control member; nil where none may
 	// Number draws a number that was never used, for a new record.
 	Number func() uint64
 }
@@ -36,14 +42,18 @@
 // Action is one of the types below, or a ledger.Save.
 type Action any
 
-// Tell sends a message to another front end.
+// Tell sends a message to another front end. Its body may be shared with other messages.
 type Tell struct {
-	To   string
-	Kind peer.Kind
-	Bulk bool
-	Body []byte
+	To          string
+	Incarnation uint64 // 0: a control member; else that process of an attached front end, over a link that it has dialled
+	Kind        peer.Kind
+	Bulk        bool
+	Body        []byte
 }
 
+// CloseLink ends a link of an attached front end.
+type CloseLink struct{ Link Link }
+
 // Node is one front end of a fleet.
 type Node struct {
 	cfg      Config
@@ -51,6 +61,10 @@
 	replica  *ledger.Replica
 	others   map[string]*status // the last heartbeat of each, by name
 	requests requests
+	toLeader toLeader
+	server   *attach.Server            // nil where no front ends may attach
+	linked   map[uint64]linkedFrontEnd // attached front ends with links to this one, by their processes
+	controls []attach.ControlMember    // as of the last tick
 	actions  []Action
 	now      Micros
 	beatAt   Micros
@@ -59,6 +73,8 @@
 	note     func(about string)
 	// Relayed counts the messages that went by way of another front end.
 	Relayed int
+	// Forwarded counts the questions of attached front ends that were passed on, Undeliverable what was for them or from them and found no way.
+	Forwarded, Undeliverable int
 	// Changed is told of each change in how another front end is seen.
 	Changed func(*member.Member)
 }
@@ -67,7 +83,9 @@
 func New(cfg Config, note func(about string)) *Node {
 	n := &Node{cfg: cfg, members: member.New(cfg.Members, cfg.Zones), replica: ledger.New(cfg.Copies),
 		others: map[string]*status{}, note: note, Changed: func(*member.Member) {}}
-	n.requests = requests{n: n, open: map[uint64]*pendingRequest{}}
+	n.toLeader = toLeader{n: n}
+	n.requests = newRequests(&n.toLeader, cfg.Incarnation, cfg.Retry)
+	n.attaching()
 	return n
 }
 
@@ -99,11 +117,16 @@
 	From        string
 	Incarnation uint64
 	Greeted     Micros
+	Attached    bool   // an attached front end's, which has dialled it
+	Zone        string // that an attached front end says it is in
 }
 
 // Receive takes a message that came over a link. An error says that it can't be read.
 func (n *Node) Receive(now Micros, l Link, kind peer.Kind, body []byte) error {
 	n.now = now
+	if l.Attached {
+		return n.receiveAttached(l, kind, body)
+	}
 	switch kind {
 	case peer.Status:
 		s, err := decodeStatus(body)
@@ -117,6 +140,11 @@
 		if s.Group != 0 && s.Group == n.replica.Group() {
 			n.replica.Compare(s.Index, s.Sum)
 		}
+		if n.server != nil && len(s.Versions) > 0 {
+			if err := n.server.PeerVersions(now, l.From, l.Incarnation, s.Versions); err != nil {
+				return err
+			}
+		}
 	case peer.Ledger:
 		group, message, err := decodeCopied(body)
 		if err != nil {
@@ -136,13 +164,17 @@
 		if err != nil {
 			return err
 		}
-		n.requests.answered(a)
+		n.requests.answered(now, a)
 	case peer.Note:
 		n.note(string(body))
 	case peer.Found:
 		return n.found(body)
 	case peer.Relay:
 		return n.relay(l, body)
+	default:
+		if err := n.receiveAttaching(l, kind, body); err != nil {
+			return err
+		}
 	}
 	n.drain()
 	return nil
@@ -180,7 +212,13 @@
 }
 
 // Next is when Tick should be called at the latest.
-func (n *Node) Next() Micros { return min(n.beatAt, n.now+n.cfg.Copies.Tick) }
+func (n *Node) Next() Micros {
+	next := min(n.beatAt, n.now+n.cfg.Copies.Tick)
+	if n.server != nil {
+		next = min(next, n.now+attach.DefaultBatch)
+	}
+	return next
+}
 
 // Tick lets time pass.
 func (n *Node) Tick(now Micros) {
@@ -195,7 +233,8 @@
 		n.beat()
 		n.begin(present)
 	}
-	n.requests.tick()
+	n.tickServer()
+	n.requests.tick(now)
 	n.drain()
 }
 
@@ -205,10 +244,24 @@
 	n *Node
 }
 
-func (p presence) Gone(i ledger.Incarnation) bool     { return p.Set.Gone(uint64(i)) }
-func (p presence) Replaced(i ledger.Incarnation) bool { return p.Set.Replaced(uint64(i)) }
+func (p presence) Gone(i ledger.Incarnation) bool { return p.n.gone(uint64(i)) }
 
+// Replaced is certain of control members. Of attached front ends it is what the merged view says: what rests on it being certain,
+// the budgets, is not set where front ends may attach.
+func (p presence) Replaced(i ledger.Incarnation) bool {
+	if p.n.server == nil || p.ofMember(i) {
+		return p.Set.Replaced(uint64(i))
+	}
+	return p.n.server.View().Replaced(uint64(i))
+}
+
+// Missing is never said of a process that is no control member's, where front ends may attach: what an attached one has under way
+// is not offered to others in this version. It ends by its own time, and a repeat of it is told so. A load that an attached front
+// end hands on itself has no owner, and is offered.
 func (p presence) Missing(i ledger.Incarnation) bool {
+	if p.n.server != nil && i != 0 && !p.ofMember(i) {
+		return false
+	}
 	return i == 0 || uint64(i) != p.n.cfg.Incarnation && p.Set.Missing(uint64(i))
 }
 
@@ -227,7 +280,7 @@
 }
 
 // Gone says whether a process of the fleet is held for no more.
-func (n *Node) Gone(incarnation uint64) bool { return n.members.Gone(incarnation) }
+func (n *Node) Gone(incarnation uint64) bool { return n.gone(incarnation) }
 
 // present is the front ends that are heard now and have a disk that serves, this one too.
 func (n *Node) present() (list []ledger.Member) {
@@ -249,6 +302,9 @@
 	if n.replica.Err() != nil {
 		s.Copy = 0
 	}
+	if n.server != nil {
+		s.Versions = n.server.Versions(n.now)
+	}
 	body := s.encode()
 	for _, m := range n.members.List() {
 		n.actions = append(n.actions, Tell{To: m.Name, Kind: peer.Status, Body: body})
@@ -340,6 +396,7 @@
 
 // drain turns what the copy wants into this front end's actions.
 func (n *Node) drain() {
+	n.drainServer()
 	for _, a := range n.replica.Actions() {
 		switch a := a.(type) {
 		case ledger.Send:
@@ -350,9 +407,11 @@
 			n.actions = append(n.actions, a)
 		case ledger.Reply:
 			if uint64(a.To) == n.cfg.Incarnation {
-				n.requests.answered(a.Answer)
+				n.requests.answered(n.now, a.Answer)
 			} else if to := n.nameOfProcess(uint64(a.To)); to != "" {
 				n.tell(to, peer.Answer, false, a.Answer.Encode())
+			} else if n.server != nil {
+				n.toAttached(uint64(a.To), peer.Answer, a.Answer.Encode())
 			}
 		case ledger.Notify:
 			if !n.replica.Leads() {
@@ -362,6 +421,8 @@
 				n.note(a.About)
 			} else if to := n.nameOfProcess(uint64(a.To)); to != "" {
 				n.tell(to, peer.Note, false, []byte(a.About))
+			} else if n.server != nil {
+				n.toAttached(uint64(a.To), peer.Note, []byte(a.About))
 			}
 		}
 	}
--- a/fleet/requests.go
+++ b/fleet/requests.go
@@ -4,18 +4,27 @@
 	"slices"
 
 	"chutechute/ledger"
-	"chutechute/peer"
 )
 
-// requests puts this front end's questions to whoever leads the record, again and again until one is answered. A question may
-// so be committed twice: every kind's commands bear that.
+// requests puts this front end's questions to the record, again and again until one is answered. A question may so be committed
+// twice: every kind's commands bear that.
 type requests struct {
-	n    *Node
-	seq  uint64
-	open map[uint64]*pendingRequest
-	ids  []uint64 // of the open ones, in order
-	hint uint64   // the leader, by the last refusal
-	at   Micros   // of that
+	route route
+	asker ledger.Incarnation
+	retry Micros
+	seq   uint64
+	open  map[uint64]*pendingRequest
+	ids   []uint64 // of the open ones, in order
+}
+
+// route is how questions get to the record: straight to who leads it, or by way of a control member.
+type route interface {
+	// target is who is to be asked now; empty where none is known.
+	target() string
+	// ask sends a question there.
+	ask(to string, c ledger.Command)
+	// redirected takes the word of a copy that does not lead and names the one that does; false where that is who was asked.
+	redirected(leader uint64, asked string) bool
 }
 
 type pendingRequest struct {
@@ -30,25 +39,19 @@
 // that come twice, would else make a storm of it (exercise, seed 3094).
 const mostHops = 2
 
-// Ask puts a question to the record. Done is called once with what was committed, from Receive, Tick or Stored; it is not
-// called any more after Cancel. A question that is taken back may still be committed.
-func (n *Node) Ask(now Micros, kind, version uint32, body []byte, done func(ledger.Answer)) (id uint64) {
-	n.now = now
-	r := &n.requests
+func newRequests(way route, incarnation uint64, retry Micros) requests {
+	return requests{route: way, asker: ledger.Incarnation(incarnation), retry: retry, open: map[uint64]*pendingRequest{}}
+}
+
+// add puts a new question.
+func (r *requests) add(now Micros, kind, version uint32, body []byte, done func(ledger.Answer)) (id uint64) {
 	r.seq++
-	q := &pendingRequest{done: done, command: ledger.Command{Kind: kind, Version: version,
-		Asker: ledger.Incarnation(n.cfg.Incarnation), Seq: r.seq, Body: body}}
+	q := &pendingRequest{done: done, command: ledger.Command{Kind: kind, Version: version, Asker: r.asker, Seq: r.seq, Body: body}}
 	r.open[r.seq], r.ids = q, append(r.ids, r.seq)
-	r.put(q)
+	r.put(now, q)
 	return r.seq
 }
 
-// Cancel takes a question back.
-func (n *Node) Cancel(id uint64) { n.requests.forget(id) }
-
-// Asked is how many questions were put so far.
-func (n *Node) Asked() int { return int(n.requests.seq) }
-
 func (r *requests) forget(id uint64) {
 	if _, ok := r.open[id]; ok {
 		delete(r.open, id)
@@ -58,42 +61,15 @@
 	}
 }
 
-// put sends a question to the leader, as far as one is known.
-func (r *requests) put(q *pendingRequest) {
-	q.asked, q.to = r.n.now, r.leader()
-	switch q.to {
-	case "":
-	case r.n.cfg.Name:
-		r.n.replica.Ask(r.n.now, q.command)
-	default:
-		r.n.tell(q.to, peer.Ask, false, q.command.Encode())
-	}
-}
-
-// leader is who leads the record as far as this front end knows: what it knows as a copy or was told by a copy that refused,
-// and else by the newest election that any of the others tells of.
-func (r *requests) leader() string {
-	n := r.n
-	if n.replica.Votes() && n.replica.Leader() != 0 {
-		return n.NameOf(n.replica.Leader())
-	}
-	if r.hint != 0 && n.now-r.at < n.cfg.Retry {
-		return n.NameOf(r.hint)
-	}
-	var best *status
-	for _, m := range n.members.List() {
-		s := n.others[m.Name]
-		if s != nil && s.Incarnation == m.Incarnation && s.Leader != 0 && (best == nil || s.Term > best.Term) {
-			best = s
-		}
-	}
-	if best == nil {
-		return ""
+// put sends a question on its way, as far as one is known.
+func (r *requests) put(now Micros, q *pendingRequest) {
+	q.asked, q.to = now, r.route.target()
+	if q.to != "" {
+		r.route.ask(q.to, q.command)
 	}
-	return n.NameOf(best.Leader)
 }
 
-func (r *requests) answered(a ledger.Answer) {
+func (r *requests) answered(now Micros, a ledger.Answer) {
 	q := r.open[a.Seq]
 	if q == nil {
 		return
@@ -103,29 +79,28 @@
 		r.forget(a.Seq)
 		q.done(a)
 	case ledger.NotLeader:
-		if a.Leader != 0 && r.n.NameOf(a.Leader) != q.to && q.hops < mostHops {
+		if a.Leader != 0 && q.hops < mostHops && r.route.redirected(a.Leader, q.to) {
 			q.hops++
-			r.hint, r.at = a.Leader, r.n.now
-			r.put(q)
+			r.put(now, q)
 		}
 	}
 }
 
-// tick asks again what was not answered in time: at once where another leads by now, and else only after a while, since what
-// was asked may still be committed.
-func (r *requests) tick() {
+// tick asks again what was not answered in time: at once where another is to be asked by now, and else only after a while, since
+// what was asked may still be committed.
+func (r *requests) tick(now Micros) {
 	if len(r.ids) == 0 {
 		return
 	}
-	leader := r.leader()
+	target := r.route.target()
 	for _, id := range slices.Clone(r.ids) {
 		q := r.open[id]
-		if q == nil || leader == "" {
+		if q == nil || target == "" {
 			continue
 		}
-		if age := r.n.now - q.asked; leader != q.to && age >= r.n.cfg.Retry/4 || age >= 4*r.n.cfg.Retry {
+		if age := now - q.asked; target != q.to && age >= r.retry/4 || age >= 4*r.retry {
 			q.hops = 0
-			r.put(q)
+			r.put(now, q)
 		}
 	}
 }
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -16,6 +16,7 @@
 	Leaving     bool
 	Voter       bool
 	Reports     []member.Report
+	Versions    []byte // of the tables of attached front ends; none where none may attach
 }
 
 func (s *status) encode() []byte {
@@ -35,7 +36,7 @@
 		m = proto.Uint(m, 3, uint64(max(0, r.Age)))
 		b = proto.Message(b, 10, m)
 	}
-	return b
+	return proto.Bytes(b, 11, s.Versions)
 }
 
 func decodeStatus(b []byte) (s status, err error) {
@@ -74,6 +75,8 @@
 			})
 			s.Reports = append(s.Reports, r)
 			return err
+		case 11:
+			s.Versions = f.Copy()
 		}
 		return nil
 	})
