epoll: a front end serves in either role, and attached ones link to control members

serve runs an attached front end where the settings make it one: no listener, no disk, and links to the control members that its part wants. A control member takes links of attached front ends, sends on them what is theirs from a bounded queue, and drops what waits for a slow reader, which resumes by its next heartbeat. Their links are bounded by the most front ends and a quarter of the descriptors, and counted in what clients and engines leave. fleet status and fleet members show both roles, homes and the age of the view; the keys of the JSON stay. Changes of the view are logged once a second, many at once in one line. Off, nothing of it exists.

go test ./internal/epoll ./internal/config ./fleet ./peer passes. TestMachineLost, TestRepeatsAtOnce, TestOwner* and TestFleetOff of cmd/chutechute: passed once, and failed once in TestOwnerCutOffOrStopped at a load average of 47 on 8 cores, with 7 to 11 elections a front end.

--- a/cmd/chutechute/fleet.go
+++ b/cmd/chutechute/fleet.go
@@ -136,6 +136,13 @@
 		line("front end", s.Name+" of "+s.Site)
 		line("process", s.Incarnation)
 		line("role", s.Role)
+		if s.Attached != nil {
+			printView(line, s.Attached)
+		}
+		if s.Role == "attached" {
+			line("loads", fmt.Sprintf("%d held here", s.Held))
+			return
+		}
 		if s.Error != "" {
 			line("error", s.Error)
 		}
@@ -161,11 +168,36 @@
 	})
 }
 
+// printView tells how the view of all front ends stands.
+func printView(line func(...any), a *epoll.FleetAttached) {
+	line("home", nameOr(a.Home, "none"))
+	age := fmt.Sprintf("%d ms old", a.ViewAge)
+	if a.ViewAge < 0 {
+		age = "never confirmed"
+	}
+	line("view", fmt.Sprintf("%d front ends, %s (digest %s)", a.ViewLen, age, a.ViewDigest))
+	if len(a.Targets) > 0 {
+		line("attached to", strings.Join(a.Targets, ", "))
+	} else {
+		line("attached here", fmt.Sprintf("%d; %d questions passed on, %d messages that found no way", a.Links, a.Forwarded, a.Lost))
+	}
+}
+
+func nameOr(name, otherwise string) string {
+	if name == "" {
+		return otherwise
+	}
+	return name
+}
+
 func printMembers(cmd *cobra.Command, text []byte) error {
 	var s epoll.FleetStatus
 	if err := json.Unmarshal(text, &s); err != nil {
 		return err
 	}
+	if s.Attached != nil {
+		return printAllMembers(cmd, &s)
+	}
 	return table(cmd, func(line func(...any)) {
 		line("NAME", "ZONE", "STATE", "LINK", "PROCESS")
 		for _, m := range s.Members {
@@ -178,6 +210,29 @@
 	})
 }
 
+// printAllMembers prints the front ends of both roles.
+func printAllMembers(cmd *cobra.Command, s *epoll.FleetStatus) error {
+	err := table(cmd, func(line func(...any)) {
+		line("NAME", "ROLE", "ZONE", "STATE", "HOME", "LINK", "PROCESS")
+		for _, m := range s.Members {
+			link := "-"
+			if m.Link {
+				link = "up"
+			} else if m.Role == "control" && s.Role != "attached" {
+				link = "down" // control members keep one with each other
+			}
+			line(m.Name, m.Role, nameOr(m.Zone, "-"), m.State, nameOr(m.Home, "-"), link, m.Incarnation)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return table(cmd, func(line func(...any)) {
+		line("")
+		printView(line, s.Attached)
+	})
+}
+
 func printLedger(cmd *cobra.Command, text []byte) error {
 	var s epoll.FleetRecord
 	if err := json.Unmarshal(text, &s); err != nil {
--- a/internal/config/attached.go
+++ b/internal/config/attached.go
@@ -21,6 +21,8 @@
 type Attachment struct {
 	Here   bool          // this front end is an attached one, and no member
 	Config attach.Config // but for the incarnation and the seed, which are the process's
+	// MostView is the most bytes that the whole view takes in a message.
+	MostView int
 }
 
 // Bounds and defaults of the section. Times are in milliseconds.
@@ -34,8 +36,8 @@
 	mostAttachedDead  = 120_000
 	// mostAttached bounds the view, which each front end holds whole: some 200 bytes an entry, 3 MB.
 	mostAttached = 16_384
-	// mostSnapshotEntry is the most that an entry of the view takes in a message.
-	mostSnapshotEntry = 512
+	// mostEntry is the most bytes that an entry of the view takes in a message: three texts of peer.MostName, and numbers.
+	mostEntry = 256
 )
 
 // on says whether front ends may attach.
@@ -110,7 +112,7 @@
 		}
 		cfg.Controls = append(cfg.Controls, attach.ControlMember{Name: m.Name, Zone: m.Zone})
 	}
-	return &Attachment{Here: !listed, Config: cfg}, nil
+	return &Attachment{Here: !listed, Config: cfg, MostView: set.Most * mostEntry}, nil
 }
 
 // agreedAttached is the section as all front ends of a site have to have it; nil where no front ends may attach.
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -219,7 +219,7 @@
 	p.Digest = sum[:8]
 	p.MostBulk = int(mb*2)<<20 + 1<<20
 	if p.Attached != nil {
-		p.MostBulk = max(p.MostBulk, p.Attached.Config.Most*mostSnapshotEntry)
+		p.MostBulk = max(p.MostBulk, p.Attached.MostView)
 	}
 	p.Loads = loads.Options{Bytes: int(mb * (1 << 20)), Keep: keep, Orphan: orphan}
 	p.Node = fleet.Config{Name: name, Zone: p.Zone, Zones: zones, Beat: beat, Retry: 4 * tick,
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -65,14 +65,16 @@
 	EngineHandshakes    int `name:"handshakes with engines"`
 	BadEngineHandshakes int `name:"handshakes with engines that failed"`
 
-	PeerLinks    int `name:"links to other front ends"`
-	PeerRejected int `name:"links of other front ends closed for what came"`
-	PeerDropped  int `name:"messages to other front ends without room"`
-	Noted        int `name:"questions put to the record"`
-	Adopted      int `name:"loads adopted from lost front ends"`
-	Shared       int `name:"repeats that waited with a load elsewhere"`
-	Conflicts    int `name:"repeats with another statement"`
-	StoreErrors  int `name:"failures of the record's disk"`
+	PeerLinks     int `name:"links to other front ends"`
+	PeerRejected  int `name:"links of other front ends closed for what came"`
+	PeerDropped   int `name:"messages to other front ends without room"`
+	Attached      int `name:"links of attached front ends"`
+	AttachRefused int `name:"links of attached front ends without room"`
+	Noted         int `name:"questions put to the record"`
+	Adopted       int `name:"loads adopted from lost front ends"`
+	Shared        int `name:"repeats that waited with a load elsewhere"`
+	Conflicts     int `name:"repeats with another statement"`
+	StoreErrors   int `name:"failures of the record's disk"`
 
 	LongestTurn int `name:"longest turn of the loop in microseconds"`
 }
--- /dev/null
+++ b/internal/epoll/attachlinks.go
@@ -0,0 +1,164 @@
+package epoll
+
+import (
+	"log/slog"
+
+	"chutechute/fleet"
+	"chutechute/peer"
+)
+
+const (
+	// attachedUrgent bounds what waits for one attached front end beside the view: answers from the record and heartbeats' answers.
+	attachedUrgent = 2 << 20
+	// attachedTotal bounds what waits for all of them: past it the links that have most to take are dropped from first.
+	attachedTotal = 32 << 20
+	// attachedShaking bounds the links whose hello has not come, beside those of the members.
+	attachedShaking = 512
+	// attachedSpare is how many links, for each four that may be, are allowed for old ones that are noticed late.
+	attachedSpare = 4
+)
+
+// attachedMost bounds the links of attached front ends here: as many as there may be front ends, and a quarter of the descriptors.
+func (p *peers) attachedMost() int {
+	most := p.cfg.Attached.Config.Most
+	most += most / attachedSpare
+	if p.sockets > 0 {
+		most = min(most, p.sockets/4)
+	}
+	return most
+}
+
+// room says whether another link may be accepted: of members mostLinks each, and of those that attach as many as begin at once.
+func (p *peers) room() bool {
+	most := mostLinks * (len(p.out) + 1)
+	if p.attaches() {
+		most += min(attachedShaking, p.attachedMost())
+	}
+	return len(p.in)-p.attachedIn < most
+}
+
+// proven takes in who has proven itself over a link; false where there is no room for another attached front end.
+func (l *inLink) proven() bool {
+	other := &l.shake.Other
+	l.link.From, l.link.Incarnation, l.link.Zone, l.link.Attached = other.Name, other.Incarnation, other.Zone, other.Attached
+	if !other.Attached {
+		return true
+	}
+	if l.p.attachedIn >= l.p.attachedMost() {
+		l.p.host.count.AttachRefused++
+		return false
+	}
+	l.p.attachedIn++
+	l.p.host.count.Attached++
+	l.attached = true
+	l.queue = peer.Queue{MostUrgent: attachedUrgent, MostBulk: l.p.cfg.Attached.MostView}
+	l.p.byProcess[other.Incarnation] = append(l.p.byProcess[other.Incarnation], l)
+	slog.Debug("attached", "from", other.Name, "incarnation", hex(other.Incarnation))
+	l.p.node.Linked(l.p.host.now, l.link)
+	return true
+}
+
+// parted takes out a link of an attached front end that is closed.
+func (l *inLink) parted() {
+	if !l.attached {
+		return
+	}
+	l.attached = false
+	l.p.attachedIn--
+	l.p.queued -= l.queue.Len()
+	l.queue.Clear()
+	list := l.p.byProcess[l.link.Incarnation]
+	for i, other := range list {
+		if other == l {
+			list = append(list[:i:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(l.p.byProcess, l.link.Incarnation)
+	} else {
+		l.p.byProcess[l.link.Incarnation] = list
+	}
+	l.p.node.Unlinked(l.p.host.now, l.link)
+}
+
+// pushAttached sends a message over the newest link to a process of an attached front end. Without one it is lost, as it might be on
+// the way. A reader that is too slow for it loses all that waits, and resumes by its next heartbeat.
+func (p *peers) pushAttached(t fleet.Tell) {
+	list := p.byProcess[t.Incarnation]
+	if len(list) == 0 {
+		p.host.count.PeerDropped++
+		return
+	}
+	l := list[len(list)-1]
+	before := l.queue.Len()
+	full := p.queued+len(t.Body) > attachedTotal || !l.queue.Push(t.Kind, t.Bulk, t.Body)
+	if full {
+		l.queue.DropWaiting()
+		p.host.count.PeerDropped++
+	}
+	p.queued += l.queue.Len() - before
+	if full {
+		p.node.Refused(p.host.now, l.link.From, t.Incarnation)
+		return
+	}
+	l.pour()
+}
+
+// pour hands to the socket what waits, as far as there is room.
+func (l *inLink) pour() {
+	if l.closed {
+		return
+	}
+	before := l.out.Len()
+	for l.out.Len() < linkOut/2 {
+		frame := l.queue.Pop()
+		if frame == nil {
+			break
+		}
+		l.p.queued -= len(frame)
+		if _, err := l.out.Write(frame); err != nil {
+			l.end()
+			return
+		}
+	}
+	if before == 0 {
+		l.taken = l.p.host.now
+	}
+	l.send()
+}
+
+// send writes what the socket takes.
+func (l *inLink) send() {
+	before := l.out.Len()
+	if err := l.flush(); err != nil {
+		l.end()
+		return
+	}
+	if l.out.Len() < before || l.out.Len() == 0 {
+		l.taken = l.p.host.now
+	}
+	l.watch(true)
+}
+
+// stalled says whether an attached front end has taken nothing for so long that its link is to be made anew.
+func (l *inLink) stalled() bool {
+	return l.attached && l.out.Len() > 0 && l.p.host.now-l.taken >= linkStalled
+}
+
+// mostSilent is after what silence a link is closed: the other side has made a new one, or is gone.
+func (l *inLink) mostSilent() Micros {
+	if !l.attached {
+		return linkSilent
+	}
+	return max(linkSilent, 2*l.p.cfg.Attached.Config.Dead)
+}
+
+// closeAttached closes a link on the part's wish: of a process that has been replaced, or for what came.
+func (p *peers) closeAttached(link fleet.Link) {
+	for _, l := range append([]*inLink(nil), p.byProcess[link.Incarnation]...) {
+		if l.link.Greeted == link.Greeted {
+			l.end()
+		}
+	}
+}
--- a/internal/epoll/budgets.go
+++ b/internal/epoll/budgets.go
@@ -42,6 +42,9 @@
 
 // showBudgets tells of all budgets, or of one; of a call, why it was turned away.
 func (p *peers) showBudgets(name string) FleetBudgets {
+	if p.node == nil { // none are divided among attached front ends
+		return FleetBudgets{Name: p.cfg.Name, Budgets: []budget.Standing{}, Here: []FleetSpending{}, Denied: []FleetDenial{}}
+	}
 	denied := p.core.Denials(name)
 	if name != "" && len(denied) > 0 {
 		name = denied[0].Budget
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -3,20 +3,16 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"log/slog"
-	"os"
 
 	"chutechute/budget"
 	"chutechute/budget/enforce"
 	"chutechute/fleet"
 	"chutechute/internal/config"
-	"chutechute/internal/raftlog"
 	"chutechute/ledger"
 	"chutechute/ledger/loads"
 	"chutechute/ledger/store"
-	"chutechute/member"
 	"chutechute/peer"
 	"chutechute/recordclient"
 )
@@ -27,7 +23,9 @@
 	program
 	cfg      *config.Peers
 	self     *peer.Identity
-	node     *fleet.Node
+	part     part            // node or attached
+	node     *fleet.Node     // a control member's part; nil at an attached front end
+	attached *fleet.Attached // an attached front end's part; nil at a control member
 	records  *recordclient.Client
 	loads    *loads.Loads
 	budgets  *budget.Authority
@@ -42,6 +40,14 @@
 	admin    *adminListener
 	jitter   uint64
 	leaving  Micros // since when this front end gives back what it may spend; 0 before
+	copyID   uint64 // the number of this control member's disk
+
+	home       string               // the control member that an attached front end has its view from
+	refused    map[string]string    // why hellos of an attached front end failed last, by control member
+	byProcess  map[uint64][]*inLink // links of attached front ends, the newest last; nil where none may attach
+	attachedIn int                  // how many these are
+	queued     int                  // bytes that wait for them
+	viewLog    viewLog
 }
 
 // number draws a number that was never used: 62 bits, never zero.
@@ -51,60 +57,24 @@
 	return binary.BigEndian.Uint64(b[:])>>2 | 1
 }
 
+// newPeers builds this front end's part in a fleet, in the role that the settings give it.
 func newPeers(of program, cfg *config.Peers) (*peers, error) {
 	p := &peers{program: of, cfg: cfg, out: map[string]*outLink{}, in: map[*inLink]struct{}{}, jitter: of.seed | 1}
-	incarnation, disk := number(), (*ledger.Disk)(nil)
-	c := cfg.Node
-	c.Incarnation, c.Number = incarnation, number
-	c.Copies.ID, c.Copies.Logger = number(), raftlog.New()
-	if cfg.Folder != "" {
-		if err := os.MkdirAll(cfg.Folder, 0o700); err != nil {
-			return nil, fmt.Errorf("installation: fleet.folder: %w", err)
-		}
-		var err error
-		p.store, disk, err = store.Open(cfg.Folder, cfg.Site+"/"+cfg.Name, number)
-		switch {
-		case errors.Is(err, store.ErrForeign):
-			return nil, fmt.Errorf("installation: fleet.folder: %w", err)
-		case err != nil: // the front end serves on; it only is no copy
-			p.failed(err)
-		default:
-			c.Copies.ID = p.store.Number()
-			if p.store.Cut > 0 {
-				slog.Warn("a write to the record's log had not come to its end and was cut off", "bytes", p.store.Cut)
-			}
-			if p.store.SetAside != "" {
-				p.host.count.StoreErrors++
-				slog.Error("the record's file could not be trusted and was set aside; this is an empty disk now", "file", p.store.SetAside)
-			}
-		}
-	}
-	p.loads = loads.New(cfg.Loads)
-	p.budgets = budget.NewAuthority(budget.Options{Instances: budget.MostInstances})
-	c.Copies.Kinds = []ledger.Kind{p.loads, p.budgets}
-	p.node = fleet.New(c, func(about string) {
-		if about != budget.About {
-			p.records.Note(p.host.now, about)
-		} else if p.holder != nil {
-			p.holder.Note(p.host.now)
-		}
-	})
-	p.node.Changed = func(m *member.Member) {
-		slog.Info("front end", "name", m.Name, "state", m.State.String(), "incarnation", hex(m.Incarnation))
-	}
-	if err := p.node.Open(p.host.now, disk); err != nil && p.storeErr == nil {
-		p.failed(err)
-	}
-	if p.storeErr != nil {
-		p.node.Replica().Disable(p.storeErr)
+	incarnation := number()
+	if a := cfg.Attached; a != nil && a.Here {
+		p.attach(cfg, incarnation)
+	} else if err := p.join(cfg, incarnation); err != nil {
+		return nil, err
 	}
 	v := cfg.RecordClient
 	v.Incarnation = incarnation
-	p.records = recordclient.New(v, p.node, p.successor())
-	p.self = &peer.Identity{Site: cfg.Site, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation, Copy: c.Copies.ID,
-		Oldest: peer.OldestVersion, Newest: peer.NewestVersion, Settings: cfg.Digest}
-	for name, addr := range cfg.Others {
-		p.out[name] = newOutLink(p, name, addr)
+	p.records = recordclient.New(v, p.part, p.successor())
+	p.self = &peer.Identity{Site: cfg.Site, Name: cfg.Name, Zone: cfg.Zone, Incarnation: incarnation, Copy: p.copyID,
+		Oldest: peer.OldestVersion, Newest: peer.NewestVersion, Settings: cfg.Digest, Attached: p.attached != nil}
+	if p.node != nil {
+		for name, addr := range cfg.Others {
+			p.out[name] = newOutLink(p, name, addr)
+		}
 	}
 	if p.store != nil {
 		p.writer = store.NewWriter(p.store, func(token uint64, err error) {
@@ -115,11 +85,13 @@
 		p.core.UseRecord(p.records)
 	}
 	if cfg.Budgets != nil {
-		p.enforcer = enforce.New(p.settings, p.core)
-		p.holder = budget.NewHolder(budget.HolderConfig{Name: cfg.Name, Set: cfg.Budgets, Gap: reportGap}, p.node, p.enforcer)
-		p.holder.Begin(p.host.now)
+		p.spend(cfg)
+	}
+	if p.attached != nil {
+		slog.Info("fleet", "site", cfg.Site, "name", cfg.Name, "incarnation", hex(incarnation), "role", "attached", "zone", cfg.Zone)
+		return p, nil
 	}
-	slog.Info("fleet", "site", cfg.Site, "name", cfg.Name, "incarnation", hex(incarnation), "copy", hex(c.Copies.ID),
+	slog.Info("fleet", "site", cfg.Site, "name", cfg.Name, "incarnation", hex(incarnation), "copy", hex(p.copyID),
 		"folder", cfg.Folder)
 	return p, nil
 }
@@ -129,26 +101,18 @@
 
 func hex(n uint64) string { return fmt.Sprintf("%016x", n) }
 
-// failed notes that the disk serves no more.
-func (p *peers) failed(err error) {
-	p.storeErr = err
-	p.host.count.StoreErrors++
-	slog.Error("the record's disk failed: this front end is no copy any more", "error", err)
-}
-
-// written takes the writer's word.
-func (p *peers) written(token uint64, err error) {
-	if err != nil && p.storeErr == nil {
-		p.failed(err)
-	}
-	p.node.Stored(p.host.now, token, err)
-}
-
-// listen opens the door for the others, and the operators'.
+// listen opens the door for the others, where this is a control member, and the operators'.
 func (p *peers) listen() (err error) {
+	if p.attached != nil {
+		return p.listenAdmin()
+	}
 	if p.listener, err = newPeerListener(p); err != nil {
 		return err
 	}
+	return p.listenAdmin()
+}
+
+func (p *peers) listenAdmin() (err error) {
 	if p.cfg.Admin != "" {
 		p.admin, err = newAdminListener(p)
 	}
@@ -167,7 +131,10 @@
 func (p *peers) tick() {
 	now := p.host.now
 	if p.draining() {
-		p.node.Leave()
+		p.part.Leave()
+	}
+	if p.attached != nil {
+		p.follow()
 	}
 	for _, l := range p.out {
 		l.tick()
@@ -178,28 +145,34 @@
 	if p.admin != nil {
 		p.admin.tick()
 	}
-	p.node.Tick(now)
+	p.part.Tick(now)
 	p.records.Tick(now)
 	if p.holder != nil {
 		p.holder.Tick(now)
 	}
 	p.pump()
+	p.logView()
+	if p.node == nil {
+		return
+	}
 	if err := p.node.Replica().Err(); err != nil && p.storeErr == nil {
 		p.failed(err)
 	}
 }
 
-// pump carries out what the node wants, until it wants nothing more.
+// pump carries out what the part wants, until it wants nothing more.
 func (p *peers) pump() {
 	for {
-		list := p.node.Actions()
+		list := p.part.Actions()
 		if len(list) == 0 {
 			return
 		}
 		for _, a := range list {
 			switch a := a.(type) {
 			case fleet.Tell:
-				p.out[a.To].push(a)
+				p.tell(a)
+			case fleet.CloseLink:
+				p.closeAttached(a.Link)
 			case ledger.Save:
 				p.save(a)
 			}
@@ -207,14 +180,12 @@
 	}
 }
 
-func (p *peers) save(a ledger.Save) {
-	switch {
-	case p.writer != nil:
-		p.writer.Add(a)
-	case p.storeErr != nil:
-		p.node.Stored(p.host.now, a.Token, p.storeErr)
-	default: // memory is all that this copy has
-		p.node.Stored(p.host.now, a.Token, nil)
+// tell sends a message over the link to another front end.
+func (p *peers) tell(t fleet.Tell) {
+	if t.Incarnation != 0 {
+		p.pushAttached(t)
+	} else if l := p.out[t.To]; l != nil { // an attached front end may have given it up meanwhile
+		l.push(t)
 	}
 }
 
--- a/internal/epoll/host.go
+++ b/internal/epoll/host.go
@@ -32,6 +32,7 @@
 	core     *gateway.Core      // nil in a hollow front end
 	settings *settings.Settings // nil without a core
 	draining func() bool        // a planned end has begun
+	sockets  int                // descriptors that the program may have; 0: no bound
 }
 
 // successor is what takes over loads of other front ends.
--- a/internal/epoll/links.go
+++ b/internal/epoll/links.go
@@ -103,12 +103,12 @@
 	l.since = l.p.host.now
 	fd, err := dial(l.addr)
 	if err != nil {
-		l.later()
+		l.undialled()
 		return
 	}
 	l.stream = newStream(l.p.host.loop, fd, linkIn, linkOut, &l.budget)
 	l.connecting, l.want = true, unix.EPOLLOUT
-	l.shake = &peer.Dialler{Self: l.p.self, To: l.name, Secret: l.p.cfg.Secret}
+	l.shake = &peer.Dialler{Self: l.p.self, To: l.name, Secret: l.p.cfg.Secret, Limit: l.p.cfg.MostBulk}
 	if err := l.p.host.loop.add(fd, l.want, l); err != nil {
 		l.fail(err)
 	}
@@ -127,8 +127,7 @@
 	}
 	l.close()
 	l.queue.Clear()
-	l.later()
-	l.p.node.Lost(l.name)
+	l.lost()
 }
 
 var (
@@ -187,8 +186,14 @@
 		l.failures, l.refused = 0, ""
 		l.p.host.count.PeerLinks++
 		slog.Debug("link", "to", l.name, "incarnation", hex(l.shake.Other.Incarnation))
+		l.linked()
 		l.pour()
 	}
+	if l.p.attached != nil && !l.closed {
+		if err := l.receive(); err != nil {
+			l.fail(err)
+		}
+	}
 }
 
 // peerListener accepts the links on which other front ends send.
@@ -215,16 +220,20 @@
 		if err != nil {
 			return
 		}
-		if len(l.p.in) >= mostLinks*(len(l.p.out)+1) {
+		if !l.p.room() {
 			unix.Close(fd)
 			l.p.host.count.PeerRejected++
 			continue
 		}
 		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
 		in := &inLink{p: l.p, since: l.p.host.now, link: fleet.Link{Greeted: l.p.host.clock.now()}, shake: &peer.Listener{Self: l.p.self, Secret: l.p.cfg.Secret,
-			Known: func(name string) bool { return l.p.out[name] != nil }}}
-		in.budget.Most = 2 * linkIn
-		in.stream = newStream(l.p.host.loop, fd, linkIn, linkIn, &in.budget)
+			Known: func(name string) bool { return l.p.out[name] != nil }, Attaches: l.p.attaches()}}
+		out := linkIn
+		if in.shake.Attaches {
+			out = linkOut
+		}
+		in.budget.Most = linkIn + out
+		in.stream = newStream(l.p.host.loop, fd, linkIn, out, &in.budget)
 		in.want = unix.EPOLLIN
 		if err := l.p.host.loop.add(fd, in.want, in); err != nil {
 			in.close()
@@ -245,6 +254,10 @@
 	budget ring.Budget
 	since  Micros // of its connecting, or of the last bytes
 	link   fleet.Link
+
+	attached bool       // an attached front end's, to which messages go back
+	queue    peer.Queue // of these
+	taken    Micros     // when the socket last took some of them
 }
 
 func (l *inLink) write(b []byte) {
@@ -265,6 +278,7 @@
 func (l *inLink) end() {
 	l.close()
 	delete(l.p.in, l)
+	l.parted()
 }
 
 // linkSilent is a link on which not even heartbeats come; the other side has made a new one, or is gone.
@@ -272,7 +286,7 @@
 
 func (l *inLink) tick() {
 	age := l.p.host.now - l.since
-	if !l.shake.Open() && age >= linkShake || age >= linkSilent {
+	if !l.shake.Open() && age >= linkShake || age >= l.mostSilent() || l.stalled() {
 		l.end()
 	}
 }
@@ -283,6 +297,9 @@
 			l.end()
 			return
 		}
+		if l.attached {
+			l.pour()
+		}
 	}
 	more := true
 	for round := 0; round < 16 && more && !l.closed; round++ { // what is left comes in the next turn
@@ -293,11 +310,15 @@
 		l.since = l.p.host.now
 		l.shake.Feed(l.in.Bytes())
 		l.in.Discard(l.in.Len())
+		was := l.shake.Open()
 		reply, list, err := l.shake.Take()
 		l.write(reply)
+		if !was && l.shake.Open() && !l.closed && !l.proven() {
+			l.end()
+			return
+		}
 		for _, m := range list {
 			if err == nil {
-				l.link.From, l.link.Incarnation = l.shake.Other.Name, l.shake.Other.Incarnation
 				err = l.p.node.Receive(l.p.host.now, l.link, m.Kind, m.Body)
 			}
 		}
--- /dev/null
+++ b/internal/epoll/part.go
@@ -0,0 +1,40 @@
+package epoll
+
+import (
+	"chutechute/attach"
+	"chutechute/fleet"
+	"chutechute/peer"
+	"chutechute/recordclient"
+)
+
+// part is this front end's part in the fleet, in either role: a fleet.Node or a fleet.Attached.
+type part interface {
+	recordclient.Asker
+	// Receive takes a message; after an error its link is closed.
+	Receive(now Micros, l fleet.Link, kind peer.Kind, body []byte) error
+	Tick(now Micros)
+	Leave()
+	Actions() []fleet.Action
+	// Asked is how many questions were put to the record.
+	Asked() int
+	// View is all front ends of both roles; nil where none may attach.
+	View() *attach.View
+}
+
+// dropped tells that messages to a front end may not arrive.
+func (p *peers) dropped(name string) {
+	if p.node != nil {
+		p.node.Lost(name)
+	}
+}
+
+// attaches says whether front ends may attach to this one.
+func (p *peers) attaches() bool { return p.node != nil && p.node.Attaches() != nil }
+
+// descriptors is how many the links take of those that clients and engines share, where front ends may attach.
+func (p *peers) descriptors() int {
+	if p == nil || p.cfg.Attached == nil {
+		return 0
+	}
+	return len(p.in) + len(p.out)
+}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -73,7 +73,8 @@
 		return nil, fmt.Errorf("installation: %w", err)
 	}
 	if cfg.Peers != nil {
-		of := program{host: &s.host, seed: cfg.Seed, post: s.post, core: s.core, settings: cfg.Settings, draining: s.draining}
+		of := program{host: &s.host, seed: cfg.Seed, post: s.post, core: s.core, settings: cfg.Settings, draining: s.draining,
+			sockets: cfg.Sockets}
 		if s.peers, err = newPeers(of, cfg.Peers); err != nil {
 			return nil, err
 		}
@@ -93,7 +94,7 @@
 
 // unused is how many descriptors are left.
 func (s *Server) unused() int {
-	return s.cfg.Sockets - spare - len(s.pool.conns) - len(s.listener.clients)
+	return s.cfg.Sockets - spare - len(s.pool.conns) - len(s.listener.clients) - s.peers.descriptors()
 }
 
 // Run serves until a planned end is over.
@@ -244,7 +245,7 @@
 		s.count.OverCeiling = i.Over + i.Busy
 	}
 	if p := s.peers; p != nil {
-		s.count.Noted, s.count.Adopted, s.count.Shared, s.count.Conflicts = p.node.Asked(), p.records.Adopted, p.records.Waited, p.records.Conflicts
+		s.count.Noted, s.count.Adopted, s.count.Shared, s.count.Conflicts = p.part.Asked(), p.records.Adopted, p.records.Waited, p.records.Conflicts
 	}
 	s.count.Print(s.log)
 }
--- /dev/null
+++ b/internal/epoll/status.go
@@ -0,0 +1,172 @@
+package epoll
+
+import (
+	"chutechute/attach"
+	"chutechute/ledger/loads"
+	"chutechute/recordclient"
+)
+
+// FleetRecord is the loads on record as this copy has them, and those that this front end holds.
+type FleetRecord struct {
+	Status FleetStatus            `json:"status"`
+	Loads  []loads.Shown          `json:"loads"`
+	Held   []recordclient.Tracked `json:"held"`
+}
+
+// FleetStatus is what a front end says of itself and of the others, as it sees them.
+type FleetStatus struct {
+	Site        string         `json:"site"`
+	Name        string         `json:"name"`
+	Incarnation string         `json:"incarnation"`
+	Copy        string         `json:"copy"`
+	Lasting     bool           `json:"lasting"` // the record is on a disk, and not in memory only
+	Group       string         `json:"group"`   // the record's number
+	Role        string         `json:"role"`    // leader, voter, learner, none or failed; attached
+	Leader      string         `json:"leader"`
+	Term        uint64         `json:"term"`
+	Applied     uint64         `json:"applied"`
+	Sum         string         `json:"sum"`
+	Differing   int            `json:"differing"`
+	Elections   int            `json:"elections"`
+	Commits     int            `json:"commits"`
+	Snapshots   int            `json:"snapshots"`
+	HandOvers   int            `json:"hand_overs"` // of the lead, as its disk was slow
+	Relayed     int            `json:"relayed"`    // messages by way of a third front end
+	Loads       int            `json:"loads"`
+	LoadBytes   int            `json:"load_bytes"`
+	Held        int            `json:"held"`
+	Error       string         `json:"error,omitempty"`
+	Warning     string         `json:"warning,omitempty"`
+	Copies      []FleetCopy    `json:"copies"`
+	Members     []FleetMembers `json:"members"`
+	Attached    *FleetAttached `json:"attached,omitempty"` // where front ends may attach
+}
+
+// FleetCopy is one copy of the record.
+type FleetCopy struct {
+	Copy  string `json:"copy"`
+	Name  string `json:"name"`
+	Zone  string `json:"zone"`
+	Votes bool   `json:"votes"`
+}
+
+// FleetMembers is another front end as this one sees it.
+type FleetMembers struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Incarnation string `json:"incarnation"`
+	Link        bool   `json:"link"`           // messages go there
+	Role        string `json:"role,omitempty"` // control or attached, where front ends may attach
+	Home        string `json:"home,omitempty"` // of an attached one: the control member that it has its view from
+}
+
+// FleetAttached is how the view of all front ends stands.
+type FleetAttached struct {
+	On         bool            `json:"on"`
+	Home       string          `json:"home"`        // the control member that this front end's view comes from; its own name at one
+	ViewAge    int64           `json:"view_age_ms"` // since the home confirmed the view; -1: it never has
+	ViewDigest string          `json:"view_digest"` // the same wherever the view is the same
+	ViewLen    int             `json:"view_len"`
+	Targets    []string        `json:"targets,omitempty"` // the control members that this attached front end keeps links with
+	Links      int             `json:"links"`             // attached front ends with a link to this control member
+	Forwarded  int             `json:"forwarded"`         // questions of theirs that were passed on to the record
+	Lost       int             `json:"undeliverable"`     // messages for them, or of theirs, that found no way
+	Counters   attach.Counters `json:"counters"`
+}
+
+func (p *peers) status() FleetStatus {
+	if p.attached != nil {
+		return p.attachedStatus()
+	}
+	r := p.node.Replica()
+	index, sum := r.Applied()
+	f := FleetStatus{Site: p.cfg.Site, Name: p.cfg.Name, Incarnation: hex(p.self.Incarnation), Copy: hex(r.ID()),
+		Lasting: p.cfg.Folder != "", Group: hex(r.Group()), Role: "none", Leader: p.node.NameOf(r.Leader()), Term: r.Term(),
+		Applied: index, Sum: hex(sum), Differing: r.Differing, Elections: r.Elections, Commits: r.Commits,
+		Snapshots: r.Snapshots, HandOvers: r.HandOvers, Relayed: p.node.Relayed, Loads: p.loads.Len(), LoadBytes: p.loads.Bytes(), Held: p.records.Len(),
+		Copies: []FleetCopy{}, Members: []FleetMembers{}}
+	voters, learners := r.Members()
+	switch {
+	case r.Err() != nil:
+		f.Role, f.Error = "failed", r.Err().Error()
+	case r.Leads():
+		f.Role = "leader"
+	case r.Votes():
+		f.Role = "voter"
+	case r.Group() != 0:
+		f.Role = "learner"
+	}
+	if !f.Lasting {
+		f.Warning = "the record is kept in memory only: what was told is lost where a majority of the copies end at once"
+	}
+	for _, m := range voters {
+		f.Copies = append(f.Copies, FleetCopy{hex(m.ID), m.Name, m.Zone, true})
+	}
+	for _, m := range learners {
+		f.Copies = append(f.Copies, FleetCopy{hex(m.ID), m.Name, m.Zone, false})
+	}
+	for _, m := range p.node.Members().List() {
+		f.Members = append(f.Members, FleetMembers{Name: m.Name, Zone: m.Zone, State: m.State.String(), Incarnation: hex(m.Incarnation),
+			Link: p.out[m.Name].open()})
+	}
+	p.addAttached(&f)
+	return f
+}
+
+// addAttached tells of the front ends that are attached, where any may be.
+func (p *peers) addAttached(f *FleetStatus) {
+	server := p.node.Attaches()
+	if server == nil {
+		return
+	}
+	for i := range f.Members {
+		f.Members[i].Role = attach.Control.String()
+	}
+	for _, e := range server.View().List() {
+		if e.Role == attach.Attached {
+			f.Members = append(f.Members, seenMember(e, len(p.byProcess[e.Incarnation]) > 0))
+		}
+	}
+	f.Attached = viewStatus(server.View(), p.host.now, p.cfg.Name)
+	f.Attached.Links, f.Attached.Counters = p.node.AttachedHere(), server.Counters
+	f.Attached.Forwarded, f.Attached.Lost = p.node.Forwarded, p.node.Undeliverable
+}
+
+// attachedStatus is the status of an attached front end: it has no copy of the record, and its view is its home's.
+func (p *peers) attachedStatus() FleetStatus {
+	f := FleetStatus{Site: p.cfg.Site, Name: p.cfg.Name, Incarnation: hex(p.self.Incarnation), Copy: hex(0), Group: hex(0), Sum: hex(0),
+		Role: attach.Attached.String(), Held: p.records.Len(), Copies: []FleetCopy{}, Members: []FleetMembers{}}
+	view := p.attached.View()
+	var attached []FleetMembers
+	for _, e := range view.List() {
+		l := p.out[e.Name]
+		switch m := seenMember(e, l != nil && l.open()); {
+		case e.Role == attach.Control:
+			f.Members = append(f.Members, m)
+		case e.Name != p.cfg.Name:
+			attached = append(attached, m)
+		}
+	}
+	f.Members = append(f.Members, attached...)
+	f.Attached = viewStatus(view, p.host.now, p.attached.Home())
+	f.Attached.Targets, f.Attached.Counters = p.attached.Targets(p.host.now), p.attached.Client().Counters
+	return f
+}
+
+// seenMember is an entry of the view.
+func seenMember(e attach.Entry, link bool) FleetMembers {
+	m := FleetMembers{Name: e.Name, Zone: e.Zone, State: e.State.String(), Incarnation: hex(e.Incarnation), Link: link, Role: e.Role.String()}
+	if e.Role == attach.Attached {
+		m.Home = e.Home
+	}
+	return m
+}
+
+func viewStatus(view *attach.View, now Micros, home string) *FleetAttached {
+	age := view.Age(now)
+	if age == attach.NeverConfirmed {
+		age = -ms
+	}
+	return &FleetAttached{On: true, Home: home, ViewAge: age / ms, ViewDigest: hex(view.Digest()), ViewLen: view.Len()}
+}
--- /dev/null
+++ b/internal/epoll/viewlog.go
@@ -0,0 +1,81 @@
+package epoll
+
+import (
+	"log/slog"
+
+	"chutechute/attach"
+)
+
+const (
+	viewLogEvery = 1000 * ms
+	mostViewLog  = 8 // changes in that span that get a line each; more get one line together
+)
+
+// viewLog tells the log how the view of all front ends changes.
+type viewLog struct {
+	next   Micros
+	digest uint64            // of the view that was told last
+	seen   map[string]logged // what that held, by name
+}
+
+// logged is what the log was told of a front end.
+type logged struct {
+	incarnation uint64
+	state       attach.State
+}
+
+// logView logs what has changed in the view since a second ago. Of control members the others tell one another themselves.
+func (p *peers) logView() {
+	view := p.part.View()
+	if view == nil || p.host.now < p.viewLog.next {
+		return
+	}
+	p.viewLog.next = p.host.now + viewLogEvery
+	changes := p.viewLog.changes(view, p.node != nil)
+	if len(changes) > mostViewLog {
+		counts := map[attach.State]int{}
+		for _, e := range changes {
+			counts[e.State]++
+		}
+		slog.Info("front ends", "changed", len(changes), "alive", counts[attach.Alive], "suspect", counts[attach.Suspect],
+			"dead", counts[attach.Dead], "left", counts[attach.Left], "first", changes[0].Name)
+		return
+	}
+	for _, e := range changes {
+		slog.Info("front end", "name", e.Name, "role", e.Role.String(), "state", e.State.String(), "incarnation", hex(e.Incarnation), "home", e.Home)
+	}
+}
+
+// changes is the entries whose process or state is not what it was when this was called last, by name.
+func (v *viewLog) changes(view *attach.View, attachedOnly bool) (changes []attach.Entry) {
+	if view.Digest() == v.digest {
+		return nil
+	}
+	v.digest = view.Digest()
+	list := view.List()
+	if v.seen == nil || len(v.seen) > 2*len(list) { // names that have gone from the view are forgotten now and then
+		v.forget(list)
+	}
+	for _, e := range list {
+		now := logged{e.Incarnation, e.State}
+		if v.seen[e.Name] == now {
+			continue
+		}
+		v.seen[e.Name] = now
+		if !attachedOnly || e.Role == attach.Attached {
+			changes = append(changes, e)
+		}
+	}
+	return changes
+}
+
+// forget drops the names that are not in a view.
+func (v *viewLog) forget(list []attach.Entry) {
+	seen := make(map[string]logged, len(list))
+	for _, e := range list {
+		if old, ok := v.seen[e.Name]; ok {
+			seen[e.Name] = old
+		}
+	}
+	v.seen = seen
+}
