Attached front ends: a full control member refuses before the welcome, and counters of the view

A control member without room welcomed an attached front end and then closed its link, which that took for a link that broke: it dialled the same one again at once. It is refused at the hello now, and goes elsewhere. After a stop of its own a control member does not close links for a silence that it could not hear. Counters of the view are printed with the others; answers that the leader owes itself are not counted as undeliverable.

--- a/cmd/chutechute/fleet.go
+++ b/cmd/chutechute/fleet.go
@@ -238,6 +238,9 @@
 	if err := json.Unmarshal(text, &s); err != nil {
 		return err
 	}
+	if s.Status.Role == "attached" {
+		return errors.New("this front end is attached and keeps no copy of the record: ask a control member")
+	}
 	if s.Status.Group == "0000000000000000" {
 		return errors.New("this front end is no copy of the record: ask one that 'fleet status' names")
 	}
--- a/fleet/attached_test.go
+++ b/fleet/attached_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -221,3 +222,30 @@
 	assert.Equal(t, view.Epoch, phases["started"].Epoch, "it has been offered to nobody")
 	assert.NotEqual(t, "waiting", phases["waiting"].Phase)
 }
+
+// A load that an attached front end hands on, as it ends as planned, is offered to a control member.
+func TestAttachedHandsOnItsLoads(t *testing.T) {
+	r := newRig(t, true)
+	leads, _ := r.leader()
+	a := r.attach("x1", "a")
+	r.ready(a)
+	view, answers := r.take(a, "once")
+	r.until(2*second, "an answer", func() bool { return *answers > 0 })
+	done := 0
+	for _, c := range []loads.Command{
+		{Op: loads.Start, Once: "once", Epoch: view.Epoch, Attempt: 1, Engine: "s-1", Call: "call-once"},
+		{Op: loads.Hand, Once: "once", Epoch: view.Epoch},
+	} {
+		done = 0
+		a.Ask(r.now, leads.kind.ID(), 1, c.Encode(), func(ledger.Answer) { done++ })
+		r.until(2*second, "done", func() bool { return done > 0 })
+	}
+	r.until(3*second, "an owner", func() bool {
+		for _, n := range r.controls {
+			if leads.kind.Show()[0].Owner == fmt.Sprintf("%016x", n.incarnation) {
+				return true
+			}
+		}
+		return false
+	})
+}
--- a/fleet/forward.go
+++ b/fleet/forward.go
@@ -98,6 +98,9 @@
 
 // toAttached sends a message of the record to a process of an attached front end, by way of a control member that has a link to it.
 func (n *Node) toAttached(process uint64, kind peer.Kind, body []byte) {
+	if process == 0 { // of the leader itself
+		return
+	}
 	home, ok := n.server.HomeOf(process)
 	switch {
 	case !ok:
--- a/internal/counters/counters.go
+++ b/internal/counters/counters.go
@@ -65,16 +65,31 @@
 	EngineHandshakes    int `name:"handshakes with engines"`
 	BadEngineHandshakes int `name:"handshakes with engines that failed"`
 
-	PeerLinks     int `name:"links to other front ends"`
-	PeerRejected  int `name:"links of other front ends closed for what came"`
-	PeerDropped   int `name:"messages to other front ends without room"`
-	Attached      int `name:"links of attached front ends"`
-	AttachRefused int `name:"links of attached front ends without room"`
-	Noted         int `name:"questions put to the record"`
-	Adopted       int `name:"loads adopted from lost front ends"`
-	Shared        int `name:"repeats that waited with a load elsewhere"`
-	Conflicts     int `name:"repeats with another statement"`
-	StoreErrors   int `name:"failures of the record's disk"`
+	PeerLinks       int `name:"links to other front ends"`
+	PeerRejected    int `name:"links of other front ends closed for what came"`
+	PeerDropped     int `name:"messages to other front ends without room"`
+	Attached        int `name:"links of attached front ends"`
+	AttachRefused   int `name:"links of attached front ends without room"`
+	ViewBeats       int `name:"heartbeats of attached front ends"`
+	ViewChanges     int `name:"changes of the view of all front ends"`
+	ViewSnapshots   int `name:"snapshots of the view"`
+	ViewBytes       int `name:"bytes of snapshots and repairs of the view"`
+	ViewRepairs     int `name:"repairs of parts of the view"`
+	ViewGaps        int `name:"gaps in changes of the view or of a table"`
+	ViewStale       int `name:"messages of past processes on the view"`
+	ViewRefused     int `name:"slow readers of the view"`
+	ViewDamped      int `name:"changes of flapping front ends put off"`
+	ViewDoubts      int `name:"times that this home doubted itself"`
+	ViewHomes       int `name:"changes of the home"`
+	ViewMalformed   int `name:"messages on the view that were none"`
+	Forwarded       int `name:"questions of attached front ends passed on"`
+	ForwardedNobody int `name:"messages for attached front ends that had gone"`
+
+	Noted       int `name:"questions put to the record"`
+	Adopted     int `name:"loads adopted from lost front ends"`
+	Shared      int `name:"repeats that waited with a load elsewhere"`
+	Conflicts   int `name:"repeats with another statement"`
+	StoreErrors int `name:"failures of the record's disk"`
 
 	LongestTurn int `name:"longest turn of the loop in microseconds"`
 }
--- a/internal/epoll/attached_test.go
+++ b/internal/epoll/attached_test.go
@@ -17,6 +17,7 @@
 	"chutechute/attach"
 	"chutechute/fleet"
 	"chutechute/internal/config"
+	"chutechute/internal/counters"
 	"chutechute/internal/settings"
 	"chutechute/internal/standin"
 	"chutechute/peer"
@@ -184,6 +185,12 @@
 		}
 	}
 	assert.False(t, x.showBudgets("").On)
+	var here, there counters.Set
+	x.counted(&here)
+	f.fronts[home.Name].counted(&there)
+	assert.Positive(t, here.ViewBeats)
+	assert.Positive(t, there.ViewBeats)
+	assert.Positive(t, there.ViewSnapshots)
 }
 
 // A control member that is lost is replaced, and what is attached elsewhere is seen on.
@@ -284,6 +291,7 @@
 	f.turn()
 	assert.Equal(t, 4, n1.attachedIn)
 	assert.Equal(t, 2, f.host.count.AttachRefused)
+	assert.False(t, links[4].d.Open() || links[5].d.Open(), "they go elsewhere without having been linked")
 	links[0].conn.Close()
 	f.until("room again", func() bool { return n1.attachedIn == 3 })
 	assert.True(t, n1.out["n2"].open() && n1.out["n3"].open())
--- a/internal/epoll/attachlinks.go
+++ b/internal/epoll/attachlinks.go
@@ -1,6 +1,7 @@
 package epoll
 
 import (
+	"errors"
 	"log/slog"
 
 	"chutechute/fleet"
@@ -16,6 +17,8 @@
 	attachedShaking = 512
 	// attachedSpare is how many links, for each four that may be, are allowed for old ones that are noticed late.
 	attachedSpare = 4
+	// attachedPause is a gap between two ticks above which this process stood still.
+	attachedPause = 600 * ms
 )
 
 // attachedMost bounds the links of attached front ends here: as many as there may be front ends, and a quarter of the descriptors.
@@ -37,16 +40,12 @@
 	return len(p.in)-p.attachedIn < most
 }
 
-// proven takes in who has proven itself over a link; false where there is no room for another attached front end.
-func (l *inLink) proven() bool {
+// proven takes in who has proven itself over a link.
+func (l *inLink) proven() {
 	other := &l.shake.Other
 	l.link.From, l.link.Incarnation, l.link.Zone, l.link.Attached = other.Name, other.Incarnation, other.Zone, other.Attached
 	if !other.Attached {
-		return true
-	}
-	if l.p.attachedIn >= l.p.attachedMost() {
-		l.p.host.count.AttachRefused++
-		return false
+		return
 	}
 	l.p.attachedIn++
 	l.p.host.count.Attached++
@@ -55,7 +54,16 @@
 	l.p.byProcess[other.Incarnation] = append(l.p.byProcess[other.Incarnation], l)
 	slog.Debug("attached", "from", other.Name, "incarnation", hex(other.Incarnation))
 	l.p.node.Linked(l.p.host.now, l.link)
-	return true
+}
+
+// rejected notes why a link is closed for what came over it.
+func (l *inLink) rejected(err error) {
+	if errors.Is(err, peer.ErrFull) { // there may be many of these
+		l.p.host.count.AttachRefused++
+		return
+	}
+	l.p.host.count.PeerRejected++
+	slog.Warn("link closed for what came", "from", l.shake.Other.Name, "error", err)
 }
 
 // parted takes out a link of an attached front end that is closed.
@@ -154,6 +162,18 @@
 	return max(linkSilent, 2*l.p.cfg.Attached.Config.Dead)
 }
 
+// resumed forgives attached front ends the silence of a time in which this process itself stood still: what they have sent
+// meanwhile may not have been read yet.
+func (p *peers) resumed() {
+	gap := p.host.now - p.ticked
+	if p.attaches() && p.ticked != 0 && gap > attachedPause {
+		for l := range p.in {
+			l.since, l.taken = l.since+gap, l.taken+gap
+		}
+	}
+	p.ticked = p.host.now
+}
+
 // closeAttached closes a link on the part's wish: of a process that has been replaced, or for what came.
 func (p *peers) closeAttached(link fleet.Link) {
 	for _, l := range append([]*inLink(nil), p.byProcess[link.Incarnation]...) {
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -47,6 +47,7 @@
 	byProcess  map[uint64][]*inLink // links of attached front ends, the newest last; nil where none may attach
 	attachedIn int                  // how many these are
 	queued     int                  // bytes that wait for them
+	ticked     Micros               // the last tick
 	viewLog    viewLog
 }
 
@@ -136,6 +137,7 @@
 	if p.attached != nil {
 		p.follow()
 	}
+	p.resumed()
 	for _, l := range p.out {
 		l.tick()
 	}
--- a/internal/epoll/links.go
+++ b/internal/epoll/links.go
@@ -311,11 +311,11 @@
 		l.shake.Feed(l.in.Bytes())
 		l.in.Discard(l.in.Len())
 		was := l.shake.Open()
+		l.shake.Full = l.shake.Attaches && l.p.attachedIn >= l.p.attachedMost()
 		reply, list, err := l.shake.Take()
 		l.write(reply)
-		if !was && l.shake.Open() && !l.closed && !l.proven() {
-			l.end()
-			return
+		if !was && l.shake.Open() && !l.closed {
+			l.proven()
 		}
 		for _, m := range list {
 			if err == nil {
@@ -323,8 +323,7 @@
 			}
 		}
 		if err != nil {
-			l.p.host.count.PeerRejected++
-			slog.Warn("link closed for what came", "from", l.shake.Other.Name, "error", err)
+			l.rejected(err)
 			l.end()
 			return
 		}
--- a/internal/epoll/part.go
+++ b/internal/epoll/part.go
@@ -3,6 +3,7 @@
 import (
 	"chutechute/attach"
 	"chutechute/fleet"
+	"chutechute/internal/counters"
 	"chutechute/peer"
 	"chutechute/recordclient"
 )
@@ -38,3 +39,21 @@
 	}
 	return len(p.in) + len(p.out)
 }
+
+// counted fills in the counters of the view, where front ends may attach.
+func (p *peers) counted(count *counters.Set) {
+	var c *attach.Counters
+	switch {
+	case p.attached != nil:
+		c = &p.attached.Client().Counters
+	case p.attaches():
+		c = &p.node.Attaches().Counters
+		count.Forwarded, count.ForwardedNobody = p.node.Forwarded, p.node.Undeliverable
+	default:
+		return
+	}
+	count.ViewBeats, count.ViewChanges, count.ViewSnapshots, count.ViewBytes = c.Heartbeats, c.Changes, c.Snapshots, c.SnapshotBytes+c.RepairBytes
+	count.ViewRepairs, count.ViewGaps, count.ViewStale, count.ViewRefused = c.DigestRepairs, c.Gaps, c.StaleEpochs, c.Refused
+	count.ViewDamped, count.ViewDoubts, count.ViewHomes = c.Damped, c.Doubts, c.HomeChanges
+	count.ViewMalformed = c.Malformed + c.UnknownHomes + c.WrongNames + c.Oversized
+}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -246,6 +246,7 @@
 	}
 	if p := s.peers; p != nil {
 		s.count.Noted, s.count.Adopted, s.count.Shared, s.count.Conflicts = p.part.Asked(), p.records.Adopted, p.records.Waited, p.records.Conflicts
+		p.counted(&s.count)
 	}
 	s.count.Print(s.log)
 }
--- a/peer/attached_test.go
+++ b/peer/attached_test.go
@@ -69,6 +69,12 @@
 	d, l := pair(nil, nil)
 	l.Self.Attached = true
 	assert.ErrorIs(t, open(d, l), peer.ErrRole, "no front end attaches to an attached one")
+	d, l = attachedPair(peer.MostBody)
+	l.Full = true
+	assert.ErrorIs(t, open(d, l), peer.ErrFull)
+	d, l = pair(nil, nil)
+	l.Attaches, l.Full = true, true
+	assert.NoError(t, open(d, l), "there is always room for a control member")
 }
 
 // attachedPair is an attached front end, which takes messages up to a limit, and a control member.
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -82,6 +82,7 @@
 	ErrSettings = errors.New("peer: its settings differ")
 	ErrSelf     = errors.New("peer: this process itself")
 	ErrRole     = errors.New("peer: a role that does not fit")
+	ErrFull     = errors.New("peer: no room for another attached front end")
 )
 
 // Secret proves both sides of a link to one another. Without one only loopback addresses are allowed, where whoever may
@@ -229,10 +230,12 @@
 	Known func(name string) bool
 	// Attaches says that front ends of other names may attach here.
 	Attaches bool
-	Other    Identity // once it is open
-	nonce    []byte
-	open     bool
-	limit    int
+	// Full says, before a hello comes, that there is no room for another of these.
+	Full  bool
+	Other Identity // once it is open
+	nonce []byte
+	open  bool
+	limit int
 }
 
 // Greet begins: the nonce has to be new for each link.
@@ -296,6 +299,8 @@
 		return fmt.Errorf("%w: %q is attached, and no front ends may attach here", ErrRole, other.Name)
 	case other.Attached && (member || other.Name == l.Self.Name):
 		return fmt.Errorf("%w: %q is attached under a control member's name", ErrRole, other.Name)
+	case other.Attached && l.Full:
+		return fmt.Errorf("%w: %q", ErrFull, other.Name)
 	}
 	return nil
 }
