attach: random histories; a view that comes from elsewhere does not bring replaced processes back

Histories of loss, delay, doubling, cuts, stops and restarts showed a front end that changed its home across a cut taking an earlier process of a name for its latest.

--- a/attach/client.go
+++ b/attach/client.go
@@ -13,6 +13,9 @@
 	steadySpan Micros = 3_000_000
 	// resumeGap is between two requests of what is missing, beside the heartbeats.
 	resumeGap Micros = 300_000
+	// believeSpan is for how long a home has to show a process alive before that counts more than what was seen of it elsewhere.
+	// It is longer than the evidence of any home that is not there.
+	believeSpan Micros = 30_000_000
 	// mostFailures is how many times in a row what a control member sends may not agree before its link is closed.
 	mostFailures = 6
 )
@@ -38,8 +41,9 @@
 	view     *View
 	epoch    uint64 // the process of a control member whose version the view is; 0 for none
 	sequence uint64
-	failures int  // in a row, in which what the home sent did not agree
-	whole    bool // only the whole view helps
+	failures int    // in a row, in which what the home sent did not agree
+	whole    bool   // only the whole view helps
+	conflict Micros // since when the home shows a process that was replaced; 0 where it doesn't
 	unpacker unpacker
 
 	actions []Message
@@ -198,7 +202,7 @@
 		c.home.beat = c.now
 	}
 	c.home = o
-	c.failures, c.whole = 0, false
+	c.failures, c.whole, c.conflict = 0, false, 0
 	c.Counters.HomeChanges++
 	if o != nil {
 		o.beat = c.now
@@ -335,6 +339,7 @@
 		if m.echo <= c.now {
 			c.view.confirm(m.echo)
 		}
+		c.settle()
 		return
 	}
 	o.behind = true
@@ -344,6 +349,16 @@
 	}
 }
 
+// settle believes a home in the end that goes on showing a process alive which this view has had replaced.
+func (c *Client) settle() {
+	if c.view.conflict && !c.view.believe(c.conflict != 0 && c.now-c.conflict >= believeSpan) {
+		c.conflict = 0
+	}
+	if c.view.conflict && c.conflict == 0 {
+		c.conflict = c.now
+	}
+}
+
 // resume asks for what is missing without waiting for the next heartbeat, at a bounded rate.
 func (c *Client) resume(o *control) {
 	if c.now-o.lastResume < resumeGap {
@@ -404,7 +419,7 @@
 	}
 	var list []change
 	if err == nil {
-		list, err = decodeChanges(b, c.cfg.Most)
+		list, err = decodeChanges(c.now, b, c.cfg.Most)
 	}
 	if err == nil {
 		for i := range list {
@@ -432,7 +447,7 @@
 	if c.view.digestAfter(changes) != m.digest {
 		return c.disagree(o, m, whole)
 	}
-	c.view.apply(changes)
+	c.view.apply(changes, false)
 	c.Counters.Changes += len(changes)
 	if m.content == someChanges {
 		c.Counters.Pushes++
--- a/attach/merge.go
+++ b/attach/merge.go
@@ -116,7 +116,7 @@
 }
 
 // choose is the process to be shown. Ages are told with an error, so one that stays alive beside a dead later one wins in the end.
-func (s *Server) choose(p *person) *row {
+func (s *Server) choose(p *person) process {
 	list := s.processes(p)
 	newest := 0
 	for i := range list {
@@ -133,27 +133,31 @@
 	state := list[newest].best.evidence()
 	if alive < 0 || alive == newest || state != Dead && state != Left {
 		p.doubted = 0
-		return list[newest].best
+		return list[newest]
 	}
 	if p.doubted == 0 {
 		p.doubted = s.now
 	}
 	if s.now-p.doubted >= stubborn {
-		return list[alive].best
+		return list[alive]
 	}
-	return list[newest].best
+	return list[newest]
 }
 
 // entry is how a person is to be shown; ok is false for one that is not.
-func (s *Server) entry(p *person) (e Entry, ok bool) {
+func (s *Server) entry(p *person) (e change, ok bool) {
 	if c := s.byName[p.name]; c != nil {
-		return Entry{Name: c.Name, Zone: c.Zone, Role: Control, Incarnation: c.Incarnation, State: c.State, Home: c.Name}, c.Incarnation != 0
+		e.Entry = Entry{Name: c.Name, Zone: c.Zone, Role: Control, Incarnation: c.Incarnation, State: c.State, Home: c.Name}
+		return e, c.Incarnation != 0
 	}
 	if len(p.rows) == 0 {
 		return e, false
 	}
-	r := s.choose(p)
-	return Entry{Name: r.name, Zone: r.zone, Role: Attached, Incarnation: r.incarnation, State: r.evidence(), Home: r.table.home}, true
+	chosen := s.choose(p)
+	r := chosen.best
+	e.Entry = Entry{Name: r.name, Zone: r.zone, Role: Attached, Incarnation: r.incarnation, State: r.evidence(), Home: r.table.home}
+	e.challenged = cmp.Or(chosen.challenged, -1)
+	return e, true
 }
 
 // mergeAll gives the changes of the view, by name, as far as the bounded rate of each name allows.
@@ -203,12 +207,12 @@
 	case !shown:
 		return change{Entry: Entry{Name: p.name}, removed: true}, true
 	case old != nil:
-		return change{Entry: e}, *old != e
+		return e, old.Entry != e.Entry
 	case s.view.Len() >= s.cfg.Most && e.Role == Attached:
 		s.Counters.Oversized++
 		return c, false
 	}
-	return change{Entry: e}, true
+	return e, true
 }
 
 // forget drops a person that no table has.
--- a/attach/message.go
+++ b/attach/message.go
@@ -1,6 +1,7 @@
 package attach
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 
@@ -17,6 +18,9 @@
 type change struct {
 	Entry
 	removed bool
+	// challenged is when its process answered a challenge, by this side's clock; 0 where that is not told. Messages carry its age in
+	// milliseconds, and digests leave it out.
+	challenged Micros
 }
 
 // heartbeat is what an attached front end says over each of its links.
@@ -161,7 +165,8 @@
 	return m, formError(err)
 }
 
-func encodeChanges(list []change) []byte {
+// encodeChanges writes ages as of now.
+func encodeChanges(now Micros, list []change) []byte {
 	var b []byte
 	for i := range list {
 		c := &list[i]
@@ -175,13 +180,16 @@
 		m = proto.Uint(m, 4, c.Incarnation)
 		m = proto.Uint(m, 5, uint64(c.Role))
 		m = proto.Uint(m, 6, uint64(c.State))
+		if c.challenged != 0 {
+			m = proto.Uint(m, 8, uint64(max(0, now-c.challenged))/1000+1)
+		}
 		b = proto.Message(b, 1, m)
 	}
 	return b
 }
 
 // decodeChanges reads at most most changes, which are by name and name each front end once.
-func decodeChanges(b []byte, most int) (list []change, err error) {
+func decodeChanges(now Micros, b []byte, most int) (list []change, err error) {
 	err = proto.Each(b, func(f proto.Field) error {
 		if f.Number != 1 {
 			return nil
@@ -189,7 +197,7 @@
 		if len(list) == most {
 			return ErrOversized
 		}
-		c, err := decodeChange(f.Data)
+		c, err := decodeChange(now, f.Data)
 		if err != nil {
 			return err
 		}
@@ -202,7 +210,7 @@
 	return list, formError(err)
 }
 
-func decodeChange(b []byte) (c change, err error) {
+func decodeChange(now Micros, b []byte) (c change, err error) {
 	err = proto.Each(b, func(f proto.Field) error {
 		switch f.Number {
 		case 1:
@@ -219,6 +227,9 @@
 			c.State = State(min(f.Uint, 255))
 		case 7:
 			c.removed = f.Uint != 0
+		case 8:
+			// Of a process that began before this side's clock the time is negative; 0 is left for none.
+			c.challenged = cmp.Or(now-Micros(min(f.Uint, 1<<50)-1)*1000, -1)
 		}
 		return nil
 	})
--- /dev/null
+++ b/attach/property_test.go
@@ -0,0 +1,193 @@
+package attach
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// Whatever is lost, late, doubled, cut, stopped and restarted: after calm all views are the same and right, and at no time does a
+// view show an incarnation again that a later process of its name has replaced.
+func TestViewsAgreeInTheEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history(t, rapid.Uint64().Draw(t, "seed"), rapid.IntRange(3, 5).Draw(t, "servers"), rapid.IntRange(5, 30).Draw(t, "clients"),
+			func(i int) int { return rapid.IntRange(0, 9).Draw(t, fmt.Sprint("fault", i)) })
+	})
+}
+
+// tb gives a rapid.T the methods that the rig uses.
+type tb struct {
+	testing.TB
+	rapid *rapid.T
+}
+
+func (t tb) Errorf(format string, args ...any) { t.rapid.Errorf(format, args...) }
+func (t tb) FailNow()                          { t.rapid.FailNow() }
+func (t tb) Helper()                           { t.rapid.Helper() }
+
+// steps is how many faults a history has.
+const steps = 12
+
+func history(t *rapid.T, seed uint64, servers, clients int, fault func(int) int) {
+	zones := []string{"za", "zb", "za", "zc", "zb"}
+	r := newRig(tb{rapid: t}, seed, zones[:servers]...)
+	for i := range clients {
+		r.attach(fmt.Sprintf("f%02d", i), zones[i%servers])
+	}
+	lookers := map[any]*looker{}
+	r.check = func() { r.neverBack(t, lookers) }
+	for i := range steps {
+		r.fault(fault(i))
+		r.run(r.random.span(100*ms, 6*second))
+	}
+	r.calm()
+	r.run(120 * second)
+	r.agreed()
+}
+
+// looker is what was seen in one view.
+type looker struct {
+	digest uint64
+	last   map[string]uint64 // by name
+	past   map[uint64]bool
+}
+
+// neverBack checks every server's and client's view for incarnations that come again. At a client one that is Dead does not count:
+// a home on the other side of a cut may know of nothing later, and its front ends then show the earlier one as what it is.
+func (r *rig) neverBack(t *rapid.T, lookers map[any]*looker) {
+	look := func(who string, key any, v *View, strict bool) {
+		l := lookers[key]
+		if l == nil {
+			l = &looker{last: map[string]uint64{}, past: map[uint64]bool{}}
+			lookers[key] = l
+		}
+		if l.digest == v.Digest() {
+			return
+		}
+		l.digest = v.Digest()
+		for _, e := range v.List() {
+			before := l.last[e.Name]
+			if before == e.Incarnation || !strict && v.Gone(e.Incarnation) {
+				continue
+			}
+			l.past[before] = true
+			l.last[e.Name] = e.Incarnation
+			if l.past[e.Incarnation] {
+				t.Fatalf("%s shows %d of %s again after %d, at %d ms", who, e.Incarnation, e.Name, before, r.now/ms)
+			}
+		}
+	}
+	for _, s := range r.servers {
+		if s.up {
+			look(s.cfg.Name, s.Server, s.View(), true)
+		}
+	}
+	for _, c := range r.clients {
+		if c.up {
+			look(c.cfg.Name, c.Client, c.View(), false)
+		}
+	}
+}
+
+// fault does one of the faults, to somebody that the seed chooses.
+func (r *rig) fault(kind int) {
+	s := r.servers[r.random.next()%uint64(len(r.servers))]
+	c := r.clients[r.random.next()%uint64(len(r.clients))]
+	one := r.random.next()
+	switch kind {
+	case 0:
+		r.lossy = int(r.random.next() % 300)
+	case 1:
+		r.doubled, r.slowest = int(r.random.next()%300), r.random.span(5*ms, second)
+	case 2:
+		r.restart(c)
+	case 3:
+		for i := range r.clients {
+			if (one>>(i%64))&3 == 0 {
+				r.restart(r.clients[i])
+			}
+		}
+	case 4:
+		if s.up && !s.paused {
+			r.stop(s)
+			r.start(s)
+		}
+	case 5:
+		if s.up && !s.paused && r.upServers() > 1 {
+			r.stop(s)
+		} else if !s.up {
+			r.start(s)
+		}
+	case 6:
+		r.cut = func(from, to string) bool { return side(one, from) != side(one, to) }
+	case 7:
+		r.cut = func(from, to string) bool { return from == s.cfg.Name && side(one, to) == 0 } // one way
+	case 8:
+		if c.paused {
+			r.resumeClient(c)
+		} else {
+			c.paused = true
+		}
+	case 9:
+		if s.paused {
+			r.resumeServer(s)
+		} else if s.up && r.upServers() > 1 {
+			s.paused = true
+		}
+	}
+}
+
+func side(seed uint64, name string) uint64 { return weight(name, "", seed) % 2 }
+
+func (r *rig) upServers() (n int) {
+	for _, s := range r.servers {
+		if s.up && !s.paused {
+			n++
+		}
+	}
+	return n
+}
+
+// calm ends all faults.
+func (r *rig) calm() {
+	r.lossy, r.doubled, r.slowest = 0, 0, 5*ms
+	r.cut = func(_, _ string) bool { return false }
+	for _, s := range r.servers {
+		switch {
+		case !s.up:
+			r.start(s)
+		case s.paused:
+			r.resumeServer(s)
+		}
+	}
+	for _, c := range r.clients {
+		if c.paused {
+			r.resumeClient(c)
+		}
+	}
+}
+
+// The same seed gives the same run, message by message.
+func TestSameSeedSameRun(t *testing.T) {
+	run := func() string {
+		r := fleet(t, 11, 20)
+		for i := range 10 {
+			r.fault(i)
+			r.run(3 * second)
+		}
+		text := ""
+		for _, s := range r.servers {
+			text += fmt.Sprintf("%+v %d %d\n", s.Counters, s.bytes, s.View().Digest())
+		}
+		for _, c := range r.clients {
+			text += fmt.Sprintf("%+v %d %d %d\n", c.Counters, c.in, c.out, c.View().Digest())
+		}
+		return text
+	}
+	first := run()
+	for range 3 {
+		require.Equal(t, first, run())
+	}
+}
--- a/attach/serve.go
+++ b/attach/serve.go
@@ -11,6 +11,8 @@
 	mostRepairs = 6
 	// manyBuckets is how many differing parts make the shared snapshot of all cheaper.
 	manyBuckets = 40
+	// snapshotSpan is for how long a snapshot is shared: the ages of challenges in it become wrong by that.
+	snapshotSpan Micros = 200_000
 )
 
 // reader is what is known of an attached front end as a subscriber.
@@ -28,7 +30,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	s.view.apply(changes)
+	s.view.apply(changes, true)
 	s.snapshot = nil
 	s.sequence++
 	names := make([]string, len(changes))
@@ -50,7 +52,7 @@
 func (s *Server) changesMessage(base uint64, changes []change) []byte {
 	m := s.versionMessage()
 	m.content, m.base = someChanges, base
-	m.entries, m.packed = s.packer.pack(encodeChanges(changes))
+	m.entries, m.packed = s.packer.pack(encodeChanges(s.now, changes))
 	return m.encode()
 }
 
@@ -143,7 +145,7 @@
 	changes := make([]change, 0, len(names))
 	for _, name := range names {
 		if e := s.view.byName[name]; e != nil {
-			changes = append(changes, change{Entry: *e})
+			changes = append(changes, change{Entry: e.Entry, challenged: e.challenged})
 			continue
 		}
 		changes = append(changes, change{Entry: Entry{Name: name}, removed: true})
@@ -192,10 +194,10 @@
 	return mask
 }
 
-// wholeView is the snapshot of the view as it is, made once and shared.
+// wholeView is the snapshot of the view as it is, made once and shared for as long as the ages in it are right.
 func (s *Server) wholeView() []byte {
-	if s.snapshot == nil {
-		s.snapshot = s.bucketsMessage(allBuckets)
+	if s.snapshot == nil || s.now-s.packed > snapshotSpan {
+		s.snapshot, s.packed = s.bucketsMessage(allBuckets), s.now
 	}
 	return s.snapshot
 }
@@ -203,7 +205,7 @@
 func (s *Server) bucketsMessage(mask uint64) []byte {
 	m := s.versionMessage()
 	m.content, m.mask = someBuckets, mask
-	m.entries, m.packed = s.packer.pack(encodeChanges(s.view.in(mask)))
+	m.entries, m.packed = s.packer.pack(encodeChanges(s.now, s.view.in(mask)))
 	return m.encode()
 }
 
--- a/attach/server.go
+++ b/attach/server.go
@@ -71,6 +71,7 @@
 	log      changeLog
 	packer   packer
 	snapshot []byte // of the whole view at the sequence; nil where it is not made
+	packed   Micros // when it was made
 
 	actions []Message
 	closing []Link
--- a/attach/view.go
+++ b/attach/view.go
@@ -9,11 +9,17 @@
 // NeverConfirmed is the age of a view that was never confirmed.
 const NeverConfirmed Micros = math.MaxInt64
 
+// kept is an entry with when its process answered a challenge, as far as that was told: of two processes of one name the later.
+type kept struct {
+	Entry
+	challenged Micros // 0 where it was not
+}
+
 // View is all front ends of both roles, as one of them sees it.
 type View struct {
-	byName        map[string]*Entry
-	byIncarnation map[uint64]*Entry
-	list          []*Entry // by name
+	byName        map[string]*kept
+	byIncarnation map[uint64]*kept
+	list          []*kept // by name
 	sums          [buckets]uint64
 	total         uint64
 	past          pastSet
@@ -21,28 +27,40 @@
 	confirmed     Micros
 	known         bool // confirmed holds a time
 	authority     bool // a control member's own view has no age
+	// conflict says that an entry may show a process that this view has had replaced, as told by a control member that missed
+	// that. It is kept as told, since digests are over what was told, and is shown as Dead.
+	conflict bool
 }
 
 func newView() *View {
-	return &View{byName: map[string]*Entry{}, byIncarnation: map[uint64]*Entry{}, texts: map[string]string{}}
+	return &View{byName: map[string]*kept{}, byIncarnation: map[uint64]*kept{}, texts: map[string]string{}}
 }
 
 // List is all entries by name. It is the caller's own.
 func (v *View) List() []Entry {
 	list := make([]Entry, len(v.list))
 	for i, e := range v.list {
-		list[i] = *e
+		list[i] = v.shown(e)
 	}
 	return list
 }
 
+// shown is an entry as it is shown: a process that was replaced does not come back.
+func (v *View) shown(e *kept) Entry {
+	shown := e.Entry
+	if v.conflict && v.past.contains(e.Incarnation) {
+		shown.State = Dead
+	}
+	return shown
+}
+
 // Of is the entry of a name.
 func (v *View) Of(name string) (Entry, bool) {
 	e := v.byName[name]
 	if e == nil {
 		return Entry{}, false
 	}
-	return *e, true
+	return v.shown(e), true
 }
 
 // Len is how many entries there are.
@@ -53,8 +71,8 @@
 
 // Gone says whether a process is held for no more: its name has another, it has left, or it is heard nowhere for long.
 func (v *View) Gone(incarnation uint64) bool {
-	if e := v.byIncarnation[incarnation]; e != nil {
-		return e.State == Dead || e.State == Left
+	if e := v.byIncarnation[incarnation]; e != nil && (e.State == Dead || e.State == Left) {
+		return true
 	}
 	return v.past.contains(incarnation)
 }
@@ -62,12 +80,12 @@
 // Alive says whether a process is seen alive.
 func (v *View) Alive(incarnation uint64) bool {
 	e := v.byIncarnation[incarnation]
-	return e != nil && e.State == Alive
+	return e != nil && e.State == Alive && !v.past.contains(incarnation)
 }
 
 // Replaced says whether the view has had a later process under that one's name.
 func (v *View) Replaced(incarnation uint64) bool {
-	return v.byIncarnation[incarnation] == nil && v.past.contains(incarnation)
+	return v.past.contains(incarnation)
 }
 
 // Age is how long ago the home last confirmed this view, counted from when it was asked; at a control member 0, and
@@ -90,29 +108,45 @@
 }
 
 func (v *View) place(name string) (int, bool) {
-	return slices.BinarySearchFunc(v.list, name, func(e *Entry, name string) int { return strings.Compare(e.Name, name) })
+	return slices.BinarySearchFunc(v.list, name, func(e *kept, name string) int { return strings.Compare(e.Name, name) })
 }
 
-// put sets one entry.
-func (v *View) put(e Entry) {
+// put sets one entry. A control member's own merging is sure of which process is the later. What is told may come from one that
+// missed the later: then this side's order counts.
+func (v *View) put(c *change, sure bool) {
+	e := &kept{c.Entry, c.challenged}
 	e.Zone, e.Home = v.text(e.Zone), v.text(e.Home)
 	old := v.byName[e.Name]
-	if old == nil {
-		kept := e
+	if sure {
+		v.past.remove(e.Incarnation)
+	}
+	switch {
+	case old == nil:
 		at, _ := v.place(e.Name)
-		v.list = slices.Insert(v.list, at, &kept)
-		v.byName[e.Name] = &kept
-		v.index(&kept)
-		v.count(&kept, 1)
-		return
+		v.list = slices.Insert(v.list, at, e)
+		v.byName[e.Name] = e
+		v.index(e)
+		v.count(e, 1)
+	case old.Incarnation == e.Incarnation:
+		if old.challenged != 0 && e.challenged != 0 {
+			e.challenged = min(e.challenged, old.challenged)
+		}
+		v.overwrite(old, e)
+	case !sure && old.challenged != 0 && e.challenged != 0 && e.challenged < old.challenged:
+		v.past.add(e.Incarnation)
+		v.overwrite(old, e)
+	default:
+		v.past.add(old.Incarnation)
+		v.overwrite(old, e)
 	}
+	v.conflict = v.conflict || v.past.contains(e.Incarnation)
+}
+
+func (v *View) overwrite(old, e *kept) {
 	v.count(old, -1)
+	v.unindex(old)
 	e.Name = old.Name
-	if old.Incarnation != e.Incarnation {
-		v.unindex(old)
-		v.past.add(old.Incarnation)
-	}
-	*old = e
+	*old = *e
 	v.index(old)
 	v.count(old, 1)
 }
@@ -131,21 +165,20 @@
 	v.count(old, -1)
 }
 
-func (v *View) index(e *Entry) {
+func (v *View) index(e *kept) {
 	if e.Incarnation != 0 {
-		v.past.remove(e.Incarnation)
 		v.byIncarnation[e.Incarnation] = e
 	}
 }
 
-func (v *View) unindex(e *Entry) {
+func (v *View) unindex(e *kept) {
 	if v.byIncarnation[e.Incarnation] == e {
 		delete(v.byIncarnation, e.Incarnation)
 	}
 }
 
 // count adds an entry to the sums, or takes it away.
-func (v *View) count(e *Entry, sign int) {
+func (v *View) count(e *kept, sign int) {
 	share := e.digest() * uint64(sign)
 	v.sums[bucketOf(e.Name)] += share
 	v.total += share
@@ -193,14 +226,31 @@
 	return n
 }
 
-func (v *View) apply(changes []change) {
+func (v *View) apply(changes []change, sure bool) {
 	for i := range changes {
 		if changes[i].removed {
 			v.remove(changes[i].Name)
 			continue
 		}
-		v.put(changes[i].Entry)
+		v.put(&changes[i], sure)
+	}
+}
+
+// believe ends the conflicts of those that the home shows alive for long, and says whether any are left.
+func (v *View) believe(long bool) bool {
+	left := false
+	for _, e := range v.list {
+		if !v.past.contains(e.Incarnation) {
+			continue
+		}
+		if long && e.State == Alive {
+			v.past.remove(e.Incarnation)
+			continue
+		}
+		left = true
 	}
+	v.conflict = left
+	return left
 }
 
 // replacing is the changes that make the parts of the view in mask hold just the entries, given by name.
@@ -229,7 +279,7 @@
 	var list []change
 	for _, e := range v.list {
 		if mask == allBuckets || mask&(1<<bucketOf(e.Name)) != 0 {
-			list = append(list, change{Entry: *e})
+			list = append(list, change{Entry: e.Entry, challenged: e.challenged})
 		}
 	}
 	return list
