epoll: the test of unwanted links does not pass by their silence

It passed without the mechanism, as the control member closed the link after ten silent seconds. go test ./internal/epoll passes, and fails where unwanted links are kept.

--- a/internal/epoll/attached_test.go
+++ b/internal/epoll/attached_test.go
@@ -391,6 +391,9 @@
 		linked := 0
 		for _, p := range f.fronts {
 			linked += p.attachedIn
+			for l := range p.in {
+				l.since = f.host.now // it is not closed for its silence
+			}
 		}
 		return len(x.out) == 2 && linked == 2
 	})
