attach: challenges are ordered by the least difference of clocks; tests of tables, epochs, gaps, sums and bad input

A history with messages a second late took an earlier process for the later one, since ages told grow by what a message takes. Times are now told by the sender's clock, and each side keeps the least difference of the two.

--- a/attach/client.go
+++ b/attach/client.go
@@ -136,6 +136,9 @@
 	if o == nil {
 		return
 	}
+	if o.incarnation != incarnation {
+		o.clock = offset{}
+	}
 	o.linked, o.incarnation, o.leaving, o.behind = true, incarnation, false, false
 	o.heard, o.steady, o.beat = c.now, c.now, c.now
 	c.chooseHome()
@@ -297,6 +300,7 @@
 		o.steady = c.now
 	}
 	o.heard, o.failures = c.now, 0
+	o.clock.observe(c.now, m.sent)
 	if m.leaving && !o.leaving {
 		o.leaving = true
 		c.chooseHome()
@@ -378,7 +382,7 @@
 		c.resume(o)
 		return nil
 	}
-	changes, err := c.entries(m)
+	changes, err := c.entries(o, m)
 	if err != nil {
 		return err
 	}
@@ -389,7 +393,7 @@
 	if c.epoch == o.incarnation && m.sequence < c.sequence {
 		return nil
 	}
-	entries, err := c.entries(m)
+	entries, err := c.entries(o, m)
 	if err != nil {
 		return err
 	}
@@ -411,7 +415,7 @@
 }
 
 // entries reads and checks what a message carries.
-func (c *Client) entries(m *viewMessage) ([]change, error) {
+func (c *Client) entries(o *control, m *viewMessage) ([]change, error) {
 	b := m.entries
 	var err error
 	if m.packed {
@@ -419,7 +423,7 @@
 	}
 	var list []change
 	if err == nil {
-		list, err = decodeChanges(c.now, b, c.cfg.Most)
+		list, err = decodeChanges(&o.clock, b, c.cfg.Most)
 	}
 	if err == nil {
 		for i := range list {
--- a/attach/damping.go
+++ b/attach/damping.go
@@ -15,8 +15,10 @@
 	repairRate = rate{3_000_000, 4}
 	// catchUpRate is of changes from the log to one link.
 	catchUpRate = rate{500_000, 8}
-	// pullRate is of pulls of one table.
-	pullRate = rate{200_000, 3}
+	// pullRate is of pulls of one table: an answer takes less than its gap, where none is lost.
+	pullRate = rate{200_000, 1}
+	// answerRate is of answers to pulls of one table by one control member.
+	answerRate = rate{200_000, 3}
 	// sumRate is of pulls of one table since its sum differs.
 	sumRate = rate{5_000_000, 2}
 )
--- a/attach/merge.go
+++ b/attach/merge.go
@@ -8,6 +8,10 @@
 // stubborn is for how long a process must be alive beside a later one of its name that is dead before it is shown instead.
 const stubborn Micros = 10_000_000
 
+// settling is for how long after a change two processes of one name are compared again with each batch, as the estimate of another
+// member's clock gets better with each message.
+const settling Micros = 5_000_000
+
 // person is all that is known of one name: the rows of all homes' tables.
 type person struct {
 	name    string
@@ -15,6 +19,8 @@
 	touched bool   // is in Server.merge
 	watched bool   // is in Server.watch
 	doubted Micros // since when the later process is dead and another alive; 0 where that is not so
+	rivals  bool   // there are two processes that may each be the later
+	settles Micros // until when they are compared again
 	waits   bool   // a change is put off by the bounded rate
 	changes Micros // state of the bounded rate of its changes
 }
@@ -95,11 +101,11 @@
 	for _, r := range p.rows {
 		at := slices.IndexFunc(list, func(o process) bool { return o.incarnation == r.incarnation })
 		if at < 0 {
-			list = append(list, process{r.incarnation, r.challenged, r, s.past.contains(r.incarnation)})
+			list = append(list, process{r.incarnation, r.answered(), r, s.past.contains(r.incarnation)})
 			continue
 		}
 		o := &list[at]
-		o.challenged = max(o.challenged, r.challenged)
+		o.challenged = max(o.challenged, r.answered())
 		if r.weighs(o.best) {
 			o.best = r
 		}
@@ -130,6 +136,7 @@
 			alive = i
 		}
 	}
+	p.rivals = slices.ContainsFunc(list, func(o process) bool { return o != list[newest] && !o.past })
 	state := list[newest].best.evidence()
 	if alive < 0 || alive == newest || state != Dead && state != Left {
 		p.doubted = 0
@@ -164,15 +171,16 @@
 func (s *Server) mergeAll() (changes []change) {
 	s.watch = slices.DeleteFunc(s.watch, func(p *person) bool {
 		s.touched(p)
-		p.watched = p.doubted != 0
+		p.watched = s.watches(p)
 		return !p.watched
 	})
 	slices.SortFunc(s.merge, func(a, b *person) int { return cmp.Compare(a.name, b.name) })
 	var later []*person
+	room := s.mostAttached - s.attached
 	for _, p := range s.merge {
 		p.touched = false
-		c, differs := s.difference(p)
-		if p.doubted != 0 && !p.watched {
+		c, differs := s.difference(p, room)
+		if !p.watched && s.watches(p) {
 			p.watched = true
 			s.watch = append(s.watch, p)
 		}
@@ -190,15 +198,22 @@
 		default:
 			p.waits = false
 			changes = append(changes, c)
+			if s.byName[p.name] == nil {
+				room -= s.view.lenAfter(changes[len(changes)-1:]) - s.view.Len()
+			}
 			s.forget(p)
 		}
 	}
 	s.merge = later
+	s.attached = s.mostAttached - room
 	return changes
 }
 
-// difference is what the view lacks of a person.
-func (s *Server) difference(p *person) (c change, differs bool) {
+// watches says whether a person is to be merged again without a change of its rows.
+func (s *Server) watches(p *person) bool { return p.doubted != 0 || p.rivals && s.now < p.settles }
+
+// difference is what the view lacks of a person, where it has room for so many more.
+func (s *Server) difference(p *person, room int) (c change, differs bool) {
 	e, shown := s.entry(p)
 	old := s.view.byName[p.name]
 	switch {
@@ -208,7 +223,7 @@
 		return change{Entry: Entry{Name: p.name}, removed: true}, true
 	case old != nil:
 		return e, old.Entry != e.Entry
-	case s.view.Len() >= s.cfg.Most && e.Role == Attached:
+	case room <= 0 && e.Role == Attached:
 		s.Counters.Oversized++
 		return c, false
 	}
--- a/attach/message.go
+++ b/attach/message.go
@@ -5,6 +5,8 @@
 	"encoding/binary"
 	"fmt"
 
+	"google.golang.org/protobuf/encoding/protowire"
+
 	"chutechute/internal/proto"
 )
 
@@ -18,8 +20,8 @@
 type change struct {
 	Entry
 	removed bool
-	// challenged is when its process answered a challenge, by this side's clock; 0 where that is not told. Messages carry its age in
-	// milliseconds, and digests leave it out.
+	// challenged is when its process answered a challenge, by this side's clock, 0 where that is not told. Messages carry it by the
+	// sender's clock in milliseconds, and digests leave it out.
 	challenged Micros
 }
 
@@ -112,6 +114,7 @@
 	mask     uint64 // of buckets: those that are carried whole
 	packed   bool
 	entries  []byte
+	sent     Micros // by the sender's clock, as are the entries' times
 }
 
 func (m *viewMessage) encode() []byte {
@@ -126,7 +129,8 @@
 	b = proto.Uint(b, 9, m.base)
 	b = proto.Uint(b, 10, m.mask)
 	b = proto.Bool(b, 11, m.packed)
-	return proto.Bytes(b, 12, m.entries)
+	b = proto.Bytes(b, 12, m.entries)
+	return proto.Uint(b, 13, protowire.EncodeZigZag(m.sent))
 }
 
 func decodeView(b []byte) (m viewMessage, err error) {
@@ -156,6 +160,8 @@
 			m.packed = f.Uint != 0
 		case 12:
 			m.entries = f.Data
+		case 13:
+			m.sent = clockTime(f)
 		}
 		return nil
 	})
@@ -165,8 +171,7 @@
 	return m, formError(err)
 }
 
-// encodeChanges writes ages as of now.
-func encodeChanges(now Micros, list []change) []byte {
+func encodeChanges(list []change) []byte {
 	var b []byte
 	for i := range list {
 		c := &list[i]
@@ -181,15 +186,15 @@
 		m = proto.Uint(m, 5, uint64(c.Role))
 		m = proto.Uint(m, 6, uint64(c.State))
 		if c.challenged != 0 {
-			m = proto.Uint(m, 8, uint64(max(0, now-c.challenged))/1000+1)
+			m = proto.Uint(m, 8, protowire.EncodeZigZag(cmp.Or(c.challenged/1000, 1)))
 		}
 		b = proto.Message(b, 1, m)
 	}
 	return b
 }
 
-// decodeChanges reads at most most changes, which are by name and name each front end once.
-func decodeChanges(now Micros, b []byte, most int) (list []change, err error) {
+// decodeChanges reads at most most changes, which are by name and name each front end once. clock is of who sent them.
+func decodeChanges(clock *offset, b []byte, most int) (list []change, err error) {
 	err = proto.Each(b, func(f proto.Field) error {
 		if f.Number != 1 {
 			return nil
@@ -197,7 +202,7 @@
 		if len(list) == most {
 			return ErrOversized
 		}
-		c, err := decodeChange(now, f.Data)
+		c, err := decodeChange(clock, f.Data)
 		if err != nil {
 			return err
 		}
@@ -210,7 +215,7 @@
 	return list, formError(err)
 }
 
-func decodeChange(now Micros, b []byte) (c change, err error) {
+func decodeChange(clock *offset, b []byte) (c change, err error) {
 	err = proto.Each(b, func(f proto.Field) error {
 		switch f.Number {
 		case 1:
@@ -228,8 +233,7 @@
 		case 7:
 			c.removed = f.Uint != 0
 		case 8:
-			// Of a process that began before this side's clock the time is negative; 0 is left for none.
-			c.challenged = cmp.Or(now-Micros(min(f.Uint, 1<<50)-1)*1000, -1)
+			c.challenged = cmp.Or(clock.here(min(max(protowire.DecodeZigZag(f.Uint), -1<<50), 1<<50)*1000), -1)
 		}
 		return nil
 	})
--- a/attach/replication.go
+++ b/attach/replication.go
@@ -20,8 +20,8 @@
 		names[i] = rows[i].name
 	}
 	s.own.log.add(names, s.own.sum)
-	message := tableMessage{version: s.own.version(), base: base, rows: rows}
-	body := message.encode(s.now)
+	message := tableMessage{version: s.own.version(), base: base, sent: s.now, rows: rows}
+	body := message.encode()
 	for _, c := range s.controls {
 		if c == s.self || c.Incarnation == 0 || c.State == Dead || c.State == Left {
 			continue
@@ -80,6 +80,7 @@
 		}
 		p := s.person(r.name)
 		p.swap(old, kept)
+		p.settles = s.now + settling
 		if kept != nil {
 			for _, past := range kept.past {
 				s.past.add(past)
@@ -95,7 +96,7 @@
 	s.pass(now)
 	list := []version{s.own.version()}
 	if s.now-s.told < allVersions {
-		return encodeVersions(list)
+		return encodeVersions(s.now, list)
 	}
 	s.told = s.now
 	for _, c := range s.controls {
@@ -106,7 +107,7 @@
 			list = append(list, t.version())
 		}
 	}
-	return encodeVersions(list)
+	return encodeVersions(s.now, list)
 }
 
 // PeerVersions takes what Versions gave at another control member, and pulls what is missing here.
@@ -116,11 +117,12 @@
 	if sender == nil {
 		return err
 	}
-	list, err := decodeVersions(b, len(s.controls))
+	sent, list, err := decodeVersions(b, len(s.controls))
 	if err != nil {
 		s.Counters.Malformed++
 		return err
 	}
+	sender.clock.observe(s.now, sent)
 	for _, v := range list {
 		home := s.byName[v.home]
 		if home == nil {
@@ -232,15 +234,16 @@
 		s.Counters.StaleEpochs++
 		return nil
 	}
-	if !pullRate.allow(s.now, s.answered(sender, t)) {
+	if !answerRate.allow(s.now, s.answered(sender, t)) {
 		s.Counters.Limited++
 		return nil
 	}
 	message := t.message(p.sequence, p.whole)
+	message.sent = s.now
 	if message.whole {
 		s.Counters.TableSnapshots++
 	}
-	s.send(Message{To: sender.Name, Kind: Table, Bulk: message.whole, Body: message.encode(s.now)})
+	s.send(Message{To: sender.Name, Kind: Table, Bulk: message.whole, Body: message.encode()})
 	return nil
 }
 
@@ -258,7 +261,7 @@
 }
 
 func (s *Server) receiveTable(sender *controlState, body []byte) error {
-	m, err := decodeTable(s.now, body, s.cfg.Most)
+	m, err := decodeTable(body, s.cfg.Most)
 	if err != nil {
 		s.countBad(err)
 		return err
@@ -279,6 +282,10 @@
 		s.Counters.WrongNames++
 		return fmt.Errorf("%w: the control member %q is attached", ErrName, m.rows[bad].name)
 	}
+	sender.clock.observe(s.now, m.sent)
+	for i := range m.rows {
+		m.rows[i].clock = sender.clock
+	}
 	return s.take(s.replica(home), sender, &m)
 }
 
--- a/attach/serve.go
+++ b/attach/serve.go
@@ -11,8 +11,6 @@
 	mostRepairs = 6
 	// manyBuckets is how many differing parts make the shared snapshot of all cheaper.
 	manyBuckets = 40
-	// snapshotSpan is for how long a snapshot is shared: the ages of challenges in it become wrong by that.
-	snapshotSpan Micros = 200_000
 )
 
 // reader is what is known of an attached front end as a subscriber.
@@ -52,12 +50,12 @@
 func (s *Server) changesMessage(base uint64, changes []change) []byte {
 	m := s.versionMessage()
 	m.content, m.base = someChanges, base
-	m.entries, m.packed = s.packer.pack(encodeChanges(s.now, changes))
+	m.entries, m.packed = s.packer.pack(encodeChanges(changes))
 	return m.encode()
 }
 
 func (s *Server) versionMessage() viewMessage {
-	return viewMessage{epoch: s.cfg.Incarnation, sequence: s.sequence, digest: s.view.Digest(), leaving: s.leaving}
+	return viewMessage{epoch: s.cfg.Incarnation, sequence: s.sequence, digest: s.view.Digest(), leaving: s.leaving, sent: s.now}
 }
 
 // Receive takes a message of an attached front end; after an error the link is to be closed.
@@ -194,10 +192,10 @@
 	return mask
 }
 
-// wholeView is the snapshot of the view as it is, made once and shared for as long as the ages in it are right.
+// wholeView is the snapshot of the view as it is, made once and shared.
 func (s *Server) wholeView() []byte {
-	if s.snapshot == nil || s.now-s.packed > snapshotSpan {
-		s.snapshot, s.packed = s.bucketsMessage(allBuckets), s.now
+	if s.snapshot == nil {
+		s.snapshot = s.bucketsMessage(allBuckets)
 	}
 	return s.snapshot
 }
@@ -205,7 +203,7 @@
 func (s *Server) bucketsMessage(mask uint64) []byte {
 	m := s.versionMessage()
 	m.content, m.mask = someBuckets, mask
-	m.entries, m.packed = s.packer.pack(encodeChanges(s.now, s.view.in(mask)))
+	m.entries, m.packed = s.packer.pack(encodeChanges(s.view.in(mask)))
 	return m.encode()
 }
 
--- a/attach/server.go
+++ b/attach/server.go
@@ -24,6 +24,7 @@
 	ControlMember
 	tables     []*table // of its processes, the newest last
 	pastEpochs pastSet
+	clock      *offset            // of its process
 	answers    map[string]*Micros // states of the bounded rates of answers to it, by home
 }
 
@@ -47,8 +48,11 @@
 	now     Micros
 	started bool
 	leaving bool
-	batched Micros // when the last batch was made
-	told    Micros // when the versions of all tables were told
+
+	mostAttached int    // entries of attached front ends that the view may have
+	attached     int    // that it has
+	batched      Micros // when the last batch was made
+	told         Micros // when the versions of all tables were told
 
 	controls []*controlState // by name, this one too
 	byName   map[string]*controlState
@@ -71,7 +75,6 @@
 	log      changeLog
 	packer   packer
 	snapshot []byte // of the whole view at the sequence; nil where it is not made
-	packed   Micros // when it was made
 
 	actions []Message
 	closing []Link
@@ -87,6 +90,8 @@
 			s.add(ControlMember{Name: c.Name, Zone: c.Zone, State: Dead})
 		}
 	}
+	// What may attach leaves room for the control members.
+	s.mostAttached = cfg.Most - len(s.controls) - 1
 	s.self = s.add(ControlMember{Name: cfg.Name, Zone: cfg.Zone, Incarnation: cfg.Incarnation, State: Alive})
 	s.own = newTable(cfg.Name, cfg.Incarnation)
 	s.own.present = true
@@ -97,7 +102,7 @@
 }
 
 func (s *Server) add(c ControlMember) *controlState {
-	kept := &controlState{ControlMember: c}
+	kept := &controlState{ControlMember: c, clock: &offset{}}
 	s.controls = append(s.controls, kept)
 	s.byName[c.Name] = kept
 	return kept
@@ -153,6 +158,7 @@
 	if c.Incarnation != seen.Incarnation {
 		c.pastEpochs.add(c.Incarnation)
 		c.pastEpochs.remove(seen.Incarnation)
+		c.clock = &offset{}
 	}
 	c.Incarnation, c.State, c.Cut = seen.Incarnation, seen.State, seen.Cut
 	s.touched(s.person(c.Name))
@@ -196,7 +202,7 @@
 		return
 	}
 	s.leaving = true
-	message := viewMessage{epoch: s.cfg.Incarnation, sequence: s.sequence, digest: s.view.Digest(), leaving: true}
+	message := viewMessage{epoch: s.cfg.Incarnation, sequence: s.sequence, digest: s.view.Digest(), leaving: true, sent: s.now}
 	body := message.encode()
 	for _, l := range s.leases {
 		if len(l.links) > 0 {
--- a/attach/table.go
+++ b/attach/table.go
@@ -13,15 +13,18 @@
 	incarnation uint64
 	state       State
 	serves      bool // the home serves its view
-	// challenged is when it answered a challenge at its home, by this side's clock. What a message takes makes it too late and
-	// never too early, so of several tellings the earliest counts.
+	// challenged is when it answered a challenge at its home, by the clock of who told so; clock is nil for this side's.
 	challenged Micros
+	clock      *offset
 	past       []uint64 // the last few earlier processes of its name, by the order of challenges at its home
 	removed    bool     // in messages: the row is no more
 
 	table *table
 }
 
+// answered is when it answered its challenge, by this side's clock.
+func (r *row) answered() Micros { return r.clock.here(r.challenged) }
+
 // table is the front ends of one process of a home.
 type table struct {
 	home     string
@@ -84,9 +87,6 @@
 		delete(t.rows, r.name)
 		return old, nil
 	}
-	if old != nil && old.incarnation == r.incarnation {
-		r.challenged = min(r.challenged, old.challenged)
-	}
 	kept = &r
 	kept.table = t
 	t.rows[r.name] = kept
--- /dev/null
+++ b/attach/table_test.go
@@ -0,0 +1,424 @@
+package attach
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// trio is three control members whose messages the test carries by hand.
+type trio struct {
+	t       *testing.T
+	now     Micros
+	servers map[string]*Server
+	epochs  map[string]uint64
+	lose    func(from, to string, kind Kind) bool
+	carried map[Kind]int
+	errors  []error
+}
+
+var trioControls = []ControlMember{{Name: "m0", Zone: "za"}, {Name: "m1", Zone: "zb"}, {Name: "m2", Zone: "zc"}}
+
+func newTrio(t *testing.T) *trio {
+	r := &trio{t: t, now: 100 * second, servers: map[string]*Server{}, epochs: map[string]uint64{}, carried: map[Kind]int{},
+		lose: func(string, string, Kind) bool { return false }}
+	for i, c := range trioControls {
+		r.begin(c.Name, uint64(1000+i))
+	}
+	r.run(200 * ms)
+	return r
+}
+
+func (r *trio) begin(name string, epoch uint64) {
+	r.epochs[name] = epoch
+	r.servers[name] = NewServer(Config{Name: name, Incarnation: epoch, Controls: trioControls, Most: 500})
+}
+
+func (r *trio) seen(by string) (list []ControlMember) {
+	for _, c := range trioControls {
+		if c.Name != by {
+			list = append(list, ControlMember{Name: c.Name, Zone: c.Zone, Incarnation: r.epochs[c.Name], State: Alive})
+		}
+	}
+	return list
+}
+
+// run lets time pass in ticks; all messages between control members arrive at once.
+func (r *trio) run(span Micros) {
+	for end := r.now + span; r.now < end; {
+		r.now += 50 * ms
+		for _, c := range trioControls {
+			r.servers[c.Name].Tick(r.now, r.seen(c.Name))
+		}
+		r.carry()
+		for _, c := range trioControls {
+			versions := r.servers[c.Name].Versions(r.now)
+			for _, o := range trioControls {
+				if o != c && !r.lose(c.Name, o.Name, 0) {
+					r.note(r.servers[o.Name].PeerVersions(r.now, c.Name, r.epochs[c.Name], versions))
+				}
+			}
+		}
+		for range 3 {
+			r.carry()
+		}
+	}
+}
+
+func (r *trio) carry() {
+	for _, c := range trioControls {
+		for _, m := range r.servers[c.Name].Actions() {
+			if m.Incarnation == 0 && !r.lose(c.Name, m.To, m.Kind) {
+				r.carried[m.Kind]++
+				r.note(r.servers[m.To].ReceiveControl(r.now, c.Name, r.epochs[c.Name], m.Kind, m.Body))
+			}
+		}
+	}
+}
+
+func (r *trio) note(err error) {
+	if err != nil {
+		r.errors = append(r.errors, err)
+	}
+}
+
+// beat is a heartbeat over a link.
+func (r *trio) beat(server string, l Link) error {
+	h := heartbeat{name: l.From, sent: r.now}
+	return r.servers[server].Receive(r.now, l, Heartbeat, h.encode())
+}
+
+func (r *trio) shows(name string, incarnation uint64, state State) {
+	r.t.Helper()
+	for _, c := range trioControls {
+		e, ok := r.servers[c.Name].View().Of(name)
+		require.True(r.t, ok, c.Name)
+		require.Equal(r.t, incarnation, e.Incarnation, "%s at %s", name, c.Name)
+		require.Equal(r.t, state, e.State, "%s at %s", name, c.Name)
+	}
+}
+
+func (r *trio) link(name string, incarnation uint64) Link {
+	return Link{From: name, Zone: "za", Incarnation: incarnation, Greeted: r.now}
+}
+
+// Two processes of one name at one home: the one challenged later is the later one, in whichever order they are heard. The
+// earlier is gone for ever; its links are closed and its late messages do not count.
+func TestLaterProcess(t *testing.T) {
+	r := newTrio(t)
+	earlier := r.link("f", 9)
+	r.run(100 * ms)
+	later := r.link("f", 5)
+	s := r.servers["m0"]
+	s.Linked(r.now, earlier)
+	require.NoError(t, r.beat("m0", earlier))
+	r.run(100 * ms)
+	r.shows("f", 9, Alive)
+	s.Linked(r.now, later)
+	assert.Equal(t, []Link{earlier}, s.Close())
+	require.ErrorIs(t, r.beat("m0", earlier), ErrReplaced)
+	r.run(100 * ms)
+	r.shows("f", 5, Alive)
+	for _, c := range trioControls {
+		assert.True(t, r.servers[c.Name].View().Replaced(9))
+		assert.True(t, r.servers[c.Name].View().Gone(9))
+	}
+	// It dials again, here and at another home, which knows it from here.
+	for _, home := range []string{"m0", "m1"} {
+		again := r.link("f", 9)
+		r.servers[home].Linked(r.now, again)
+		assert.Equal(t, []Link{again}, r.servers[home].Close(), home)
+		require.ErrorIs(t, r.beat(home, again), ErrReplaced, home)
+	}
+	r.run(100 * ms)
+	r.shows("f", 5, Alive)
+
+	// The later is heard first.
+	earlier = r.link("g", 9)
+	r.run(100 * ms)
+	later = r.link("g", 5)
+	s.Linked(r.now, later)
+	s.Linked(r.now, earlier)
+	assert.Equal(t, []Link{earlier}, s.Close())
+	r.run(100 * ms)
+	r.shows("g", 5, Alive)
+}
+
+// Two processes of one name at two homes, none of which has seen both: the one whose challenge is younger by the ages told,
+// whichever home's table comes first, and whichever number is greater.
+func TestTwoHomes(t *testing.T) {
+	for _, first := range []string{"m0", "m1"} {
+		for _, later := range []uint64{5, 9} {
+			r := newTrio(t)
+			latest := map[string]string{"m0": "m1", "m1": "m0"}[first]
+			earlier := Link{From: "f", Zone: "za", Incarnation: 7, Greeted: r.now - 3*ms}
+			latter := Link{From: "f", Zone: "za", Incarnation: later, Greeted: r.now - ms}
+			r.servers["m0"].Linked(r.now, earlier)
+			r.servers["m1"].Linked(r.now, latter)
+			r.lose = func(from, _ string, _ Kind) bool { return from == latest }
+			r.run(500 * ms)
+			r.lose = func(string, string, Kind) bool { return false }
+			for range 8 {
+				require.NoError(t, r.beat("m0", earlier))
+				require.NoError(t, r.beat("m1", latter))
+				r.run(second)
+			}
+			r.shows("f", later, Alive)
+			assert.False(t, r.servers["m2"].View().Alive(7))
+		}
+	}
+}
+
+// Equal ages: the greater number, everywhere the same.
+func TestTwoHomesAtOnce(t *testing.T) {
+	r := newTrio(t)
+	r.servers["m0"].Linked(r.now, r.link("f", 7))
+	r.servers["m1"].Linked(r.now, r.link("f", 5))
+	r.run(500 * ms)
+	r.shows("f", 7, Alive)
+}
+
+// Ages are told with an error. A process that is alive for long beside a later one that is dead is shown in the end.
+func TestAliveInTheEnd(t *testing.T) {
+	r := newTrio(t)
+	wrong := Link{From: "f", Zone: "za", Incarnation: 7, Greeted: r.now}
+	right := Link{From: "f", Zone: "za", Incarnation: 9, Greeted: r.now - second}
+	r.servers["m0"].Linked(r.now, wrong)
+	r.servers["m1"].Linked(r.now, right)
+	for i := range 20 {
+		require.NoError(t, r.beat("m1", right))
+		r.run(second)
+		if i == 10 {
+			r.shows("f", 7, Dead)
+		}
+	}
+	r.shows("f", 9, Alive)
+}
+
+// A push that is lost is seen from the version in the next heartbeat, and pulled from the log, not as a snapshot.
+func TestLostPush(t *testing.T) {
+	r := newTrio(t)
+	for i := range 20 {
+		r.servers["m0"].Linked(r.now, r.link(fmt.Sprintf("f%02d", i), uint64(i+1)))
+	}
+	r.run(200 * ms)
+	lost := false
+	r.lose = func(_, to string, kind Kind) bool {
+		if kind == Table && to == "m1" && !lost {
+			lost = true
+			return true
+		}
+		return false
+	}
+	r.servers["m0"].Linked(r.now, r.link("g", 99))
+	r.run(150 * ms)
+	require.True(t, lost)
+	r.shows("g", 99, Alive)
+	assert.Equal(t, 1, r.servers["m1"].Counters.Pulls)
+	assert.Zero(t, r.servers["m0"].Counters.TableSnapshots)
+}
+
+// A gap that the log does not reach back over is filled by one snapshot.
+func TestLongCut(t *testing.T) {
+	r := newTrio(t)
+	r.servers["m0"].Linked(r.now, r.link("f", 50))
+	r.run(200 * ms)
+	r.lose = func(from, to string, _ Kind) bool { return from == "m0" && to == "m1" }
+	for i := range mostBatches + 10 {
+		r.servers["m0"].Linked(r.now, r.link(fmt.Sprintf("f%03d", i%400), uint64(i+100)))
+		r.run(50 * ms)
+	}
+	r.lose = func(string, string, Kind) bool { return false }
+	r.run(500 * ms)
+	assert.Equal(t, 1, r.servers["m0"].Counters.TableSnapshots)
+	assert.Equal(t, r.servers["m0"].own.version(), r.servers["m1"].byName["m0"].tables[0].version())
+	assert.LessOrEqual(t, len(r.servers["m0"].own.log.batches), mostBatches)
+}
+
+// What a cut keeps from a home's messages is had from another control member that hears it.
+func TestTableByAThird(t *testing.T) {
+	r := newTrio(t)
+	cut := func(a, b string) bool { return a == "m0" && b == "m1" || a == "m1" && b == "m0" }
+	r.lose = func(from, to string, _ Kind) bool { return cut(from, to) }
+	r.servers["m0"].Linked(r.now, r.link("f", 7))
+	r.run(2 * second)
+	_, ok := r.servers["m1"].View().Of("f")
+	require.False(t, ok, "as long as m1 hears m0 it asks nobody else")
+	// Package member sees the cut.
+	for range 30 {
+		r.now += 50 * ms
+		seen := r.seen("m1")
+		seen[0].Cut = true
+		r.servers["m1"].Tick(r.now, seen)
+		require.NoError(t, r.servers["m1"].PeerVersions(r.now, "m2", r.epochs["m2"], r.servers["m2"].Versions(r.now)))
+		r.carry()
+	}
+	e, ok := r.servers["m1"].View().Of("f")
+	require.True(t, ok)
+	require.Equal(t, uint64(7), e.Incarnation)
+}
+
+// Messages of an earlier process of a home are dropped and counted, also where another control member brings them.
+func TestOlderEpoch(t *testing.T) {
+	r := newTrio(t)
+	r.servers["m0"].Linked(r.now, r.link("f", 7))
+	r.run(200 * ms)
+	m := tableMessage{version: version{"m0", r.epochs["m0"], 50, 0}, whole: true}
+	m.rows = []row{{name: "late", zone: "za", incarnation: 3, challenged: r.now}}
+	m.sum = m.rows[0].digest()
+	old := r.epochs["m0"]
+	r.begin("m0", 2000)
+	r.run(200 * ms)
+	s := r.servers["m1"]
+	require.NoError(t, s.ReceiveControl(r.now, "m0", old, Table, m.encode()))
+	require.Equal(t, 1, s.Counters.StaleEpochs)
+	require.NoError(t, s.ReceiveControl(r.now, "m2", r.epochs["m2"], Table, m.encode()))
+	require.Equal(t, 2, s.Counters.StaleEpochs)
+	require.NoError(t, s.PeerVersions(r.now, "m0", old, encodeVersions(r.now, []version{{"m0", old, 99, 1}})))
+	require.Equal(t, 3, s.Counters.StaleEpochs)
+	r.run(200 * ms)
+	_, ok := s.View().Of("late")
+	require.False(t, ok)
+	assert.Zero(t, s.Counters.Pulls)
+	// What the earlier process held lapses at those that had it, and is forgotten in the end.
+	state := func() State {
+		e, _ := s.View().Of("f")
+		return e.State
+	}
+	require.Equal(t, Suspect, state())
+	r.run(lapseSpan)
+	require.Equal(t, Dead, state())
+	r.run(keepSpan + second)
+	_, ok = s.View().Of("f")
+	require.False(t, ok)
+	require.True(t, s.View().Gone(7))
+	require.Len(t, s.people, 3, "nothing is kept of it")
+}
+
+// Names that a message may not hold are errors that are counted, and change nothing.
+func TestBadControlMessages(t *testing.T) {
+	r := newTrio(t)
+	s := r.servers["m1"]
+	digest := s.View().Digest()
+	rows := func(name string) []row { return []row{{name: name, zone: "z", incarnation: 3, challenged: r.now}} }
+	table := func(home string, epoch uint64, rows []row) []byte {
+		m := tableMessage{version: version{home, epoch, 1, 0}, rows: rows}
+		for i := range rows {
+			m.sum += rows[i].digest()
+		}
+		return m.encode()
+	}
+	many := make([]row, 501)
+	for i := range many {
+		many[i] = rows(fmt.Sprintf("f%03d", i))[0]
+	}
+	pull := pullMessage{home: "mx", epoch: 1}
+	for _, c := range []struct {
+		name   string
+		count  *int
+		target error
+		from   string
+		kind   Kind
+		body   []byte
+	}{
+		{"unknown home", &s.Counters.UnknownHomes, ErrHome, "m0", Table, table("mx", 1, rows("f"))},
+		{"unknown home", &s.Counters.UnknownHomes, ErrHome, "m0", Pull, pull.encode()},
+		{"unknown sender", &s.Counters.UnknownHomes, ErrHome, "mx", Table, table("m0", 1000, rows("f"))},
+		{"this one's table", &s.Counters.WrongNames, ErrName, "m0", Table, table("m1", 1001, rows("f"))},
+		{"a control member attached", &s.Counters.WrongNames, ErrName, "m0", Table, table("m0", 1000, rows("m2"))},
+		{"too many rows", &s.Counters.Oversized, ErrOversized, "m0", Table, table("m0", 1000, many)},
+		{"rows out of order", &s.Counters.Malformed, ErrForm, "m0", Table, table("m0", 1000, append(rows("g"), rows("f")...))},
+		{"garbage", &s.Counters.Malformed, ErrForm, "m0", Table, []byte("garbage")},
+		{"garbage", &s.Counters.Malformed, ErrForm, "m0", Pull, []byte("garbage")},
+	} {
+		before := *c.count
+		err := s.ReceiveControl(r.now, c.from, r.epochs[c.from], c.kind, c.body)
+		require.ErrorIs(t, err, c.target, c.name)
+		require.Equal(t, before+1, *c.count, c.name)
+	}
+	require.ErrorIs(t, s.PeerVersions(r.now, "m0", 1000, encodeVersions(r.now, []version{{"mx", 1, 1, 1}})), ErrHome)
+	require.ErrorIs(t, s.PeerVersions(r.now, "m0", 1000, []byte("garbage")), ErrForm)
+	require.ErrorIs(t, s.ReceiveControl(r.now, "m0", 1000, Heartbeat, nil), ErrKind)
+	r.run(200 * ms)
+	require.Equal(t, digest, s.View().Digest())
+}
+
+// A table that differs at the same version is replaced by a snapshot, at a bounded rate; changes whose sum would not agree are
+// not taken in.
+func TestSumDiffers(t *testing.T) {
+	r := newTrio(t)
+	r.servers["m0"].Linked(r.now, r.link("f", 7))
+	r.run(200 * ms)
+	s := r.servers["m1"]
+	replica := s.byName["m0"].tables[0]
+	s.apply(replica, []row{{name: "wrong", zone: "z", incarnation: 3}})
+	r.run(200 * ms)
+	require.Equal(t, 1, s.Counters.SumRepairs)
+	require.Equal(t, r.servers["m0"].own.sum, replica.sum)
+	_, ok := s.View().Of("wrong")
+	require.False(t, ok)
+
+	m := tableMessage{version: version{"m0", 1000, replica.sequence + 1, 1}, base: replica.sequence, rows: []row{{name: "wrong", incarnation: 3}}}
+	before := replica.version()
+	require.NoError(t, s.ReceiveControl(r.now, "m0", 1000, Table, m.encode()))
+	require.Equal(t, before, replica.version())
+	m.whole = true
+	require.ErrorIs(t, s.ReceiveControl(r.now, "m0", 1000, Table, m.encode()), ErrForm)
+	require.Equal(t, before, replica.version())
+
+	// One that never agrees is pulled at a bounded rate.
+	before.sum++
+	pulls := s.Counters.Pulls
+	for range 600 {
+		r.now += 50 * ms
+		s.Tick(r.now, r.seen("m1"))
+		require.NoError(t, s.PeerVersions(r.now, "m0", 1000, encodeVersions(r.now, []version{before})))
+	}
+	assert.LessOrEqual(t, s.Counters.Pulls-pulls, 8, "in 30 s")
+	assert.Greater(t, s.Counters.Limited, 500)
+}
+
+// Nobody attaches under a control member's name, nor more than a view may have.
+func TestWhoMayAttach(t *testing.T) {
+	r := newTrio(t)
+	s := r.servers["m0"]
+	for _, l := range []Link{r.link("m1", 7), r.link("m0", 7), r.link("", 7), r.link("f", 0)} {
+		s.Linked(r.now, l)
+		require.Equal(t, []Link{l}, s.Close())
+	}
+	require.Equal(t, 4, s.Counters.WrongNames)
+	for i := range 501 {
+		s.Linked(r.now, r.link(fmt.Sprintf("f%03d", i), uint64(i+1)))
+	}
+	require.Len(t, s.Close(), 1)
+	require.Equal(t, 1, s.Counters.Oversized)
+	for i := range 100 {
+		r.servers["m1"].Linked(r.now, r.link(fmt.Sprintf("g%03d", i), uint64(i+1000)))
+	}
+	r.run(300 * ms)
+	for _, c := range trioControls {
+		require.LessOrEqual(t, r.servers[c.Name].View().Len(), 500, c.Name)
+	}
+}
+
+// HomeOf is who has a link to a process now.
+func TestHomeOf(t *testing.T) {
+	r := newTrio(t)
+	l := r.link("f", 7)
+	r.servers["m0"].Linked(r.now, l)
+	r.servers["m1"].Linked(r.now, l)
+	r.run(200 * ms)
+	home := func(at string) string {
+		name, _ := r.servers[at].HomeOf(7)
+		return name
+	}
+	require.Equal(t, "m0", home("m0"))
+	require.Equal(t, "m1", home("m1"))
+	require.Equal(t, "m0", home("m2"))
+	r.servers["m0"].Unlinked(r.now, l)
+	require.Equal(t, "m1", home("m0"), "its own link is gone")
+	require.Equal(t, "", func() string { name, _ := r.servers["m0"].HomeOf(1001); return name }(), "a control member")
+	require.Equal(t, "", func() string { name, _ := r.servers["m0"].HomeOf(8); return name }())
+}
--- a/attach/tablemessage.go
+++ b/attach/tablemessage.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 
+	"google.golang.org/protobuf/encoding/protowire"
+
 	"chutechute/internal/proto"
 )
 
@@ -19,8 +21,9 @@
 	sum      uint64
 }
 
-func encodeVersions(list []version) []byte {
-	var b []byte
+// encodeVersions writes them with the time of sending, by which others order challenges.
+func encodeVersions(now Micros, list []version) []byte {
+	b := proto.Uint(nil, 2, protowire.EncodeZigZag(now))
 	for _, v := range list {
 		m := proto.String(nil, 1, v.home)
 		m = proto.Uint(m, 2, v.epoch)
@@ -31,8 +34,11 @@
 }
 
 // decodeVersions reads at most most of them.
-func decodeVersions(b []byte, most int) (list []version, err error) {
+func decodeVersions(b []byte, most int) (sent Micros, list []version, err error) {
 	err = proto.Each(b, func(f proto.Field) error {
+		if f.Number == 2 {
+			sent = clockTime(f)
+		}
 		if f.Number != 1 {
 			return nil
 		}
@@ -56,7 +62,7 @@
 		list = append(list, v)
 		return err
 	})
-	return list, formError(err)
+	return sent, list, formError(err)
 }
 
 // pullMessage asks for what a table has after a sequence, or for all of it.
@@ -96,11 +102,11 @@
 	version
 	whole bool
 	base  uint64 // of changes: the sequence that they are from
+	sent  Micros // by the sender's clock, as are the rows' times
 	rows  []row
 }
 
-// encode writes ages as of now.
-func (t *tableMessage) encode(now Micros) []byte {
+func (t *tableMessage) encode() []byte {
 	b := proto.String(nil, 1, t.home)
 	b = proto.Uint(b, 2, t.epoch)
 	b = proto.Uint(b, 3, t.sequence)
@@ -108,12 +114,12 @@
 	b = proto.Bool(b, 5, t.whole)
 	b = proto.Uint(b, 6, t.base)
 	for i := range t.rows {
-		b = proto.Message(b, 7, t.rows[i].encode(now))
+		b = proto.Message(b, 7, t.rows[i].encode())
 	}
-	return b
+	return proto.Uint(b, 8, protowire.EncodeZigZag(t.sent))
 }
 
-func (r *row) encode(now Micros) []byte {
+func (r *row) encode() []byte {
 	b := proto.String(make([]byte, 0, 96), 1, r.name)
 	if r.removed {
 		return proto.Bool(b, 7, true)
@@ -122,15 +128,21 @@
 	b = proto.Uint(b, 3, r.incarnation)
 	b = proto.Uint(b, 4, uint64(r.state))
 	b = proto.Bool(b, 5, r.serves)
-	b = proto.Uint(b, 6, uint64(max(0, now-r.challenged)))
+	b = proto.Uint(b, 6, protowire.EncodeZigZag(r.answered()))
 	for _, past := range r.past {
 		b = proto.Uint(b, 8, past)
 	}
 	return b
 }
 
-// decodeTable reads a table of at most most rows; their ages become times of this side's clock.
-func decodeTable(now Micros, b []byte, most int) (t tableMessage, err error) {
+// clockTime is a time of the sender's clock, which may be of before that began.
+func clockTime(f proto.Field) Micros {
+	const most = 1 << 60
+	return min(max(protowire.DecodeZigZag(f.Uint), -most), most)
+}
+
+// decodeTable reads a table of at most most rows.
+func decodeTable(b []byte, most int) (t tableMessage, err error) {
 	err = proto.Each(b, func(f proto.Field) error {
 		switch f.Number {
 		case 1:
@@ -149,7 +161,7 @@
 			if len(t.rows) == most {
 				return ErrOversized
 			}
-			r, err := decodeRow(now, f.Data)
+			r, err := decodeRow(f.Data)
 			if err != nil {
 				return err
 			}
@@ -157,14 +169,15 @@
 				return fmt.Errorf("%w: %q after %q", ErrForm, r.name, t.rows[len(t.rows)-1].name)
 			}
 			t.rows = append(t.rows, r)
+		case 8:
+			t.sent = clockTime(f)
 		}
 		return nil
 	})
 	return t, formError(err)
 }
 
-func decodeRow(now Micros, b []byte) (r row, err error) {
-	r.challenged = now // an age of 0 is left out
+func decodeRow(b []byte) (r row, err error) {
 	err = proto.Each(b, func(f proto.Field) error {
 		switch f.Number {
 		case 1:
@@ -178,7 +191,7 @@
 		case 5:
 			r.serves = f.Uint != 0
 		case 6:
-			r.challenged = now - Micros(min(f.Uint, 1<<61))
+			r.challenged = clockTime(f)
 		case 7:
 			r.removed = f.Uint != 0
 		case 8:
--- a/attach/targets.go
+++ b/attach/targets.go
@@ -31,6 +31,7 @@
 	wantsSums   bool   // it can't follow up on what this view is without the sums
 	behind      bool   // it told of a later view than was received by then
 	lastResume  Micros
+	clock       offset
 }
 
 // slot is one of the control members to keep a link with.
