--- a/attach/client.go
+++ b/attach/client.go
@@ -137,7 +137,7 @@
 		return
 	}
 	if o.incarnation != incarnation {
-		o.clock = offset{}
+		o.clock, o.told = offset{}, told{}
 	}
 	o.linked, o.incarnation, o.leaving, o.behind = true, incarnation, false, false
 	o.heard, o.steady, o.beat = c.now, c.now, c.now
@@ -334,15 +334,16 @@
 
 // compare takes the answer to a heartbeat: the view is confirmed, or behind, which the next heartbeat tells.
 func (c *Client) compare(o *control, m *viewMessage) {
+	if m.echo <= c.now {
+		o.told = told{true, m.sequence, m.echo}
+	}
 	if c.epoch != o.incarnation || m.sequence < c.sequence {
 		return
 	}
 	same := m.sequence == c.sequence
 	if same && m.digest == c.view.Digest() {
 		o.behind, o.wantsSums, c.failures, c.whole = false, false, 0, false
-		if m.echo <= c.now {
-			c.view.confirm(m.echo)
-		}
+		c.confirm(o)
 		c.settle()
 		return
 	}
@@ -353,6 +354,13 @@
 	}
 }
 
+// confirm notes that the view is as far as an answer said.
+func (c *Client) confirm(o *control) {
+	if o.told.answered && c.sequence >= o.told.sequence {
+		c.view.confirm(o.told.asked)
+	}
+}
+
 // settle believes a home in the end that goes on showing a process alive which this view has had replaced.
 func (c *Client) settle() {
 	if c.view.conflict && !c.view.believe(c.conflict != 0 && c.now-c.conflict >= believeSpan) {
@@ -459,6 +467,7 @@
 	}
 	c.epoch, c.sequence = o.incarnation, m.sequence
 	o.behind, o.wantsSums, c.whole = false, false, false
+	c.confirm(o)
 	return nil
 }
 
--- /dev/null
+++ b/attach/serve_test.go
@@ -0,0 +1,352 @@
+package attach
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// pair is one control member and one front end whose messages the test carries by hand; others attach without a Client.
+type pair struct {
+	t      *testing.T
+	now    Micros
+	server *Server
+	client *Client
+	link   Link
+	others int
+	lose   func(Message) bool // of those to the client
+	got    []Message          // all to the client
+	errors []error
+}
+
+var pairControls = []ControlMember{{Name: "m0", Zone: "za"}}
+
+func newPair(t *testing.T, others int) *pair {
+	p := &pair{t: t, now: 100 * second, others: others, lose: func(Message) bool { return false }}
+	p.server = NewServer(Config{Name: "m0", Zone: "za", Incarnation: 1, Controls: pairControls})
+	p.client = NewClient(Config{Name: "f", Zone: "za", Incarnation: 2, Controls: pairControls})
+	p.link = Link{From: "f", Zone: "za", Incarnation: 2, Greeted: p.now}
+	p.othersBeat()
+	p.run(second)
+	p.server.Linked(p.now, p.link)
+	p.client.Linked(p.now, "m0", 1)
+	p.run(second)
+	p.agreed()
+	p.got = nil
+	return p
+}
+
+func (p *pair) other(i int, incarnation uint64) {
+	name := fmt.Sprintf("o%04d", i)
+	l := Link{From: name, Zone: "za", Incarnation: incarnation, Greeted: p.now}
+	h := heartbeat{name: name, sent: p.now}
+	require.NoError(p.t, p.server.Receive(p.now, l, Heartbeat, h.encode()))
+}
+
+func (p *pair) run(span Micros) {
+	for end := p.now + span; p.now < end; {
+		p.now += 50 * ms
+		if p.now%second == 0 {
+			p.othersBeat()
+		}
+		p.server.Tick(p.now, nil)
+		p.client.Tick(p.now)
+		for range 4 {
+			p.carry()
+		}
+	}
+}
+
+// othersBeat is a heartbeat of each that attached without a Client.
+func (p *pair) othersBeat() {
+	for i := range p.others {
+		p.other(i, uint64(100+i))
+	}
+}
+
+func (p *pair) carry() {
+	for _, m := range p.client.Actions() {
+		p.note(p.server.Receive(p.now, p.link, m.Kind, m.Body))
+	}
+	for _, m := range p.server.Actions() {
+		if m.To == "f" && !p.lose(m) {
+			p.got = append(p.got, m)
+			p.note(p.client.Receive(p.now, "m0", 1, m.Kind, m.Body))
+		}
+	}
+}
+
+func (p *pair) note(err error) {
+	if err != nil {
+		p.errors = append(p.errors, err)
+	}
+}
+
+func (p *pair) agreed() {
+	p.t.Helper()
+	require.Equal(p.t, p.server.View().List(), p.client.View().List())
+	require.Equal(p.t, p.server.View().Digest(), p.client.View().Digest())
+	require.Less(p.t, p.client.View().Age(p.now), 2*second)
+}
+
+func (p *pair) carries(m Message) content {
+	v, err := decodeView(m.Body)
+	require.NoError(p.t, err)
+	return v.content
+}
+
+// A batch of the view that is lost is seen from the next one, or from the version in the next answer, and comes from the log.
+func TestLostBatch(t *testing.T) {
+	p := newPair(t, 50)
+	lost := 0
+	p.lose = func(m Message) bool {
+		if lost == 0 && p.carries(m) == someChanges {
+			lost++
+			return true
+		}
+		return false
+	}
+	p.other(60, 60)
+	p.run(2500 * ms)
+	require.Equal(t, 1, lost)
+	p.agreed()
+	require.Equal(t, 1, p.server.Counters.CatchUps)
+	require.Equal(t, 1, p.client.Counters.Snapshots, "the first")
+
+	lost = 0
+	p.other(61, 61)
+	p.run(100 * ms)
+	p.other(62, 62)
+	p.run(200 * ms)
+	require.Equal(t, 1, p.client.Counters.Gaps)
+	p.agreed()
+	require.Equal(t, 2, p.server.Counters.CatchUps)
+}
+
+// Where the log does not reach back, the sums of 64 parts show what differs, and only that comes.
+func TestBeyondTheLog(t *testing.T) {
+	p := newPair(t, 400)
+	whole := p.client.Counters.SnapshotBytes
+	p.lose = func(Message) bool { return true }
+	for i := range mostBatches + 10 {
+		p.other(1000+i%6, uint64(5000+i))
+		p.other(1000+i%6, uint64(5000+i))
+		p.server.publishTable()
+		p.server.publishView()
+		p.now += 20 * second // beyond damping
+		p.othersBeat()
+		p.note(p.server.Receive(p.now, p.link, Heartbeat, (&heartbeat{name: "f", sent: 1, subscribe: true}).encode()))
+		p.server.Tick(p.now, nil)
+		p.server.Actions()
+	}
+	p.lose = func(Message) bool { return false }
+	p.client.Linked(p.now, "m0", 1)
+	p.run(2 * second)
+	p.agreed()
+	require.Equal(t, 1, p.client.Counters.Snapshots)
+	require.Equal(t, 1, p.client.Counters.DigestRepairs)
+	require.Less(t, p.client.Counters.RepairBytes, whole/3)
+}
+
+// A front end that does not read gets nothing more until its next heartbeat, and then from the log; others are not delayed.
+func TestSlowReader(t *testing.T) {
+	p := newPair(t, 20)
+	quick := Link{From: "quick", Zone: "za", Incarnation: 3, Greeted: p.now}
+	h := heartbeat{name: "quick", sent: p.now, subscribe: true, resume: true}
+	require.NoError(t, p.server.Receive(p.now, quick, Heartbeat, h.encode()))
+	p.run(100 * ms)
+	p.server.Refused(p.now, "f", 2)
+	require.Equal(t, 1, p.server.Counters.Refused)
+	to := map[string]int{}
+	for i := range 5 {
+		p.other(100+i, uint64(1000+i))
+		p.now += 50 * ms
+		p.server.Tick(p.now, nil)
+		for _, m := range p.server.Actions() {
+			to[m.To]++
+		}
+	}
+	require.Equal(t, 5, to["quick"])
+	require.Zero(t, to["f"])
+	p.run(1500 * ms)
+	p.agreed()
+	require.Equal(t, 1, p.client.Counters.Snapshots)
+	require.Equal(t, 1, p.server.Counters.CatchUps)
+}
+
+// Batches and the snapshot are encoded once and shared by all that get them.
+func TestSharedBodies(t *testing.T) {
+	p := newPair(t, 300)
+	var bodies [][]byte
+	for _, name := range []string{"a", "b", "c"} {
+		h := heartbeat{name: name, subscribe: true, resume: true}
+		require.NoError(t, p.server.Receive(p.now, Link{From: name, Zone: "za", Incarnation: weight(name, "", 0), Greeted: p.now}, Heartbeat, h.encode()))
+	}
+	for _, m := range p.server.Actions() {
+		if p.carries(m) == someBuckets {
+			bodies = append(bodies, m.Body)
+		}
+	}
+	require.Len(t, bodies, 3)
+	assert.Same(t, &bodies[0][0], &bodies[1][0])
+	assert.Same(t, &bodies[0][0], &bodies[2][0])
+	bodies = nil
+	p.now += 50 * ms
+	p.server.Tick(p.now, nil)
+	for _, m := range p.server.Actions() {
+		if p.carries(m) == someChanges {
+			bodies = append(bodies, m.Body)
+		}
+	}
+	require.Len(t, bodies, 4)
+	assert.Same(t, &bodies[0][0], &bodies[3][0])
+}
+
+// A front end whose digests never agree gets repairs at a bounded rate, and its link is closed in the end.
+func TestNeverAgrees(t *testing.T) {
+	p := newPair(t, 20)
+	l := Link{From: "odd", Zone: "za", Incarnation: 3, Greeted: p.now}
+	var err error
+	beats, repairs := 0, -p.server.Counters.Snapshots-p.server.Counters.DigestRepairs
+	for ; err == nil && beats < 1000; beats++ {
+		p.now += 100 * ms
+		h := heartbeat{name: "odd", subscribe: true, resume: true, digest: 1, sums: make([]uint32, buckets)}
+		err = p.server.Receive(p.now, l, Heartbeat, h.encode())
+		p.server.Tick(p.now, nil)
+	}
+	require.ErrorIs(t, err, ErrDisagree)
+	repairs += p.server.Counters.Snapshots + p.server.Counters.DigestRepairs
+	require.Equal(t, mostRepairs, repairs)
+	require.Greater(t, beats, 80, "over 8 s at least")
+	require.Greater(t, p.server.Counters.Limited, 70)
+}
+
+// A name that is not the link's, another kind, and garbage close the link and count for nothing.
+func TestBadHeartbeats(t *testing.T) {
+	p := newPair(t, 3)
+	l := Link{From: "g", Zone: "za", Incarnation: 9, Greeted: p.now}
+	h := heartbeat{name: "f", sent: p.now}
+	require.ErrorIs(t, p.server.Receive(p.now, l, Heartbeat, h.encode()), ErrName)
+	require.Equal(t, 1, p.server.Counters.WrongNames)
+	require.ErrorIs(t, p.server.Receive(p.now, l, Heartbeat, []byte("garbage")), ErrForm)
+	require.ErrorIs(t, p.server.Receive(p.now, l, ViewPart, nil), ErrKind)
+	require.Equal(t, 2, p.server.Counters.Malformed)
+	p.run(200 * ms)
+	_, ok := p.server.View().Of("g")
+	require.False(t, ok)
+}
+
+// bad makes a message of the server's to the client with the view as it is but for what change does to it.
+func (p *pair) bad(mask uint64, entries []change, set func(*viewMessage)) []byte {
+	m := p.server.versionMessage()
+	m.content, m.mask, m.entries = someBuckets, mask, encodeChanges(entries)
+	set(&m)
+	return m.encode()
+}
+
+// Whatever a home sends that does not hold is refused and counted, and the view stays as it was.
+func TestBadViews(t *testing.T) {
+	p := newPair(t, 20)
+	list := p.server.View().in(allBuckets)
+	nothing := func(*viewMessage) {}
+	with := func(e Entry) []change {
+		out := slices.Clone(list)
+		at := slices.IndexFunc(out, func(c change) bool { return c.Name > e.Name })
+		return slices.Insert(out, at, change{Entry: e})
+	}
+	stranger := with(Entry{Name: "n", Zone: "za", Role: Attached, Incarnation: 77, Home: "mx"})
+	bomb, packed := (&packer{}).pack(make([]byte, 8192*entrySize+1000))
+	require.True(t, packed)
+	many := make([]change, DefaultMost+1)
+	for i := range many {
+		many[i] = change{Entry: Entry{Name: fmt.Sprintf("x%05d", i), Role: Attached, Incarnation: uint64(i + 1), Home: "m0"}}
+	}
+	reversed := slices.Clone(list)
+	slices.Reverse(reversed)
+	c := p.client
+	for _, step := range []struct {
+		name   string
+		count  *int
+		target error
+		body   []byte
+	}{
+		{"an unknown home", &c.Counters.UnknownHomes, ErrHome, p.bad(allBuckets, stranger, nothing)},
+		{"more than the bound", &c.Counters.Oversized, ErrOversized, p.bad(allBuckets, many, nothing)},
+		{"unpacked more than the bound", &c.Counters.Oversized, ErrOversized,
+			p.bad(allBuckets, nil, func(m *viewMessage) { m.entries, m.packed = bomb, true })},
+		{"not packed", &c.Counters.Malformed, ErrForm, p.bad(allBuckets, list, func(m *viewMessage) { m.packed = true })},
+		{"out of order", &c.Counters.Malformed, ErrForm, p.bad(allBuckets, reversed, nothing)},
+		{"not of the part", &c.Counters.Malformed, ErrForm, p.bad(1<<(1+bucketOf("m0"))%buckets, list[:1], nothing)},
+		{"an unknown content", &c.Counters.Malformed, ErrForm, p.bad(allBuckets, list, func(m *viewMessage) { m.content = 9 })},
+		{"another digest", &c.Counters.Disagreements, ErrDisagree, p.bad(allBuckets, list[1:], nothing)},
+		{"a whole one of an empty view", &c.Counters.Disagreements, ErrDisagree, p.bad(allBuckets, nil, nothing)},
+	} {
+		before, view := *step.count, c.View().List()
+		err := c.Receive(p.now, "m0", 1, ViewPart, step.body)
+		require.ErrorIs(t, err, step.target, step.name)
+		require.Equal(t, before+1, *step.count, step.name)
+		require.Equal(t, view, c.View().List(), step.name)
+	}
+	require.ErrorIs(t, c.Receive(p.now, "mx", 1, ViewPart, nil), ErrHome)
+	require.ErrorIs(t, c.Receive(p.now, "m0", 1, Heartbeat, nil), ErrKind)
+	require.NoError(t, c.Receive(p.now, "m0", 1, ViewPart, p.bad(allBuckets, nil, func(m *viewMessage) { m.epoch = 7 })))
+	require.NoError(t, c.Receive(p.now, "m0", 7, ViewPart, p.bad(allBuckets, nil, func(m *viewMessage) { m.epoch = 7 })))
+	require.Equal(t, 2, c.Counters.StaleEpochs)
+	p.agreed()
+	p.run(3 * second)
+	p.agreed()
+}
+
+// Changes whose digest does not agree are not applied: the parts that differ are asked for, and the whole where that does not help;
+// a home that never agrees loses its link.
+func TestClientNeverAgrees(t *testing.T) {
+	p := newPair(t, 20)
+	e := Entry{Name: "n", Zone: "za", Role: Attached, Incarnation: 77, Home: "m0"}
+	wrong := func() []byte {
+		m := p.server.versionMessage()
+		m.sequence++
+		m.content, m.base, m.entries = someChanges, p.client.sequence, encodeChanges([]change{{Entry: e}})
+		return m.encode()
+	}
+	require.NoError(t, p.client.Receive(p.now, "m0", 1, ViewPart, wrong()))
+	_, ok := p.client.View().Of("n")
+	require.False(t, ok)
+	p.run(2 * second)
+	p.agreed()
+	require.Equal(t, 1, p.client.Counters.Disagreements)
+	var err error
+	tries := 0
+	for ; err == nil && tries < 100; tries++ {
+		err = p.client.Receive(p.now, "m0", 1, ViewPart, wrong())
+	}
+	require.ErrorIs(t, err, ErrDisagree)
+	require.Equal(t, mostFailures+1, tries)
+	beats := len(p.client.Actions())
+	require.LessOrEqual(t, beats, 1, "what it asks is bounded too")
+}
+
+// A front end that flaps changes the view at a bounded rate, and is seen right in the end.
+func TestFlapping(t *testing.T) {
+	p := newPair(t, 5)
+	p.run(second)
+	changes := p.server.Counters.Changes
+	for i := range 600 { // a process a tenth of a second
+		p.now += 50 * ms
+		p.other(77, uint64(10_000+i))
+		p.run(50 * ms)
+	}
+	changes = p.server.Counters.Changes - changes
+	assert.GreaterOrEqual(t, changes, 6)
+	assert.LessOrEqual(t, changes, 6+6+1, "in a minute")
+	assert.NotZero(t, p.server.Counters.Damped)
+	for range 25 {
+		p.other(77, 10_599)
+		p.run(second)
+	}
+	e, _ := p.client.View().Of("o0077")
+	require.Equal(t, Entry{Name: "o0077", Zone: "za", Role: Attached, Incarnation: 10_599, State: Alive, Home: "m0"}, e)
+	p.agreed()
+}
--- a/attach/targets.go
+++ b/attach/targets.go
@@ -32,6 +32,14 @@
 	behind      bool   // it told of a later view than was received by then
 	lastResume  Micros
 	clock       offset
+	told        told
+}
+
+// told is what the last answer to a heartbeat said: how far the view was when it was asked.
+type told struct {
+	answered bool
+	sequence uint64
+	asked    Micros
 }
 
 // slot is one of the control members to keep a link with.
--- /dev/null
+++ b/attach/targets_test.go
@@ -0,0 +1,200 @@
+package attach
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// manyControls is control members in zones: perZone of each.
+func manyControls(zones, perZone int) (list []ControlMember) {
+	for i := range zones {
+		for j := range perZone {
+			list = append(list, ControlMember{Name: fmt.Sprintf("m%02d-%d", i, j), Zone: fmt.Sprintf("z%02d", i)})
+		}
+	}
+	return list
+}
+
+// linked gives clients that have links to their targets, and a view that says that all control members are alive.
+func linked(zones, each int, controls []ControlMember) (clients []*Client, now Micros) {
+	for i := range zones * each {
+		clients = append(clients, NewClient(Config{Name: fmt.Sprintf("f%04d", i), Zone: fmt.Sprintf("z%02d", i/each),
+			Incarnation: uint64(1000 + i), Controls: controls}))
+	}
+	for now = 0; now < 2*second; now += 50 * ms {
+		for _, c := range clients {
+			link(c, now)
+		}
+	}
+	return clients, now
+}
+
+// link opens the links that a client wants, and answers each heartbeat.
+func link(c *Client, now Micros) {
+	for _, name := range c.Targets(now) {
+		if o := c.byName[name]; !o.linked {
+			c.Linked(now, name, 1+weight(name, "", 0)%1000)
+		}
+	}
+	for _, m := range c.Actions() {
+		o := c.byName[m.To]
+		if !o.linked {
+			continue
+		}
+		h, _ := decodeHeartbeat(m.Body)
+		answer := viewMessage{epoch: o.incarnation, answers: true, echo: h.sent}
+		_ = c.Receive(now, m.To, o.incarnation, ViewPart, answer.encode())
+	}
+}
+
+// At the size of the fleet each control member gets its share: first links only from its zone, second ones from all others.
+func TestChoiceSpreads(t *testing.T) {
+	controls := manyControls(23, 2)
+	clients, now := linked(23, 117, controls)
+	first, both := map[string]int{}, map[string]int{}
+	for _, c := range clients {
+		list := c.Targets(now)
+		require.Len(t, list, 2)
+		assert.Equal(t, c.cfg.Zone, c.byName[list[0]].zone)
+		assert.NotEqual(t, c.cfg.Zone, c.byName[list[1]].zone)
+		assert.Equal(t, list[0], c.Home())
+		first[list[0]]++
+		both[list[0]]++
+		both[list[1]]++
+	}
+	for _, o := range controls {
+		assert.InDelta(t, 58.5, first[o.Name], 30, o.Name)
+		assert.InDelta(t, 117, both[o.Name], 45, o.Name)
+	}
+}
+
+// Front ends of a control member that is lost go to all others, spread over time, none to the zone's other one, and those that held
+// it not keep their other link; the view is taken from the second slot in the same instant.
+func TestLostControlSpreads(t *testing.T) {
+	controls := manyControls(23, 2)
+	clients, now := linked(23, 117, controls)
+	const lost = "m05-0"
+	var moved []*Client
+	for _, c := range clients {
+		list := c.Targets(now)
+		if !slices.Contains(list, lost) {
+			continue
+		}
+		moved = append(moved, c)
+		c.Unlinked(now, lost)
+		other := list[0]
+		if other == lost {
+			other = list[1]
+		}
+		require.Equal(t, other, c.Home())
+	}
+	require.Greater(t, len(moved), 80)
+	when, where := map[Micros]int{}, map[string]int{}
+	for end := now + 4*second; now < end; now += 50 * ms {
+		for _, c := range moved {
+			if slices.Contains(c.Targets(now), lost) {
+				c.Unlinked(now, lost) // the dial fails
+			}
+			before := c.Counters.Losses
+			link(c, now)
+			require.Equal(t, before, c.Counters.Losses)
+			if list := c.Targets(now); len(list) == 2 && c.byName[list[0]].linked && c.byName[list[1]].linked && where[c.cfg.Name] == 0 {
+				where[c.cfg.Name] = 1
+				when[now/(200*ms)]++
+			}
+		}
+	}
+	to := map[string]int{}
+	for _, c := range moved {
+		list := c.Targets(now)
+		require.Len(t, list, 2, c.cfg.Name)
+		require.NotContains(t, list, lost)
+		for _, name := range list {
+			to[name]++
+			if c.cfg.Zone == "z05" {
+				assert.NotEqual(t, "m05-1", name)
+			}
+		}
+	}
+	assert.Greater(t, len(to), 35, "over all of the others")
+	for span, n := range when {
+		assert.Less(t, n, len(moved)/3, "at %d", span)
+	}
+}
+
+// A link that breaks while its control member is there is opened again to the same one.
+func TestBrokenLink(t *testing.T) {
+	clients, now := linked(3, 1, manyControls(3, 2))
+	c := clients[0]
+	list := c.Targets(now)
+	c.Unlinked(now, list[0])
+	require.Equal(t, list[1:], c.Targets(now), "after a pause")
+	for end := now + second; now < end; now += 50 * ms {
+		link(c, now)
+	}
+	require.Equal(t, list, c.Targets(now))
+}
+
+// A control member whose link is open and that is silent is given up: its view first, and then its slot.
+func TestSilentControl(t *testing.T) {
+	clients, now := linked(3, 1, manyControls(3, 2))
+	c := clients[0]
+	list := c.Targets(now)
+	answer := func(name string) {
+		o := c.byName[name]
+		m := viewMessage{epoch: o.incarnation, answers: true, echo: now}
+		require.NoError(t, c.Receive(now, name, o.incarnation, ViewPart, m.encode()))
+	}
+	answer(list[0])
+	began := now
+	var left, replaced Micros
+	for ; now < began+10*second && replaced == 0; now += 50 * ms {
+		c.Tick(now)
+		for _, name := range c.Targets(now) {
+			if name != list[0] && c.byName[name].linked {
+				answer(name)
+			}
+		}
+		if left == 0 && c.Home() == list[1] {
+			left = now - began
+		}
+		if !slices.Contains(c.Targets(now), list[0]) {
+			replaced = now - began
+		}
+	}
+	assert.InDelta(t, 2500*ms, left, float64(100*ms))
+	assert.InDelta(t, 4*second, replaced, float64(100*ms))
+}
+
+// Where nobody can be reached dials become rare, and go on for ever.
+func TestNobodyThere(t *testing.T) {
+	c := NewClient(Config{Name: "f", Zone: "z00", Incarnation: 7, Controls: manyControls(3, 2)})
+	dials, late := 0, 0
+	for now := Micros(0); now < 1200*second; now += 50 * ms {
+		for _, name := range c.Targets(now) {
+			dials++
+			if now > 1000*second {
+				late++
+			}
+			c.Unlinked(now, name)
+		}
+	}
+	assert.Less(t, dials, 250)
+	assert.NotZero(t, late)
+}
+
+// With one control member, or none outside the zone, what there is is used.
+func TestFewControls(t *testing.T) {
+	for n := range 3 {
+		clients, now := linked(1, 4, manyControls(1, n))
+		for _, c := range clients {
+			require.Len(t, c.Targets(now), n)
+			c.Tick(now)
+			_ = c.Next()
+		}
+	}
+}
