--- a/internal/epoll/part.go
+++ b/internal/epoll/part.go
@@ -22,13 +22,6 @@
 	View() *attach.View
 }
 
-// dropped tells that messages to a front end may not arrive.
-func (p *peers) dropped(name string) {
-	if p.node != nil {
-		p.node.Lost(name)
-	}
-}
-
 // attaches says whether front ends may attach to this one.
 func (p *peers) attaches() bool { return p.node != nil && p.node.Attaches() != nil }
 
