--- /dev/null
+++ b/internal/epoll/part.go
@@ -0,0 +1,52 @@
+package epoll
+
+import (
+	"chutechute/attach"
+	"chutechute/fleet"
+	"chutechute/internal/counters"
+	"chutechute/peer"
+	"chutechute/recordclient"
+)
+
+// part is this front end's part in the fleet, in either role: a fleet.Node or a fleet.Attached.
+type part interface {
+	recordclient.Asker
+	// Receive takes a message; after an error its link is closed.
+	Receive(now Micros, l fleet.Link, kind peer.Kind, body []byte) error
+	Tick(now Micros)
+	Leave()
+	Actions() []fleet.Action
+	// Asked is how many questions were put to the record.
+	Asked() int
+	// View is all front ends of both roles; nil where none may attach.
+	View() *attach.View
+}
+
+// attaches says whether front ends may attach to this one.
+func (p *peers) attaches() bool { return p.node != nil && p.node.Attaches() != nil }
+
+// descriptors is how many the links take of those that clients and engines share, where front ends may attach.
+func (p *peers) descriptors() int {
+	if p == nil || p.cfg.Attached == nil {
+		return 0
+	}
+	return len(p.in) + len(p.out)
+}
+
+// counted fills in the counters of the view, where front ends may attach.
+func (p *peers) counted(count *counters.Set) {
+	var c *attach.Counters
+	switch {
+	case p.attached != nil:
+		c = &p.attached.Client().Counters
+	case p.attaches():
+		c = &p.node.Attaches().Counters
+		count.Forwarded, count.ForwardedNobody = p.node.Forwarded, p.node.Undeliverable
+	default:
+		return
+	}
+	count.ViewBeats, count.ViewChanges, count.ViewSnapshots, count.ViewBytes = c.Heartbeats, c.Changes, c.Snapshots, c.SnapshotBytes+c.RepairBytes
+	count.ViewRepairs, count.ViewGaps, count.ViewStale, count.ViewRefused = c.DigestRepairs, c.Gaps, c.StaleEpochs, c.Refused
+	count.ViewDamped, count.ViewDoubts, count.ViewHomes = c.Damped, c.Doubts, c.HomeChanges
+	count.ViewMalformed = c.Malformed + c.UnknownHomes + c.WrongNames + c.Oversized
+}
