attach: a home that lacks an entry has not ended it; tests that mutations showed to be missing

In one of 350 histories a front end at a restarted control member, whose view was still empty, took a live process for past, as its entry had gone and come back. What a home only lacks is now remembered with its order, and is not gone. The order in which a broken link is dialled again follows from the rendezvous order, so its own field went. go test ./attach passes, with 60 histories.

--- a/attach/client.go
+++ b/attach/client.go
@@ -459,7 +459,11 @@
 	if c.view.digestAfter(changes) != m.digest {
 		return c.disagree(o, m, whole)
 	}
-	c.view.apply(changes, false)
+	from := followed
+	if m.content == someBuckets {
+		from = resumed
+	}
+	c.view.apply(changes, from)
 	c.Counters.Changes += len(changes)
 	if m.content == someChanges {
 		c.Counters.Pushes++
--- a/attach/fault_test.go
+++ b/attach/fault_test.go
@@ -78,6 +78,9 @@
 	assert.Zero(t, dead, "a front end that was not seen alive")
 	for _, c := range r.clients {
 		snapshots += c.Counters.Snapshots
+		if slices.Contains(moved, c) {
+			assert.Equal(t, 2, c.Counters.HomeChanges, "its first, and one")
+		}
 	}
 	assert.Zero(t, snapshots, "the view is resumed by its digest")
 	to := map[string]int{}
@@ -284,4 +287,5 @@
 	require.Less(t, 30*second, c.View().Age(r.now))
 	r.run(8 * second)
 	r.agreed()
+	require.Zero(t, c.Counters.Losses, "its control members were not silent")
 }
--- a/attach/serve.go
+++ b/attach/serve.go
@@ -28,7 +28,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	s.view.apply(changes, true)
+	s.view.apply(changes, merged)
 	s.snapshot = nil
 	s.sequence++
 	names := make([]string, len(changes))
--- a/attach/targets.go
+++ b/attach/targets.go
@@ -47,7 +47,6 @@
 	preferred *control
 	current   *control // nil during the pause after a loss
 	due       Micros   // when it is to be filled again
-	redial    *control // with which; nil for any
 	settled   Micros   // since when the preferred one is back; 0 while it isn't
 	back      Micros   // when to return to it; 0 while that isn't decided
 	returning bool     // a link to the preferred one is wanted beside the current
@@ -68,12 +67,8 @@
 		second = c.best(0, notFirst)
 	}
 	for i, preferred := range []*control{first, second} {
-		c.slots[i] = slot{preferred: preferred, current: preferred}
-		if preferred == nil {
-			continue
-		}
 		// The first links of a whole fleet that starts are spread.
-		c.slots[i] = slot{preferred: preferred, redial: preferred, due: c.now + c.random.span(0, redialHigh)}
+		c.slots[i] = slot{preferred: preferred, due: c.now + c.random.span(0, redialHigh)}
 	}
 }
 
@@ -152,29 +147,23 @@
 			continue
 		}
 		c.Counters.Losses++
-		s.current, s.redial = nil, nil
+		s.current = nil
+		s.due = c.now + c.random.span(replaceLow, replaceHigh)
 		if !unreachable {
-			s.redial = o
 			s.due = c.now + c.random.span(redialLow, redialHigh)
-			continue
 		}
-		s.due = c.now + c.random.span(replaceLow, replaceHigh)
 	}
 	c.chooseHome()
 }
 
-// fill gives an empty slot a control member: the one to be dialled again, or one of all that are left, by an order of this front
-// end's own; not another of its zone, to which all front ends of the lost one would go.
+// fill gives an empty slot a control member.
 func (c *Client) fill(s *slot) {
-	next := s.redial
-	if next == nil {
-		next = c.replacement(s)
-	}
+	next := c.replacement(s)
 	if next == nil {
 		s.due = c.now + c.random.span(replaceLow, replaceHigh)
 		return
 	}
-	s.current, s.redial = next, nil
+	s.current = next
 	c.want(next)
 }
 
@@ -185,11 +174,19 @@
 	}
 }
 
+// replacement is the preferred control member of a slot, where that is not shunned, or one of all that are left, by an order of
+// this front end's own; not another of its zone, to which all front ends of the lost one would go. That order gives one whose link
+// broke again.
 func (c *Client) replacement(s *slot) *control {
 	free := func(o *control) bool {
-		return c.now >= o.shunned && !slices.ContainsFunc(c.slots[:], func(other slot) bool { return other.current == o || other.redial == o })
+		for i := range c.slots {
+			other := &c.slots[i]
+			if other.current == o || other != s && other.current == nil && other.preferred == o {
+				return false
+			}
+		}
+		return c.now >= o.shunned
 	}
-	// The preferred one of another empty slot is left to it, and the zone's others are spared.
 	spread := func(o *control) bool {
 		return free(o) && (o == s.preferred || o.zone != c.cfg.Zone)
 	}
--- a/attach/view.go
+++ b/attach/view.go
@@ -22,7 +22,9 @@
 	list          []*kept // by name
 	sums          [buckets]uint64
 	total         uint64
-	past          pastSet
+	past          pastSet           // processes that were replaced
+	removed       pastSet           // processes whose entry was taken out of the view
+	ghosts        map[string]*kept  // entries that a home did not have to which this front end came, by name
 	texts         map[string]string // zones and homes, each kept once
 	confirmed     Micros
 	known         bool // confirmed holds a time
@@ -74,7 +76,7 @@
 	if e := v.byIncarnation[incarnation]; e != nil && (e.State == Dead || e.State == Left) {
 		return true
 	}
-	return v.past.contains(incarnation)
+	return v.past.contains(incarnation) || v.removed.contains(incarnation)
 }
 
 // Alive says whether a process is seen alive.
@@ -111,15 +113,28 @@
 	return slices.BinarySearchFunc(v.list, name, func(e *kept, name string) int { return strings.Compare(e.Name, name) })
 }
 
-// put sets one entry. A control member's own merging is sure of which process is the later. What is told may come from one that
-// missed the later: then this side's order counts.
-func (v *View) put(c *change, sure bool) {
+// source is where changes of a view come from.
+type source uint8
+
+const (
+	merged   source = iota // a control member's own merging, which is sure of which process is the later
+	followed               // changes that the home has told
+	resumed                // parts as the home has them, which may have missed what another home told before
+)
+
+// put sets one entry. What is told may come from a control member that missed the later process: then this side's order counts.
+func (v *View) put(c *change, from source) {
 	e := &kept{c.Entry, c.challenged}
 	e.Zone, e.Home = v.text(e.Zone), v.text(e.Home)
 	old := v.byName[e.Name]
-	if sure {
+	v.removed.remove(e.Incarnation)
+	if from == merged {
 		v.past.remove(e.Incarnation)
 	}
+	if ghost := v.ghosts[e.Name]; ghost != nil {
+		delete(v.ghosts, e.Name)
+		v.order(ghost, e, from)
+	}
 	switch {
 	case old == nil:
 		at, _ := v.place(e.Name)
@@ -127,19 +142,26 @@
 		v.byName[e.Name] = e
 		v.index(e)
 		v.count(e, 1)
+	default:
+		v.order(old, e, from)
+		v.overwrite(old, e)
+	}
+	v.conflict = v.conflict || v.past.contains(e.Incarnation)
+}
+
+// order notes which of two processes of one name is past: the one known before, but where the other answered an earlier challenge.
+func (v *View) order(old, e *kept, from source) {
+	told := old.challenged != 0 && e.challenged != 0
+	switch {
 	case old.Incarnation == e.Incarnation:
-		if old.challenged != 0 && e.challenged != 0 {
+		if told {
 			e.challenged = min(e.challenged, old.challenged)
 		}
-		v.overwrite(old, e)
-	case !sure && old.challenged != 0 && e.challenged != 0 && e.challenged < old.challenged:
+	case from != merged && told && e.challenged < old.challenged:
 		v.past.add(e.Incarnation)
-		v.overwrite(old, e)
 	default:
 		v.past.add(old.Incarnation)
-		v.overwrite(old, e)
 	}
-	v.conflict = v.conflict || v.past.contains(e.Incarnation)
 }
 
 func (v *View) overwrite(old, e *kept) {
@@ -151,8 +173,11 @@
 	v.count(old, 1)
 }
 
-// remove drops the entry of a name; its process stays past.
-func (v *View) remove(name string) {
+// mostGhosts bounds the entries that are remembered of what a home does not have. Past it all are forgotten.
+const mostGhosts = 8192
+
+// remove drops the entry of a name. It is gone where the home took it out; a home that does not have it may only have missed it.
+func (v *View) remove(name string, from source) {
 	at, ok := v.place(name)
 	if !ok {
 		return
@@ -161,8 +186,15 @@
 	v.list = slices.Delete(v.list, at, at+1)
 	delete(v.byName, name)
 	v.unindex(old)
-	v.past.add(old.Incarnation)
 	v.count(old, -1)
+	if from != resumed {
+		v.removed.add(old.Incarnation)
+		return
+	}
+	if v.ghosts == nil || len(v.ghosts) >= mostGhosts {
+		v.ghosts = map[string]*kept{}
+	}
+	v.ghosts[name] = old
 }
 
 func (v *View) index(e *kept) {
@@ -226,13 +258,13 @@
 	return n
 }
 
-func (v *View) apply(changes []change, sure bool) {
+func (v *View) apply(changes []change, from source) {
 	for i := range changes {
 		if changes[i].removed {
-			v.remove(changes[i].Name)
+			v.remove(changes[i].Name, from)
 			continue
 		}
-		v.put(&changes[i], sure)
+		v.put(&changes[i], from)
 	}
 }
 
