Engines: no connection to one that drains, or under an ordered load's question, is closed for room

Change: replaceable is false for a connection to an engine that drains by the list or has refused one, and under a question about an attempt that may not run twice or has others wait in order. Idle connections and those of safe queries go as before.

--- a/cmd/chutechute/places_test.go
+++ b/cmd/chutechute/places_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -143,31 +146,56 @@
 	}
 }
 
-// A load runs at an engine that drains: it takes no new connections, and goes on with what is asked after. Clients without end come
-// for the descriptors that are left. The connection by which the load is asked after was closed for one of them; none could be made
+// Loads run at an engine that drains: it takes no new connections, and goes on with what is asked after. Clients without end come
+// for the descriptors that are left. The connection by which a load was asked after was closed for one of them; none could be made
 // again, and the key's next began while the engine still had the load (herd+crowd+brink of the second deployment, seed 347353815773).
-func TestLastConnectionToADrainingEngineIsKept(t *testing.T) {
-	const engines, lookups, newcomers = 14, 60, 200
+func TestConnectionsToADrainingEngineAreKept(t *testing.T) {
+	const engines, loads, lookups, newcomers = 12, 16, 50, 200
 	released := make(chan struct{})
+	var mu sync.Mutex
+	closed := map[string]int{} // connections that ended, by the engine's address
+	var cut atomic.Int32       // questions about loads whose connection was closed before they were answered
 	r := start(t, engines, func(r *standin.Rig, w http.ResponseWriter, c standin.Call) {
 		select {
 		case <-released:
 			standin.Serve(w, standin.Row)
+		case <-c.Gone:
+			if path := strings.Split(c.Path, "/"); c.Method == "GET" && path[3] < standin.ID(100) {
+				cut.Add(1)
+			}
 		case <-time.After(50 * time.Millisecond):
 			w.WriteHeader(202)
 		}
-	}, func(r *standin.Rig) { r.Sockets = 64 })
-	loads := r.Client()
-	loads.Ask("INSERT INTO s_1.t", "call", standin.ID(1), "op", "load", "ttl", "60000", "dedupe", "once", "row", "key", "work", "10.0")
-	drains := r.Await(1, "POST", "/")[0].Engine
+	}, func(r *standin.Rig) {
+		r.Sockets = 64
+		r.Conns = func(conn net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				mu.Lock()
+				defer mu.Unlock()
+				closed[conn.LocalAddr().String()]++
+			}
+		}
+	})
+	client := r.Client()
+	for n := range loads {
+		client.Ask(fmt.Sprintf("INSERT INTO s_%d.t", n), "call", standin.ID(1+n), "op", "load", "ttl", "60000", "dedupe", fmt.Sprint(n),
+			"row", fmt.Sprint(n), "work", "10.0")
+	}
+	at := map[string][]string{} // loads by their engines
+	drains := r.Engines[0]
+	for _, p := range r.Await(loads, "POST", "/") {
+		at[p.Engine] = append(at[p.Engine], p.Header.Get("Request-Id"))
+	}
 	for _, e := range r.Engines {
-		if e.Name == drains {
-			require.NoError(t, e.Server.Listener.Close())
+		if len(at[e.Name]) > len(at[drains.Name]) {
+			drains = e
 		}
 	}
+	require.Greater(t, len(at[drains.Name]), 1)
+	require.NoError(t, drains.Server.Listener.Close())
 	many := [2]*standin.Client{r.Client(), r.Client()}
 	for n := range lookups {
-		many[n%2].Ask(fmt.Sprintf("SELECT * FROM s_%d.t", n), "call", standin.ID(2+n), "op", "lookup", "ttl", "60000", "work", "1.0")
+		many[n%2].Ask(fmt.Sprintf("SELECT * FROM s_%d.t", n), "call", standin.ID(100+n), "op", "lookup", "ttl", "60000", "work", "1.0")
 	}
 	require.Eventually(t, func() bool { return len(r.Got("GET", "/")) > 10*lookups }, standin.Patience, 5*time.Millisecond)
 	for range newcomers {
@@ -177,11 +205,19 @@
 			defer c.Conn.Close()
 		}
 	}
-	asked := func() int { return len(r.Got("GET", "/v1/store/"+standin.ID(1))) }
-	before := asked()
-	require.Eventually(t, func() bool { return asked() > before+20 }, standin.Patience, 5*time.Millisecond, "it is asked after no more")
-	close(released)
-	assert.Equal(t, "answer", loads.Read().What)
+	for _, load := range at[drains.Name] {
+		asked := func() int { return len(r.Got("GET", "/v1/store/"+load)) }
+		before := asked()
+		require.Eventually(t, func() bool { return asked() > before+20 }, standin.Patience, 5*time.Millisecond, "load %s is asked after no more", load)
+	}
+	mu.Lock()
+	assert.Zero(t, closed[drains.Addr.String()], "connections to the engine that drains were closed")
+	mu.Unlock()
+	assert.Zero(t, cut.Load(), "connections were closed under questions about loads")
 	assert.LessOrEqual(t, r.Descriptors(), 64)
-	assert.Len(t, r.Got("POST", "/"), 1+lookups, "nothing was sent twice")
+	close(released)
+	for range loads {
+		assert.Equal(t, "answer", client.Read().What)
+	}
+	assert.Len(t, r.Got("POST", "/"), loads+lookups, "nothing was sent twice")
 }
--- a/internal/epoll/engines.go
+++ b/internal/epoll/engines.go
@@ -52,6 +52,7 @@
 	up      int // of conns, those that have come up; those that are dialled may all be refused
 	jobs    int
 	heard   Micros // when it last answered anything
+	drains  bool   // or is gone, by the list
 	removed bool   // and forgotten once nothing of it is left
 	refused bool   // it took no connection when it was last asked for one
 	cuts    int    // connections that it ended under a call, in one moment and since it was last heard
@@ -116,7 +117,7 @@
 			p.engines[en.Engine] = e
 		}
 		slog.Debug("listed", "engine", en.Engine, "addr", en.Addr, "zone", en.Zone, "state", en.State, "started", en.Started)
-		e.removed = en.State == decide.Removed
+		e.drains, e.removed = en.State != decide.Serving, en.State == decide.Removed
 		if e.addr != en.Addr {
 			e.hangUp()
 		}
@@ -305,10 +306,20 @@
 	return false
 }
 
-// replaceable says whether a connection may be closed for its descriptor alone. The last one that is up to an engine with calls to
-// make may not: an engine that drains takes no new connections, also before the news of it has come, and what runs there could
-// neither be asked after nor given up any more.
-func (p *pool) replaceable(c *conn) bool { return c.engine.jobs == 0 || c.engine.up > 1 }
+// replaceable says whether a connection may be closed for its descriptor alone. One under a question about what may not run twice,
+// or has others wait in order, may not: how long an engine goes on with a query is known only from what it was asked last. Nor may one
+// to an engine that drains and has calls to get, as it takes no new ones, and what runs there could neither be asked after nor given
+// up; and as the news of that may be late, not the last one that is up either.
+func (p *pool) replaceable(c *conn) bool {
+	e := c.engine
+	switch {
+	case e.jobs == 0:
+		return true
+	case c.job != nil && c.job.attempt != nil && c.job.attempt.Strict:
+		return false
+	}
+	return e.up > 1 && !e.drains && !e.refused
+}
 
 // evict closes the connection that has been idle longest, of those that are replaceable.
 func (p *pool) evict() bool {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -17,6 +17,7 @@
 	Header               http.Header
 	Body                 string
 	At                   time.Time
+	Gone                 <-chan struct{} // closed once its connection has ended, or it is answered
 }
 
 // Engine plays an engine on a loopback socket; its answers are the test's.
--- a/internal/standin/rig.go
+++ b/internal/standin/rig.go
@@ -110,7 +110,7 @@
 		e := &Engine{Name: fmt.Sprintf("s-%08x", i+1)}
 		server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 			body, _ := io.ReadAll(req.Body)
-			c := Call{e.Name, req.Method, req.URL.Path, req.Header, string(body), time.Now()}
+			c := Call{e.Name, req.Method, req.URL.Path, req.Header, string(body), time.Now(), req.Context().Done()}
 			r.Mu.Lock()
 			r.Calls = append(r.Calls, c)
 			r.Mu.Unlock()
