--- /dev/null
+++ b/attach/bound_test.go
@@ -0,0 +1,159 @@
+package attach
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A front end that is dead for long is forgotten by its home and in the view, and may come back.
+func TestRetention(t *testing.T) {
+	r := newTrio(t)
+	r.servers["m0"].Linked(r.now, r.link("f", 7))
+	r.run(keepSpan - second)
+	r.shows("f", 7, Dead)
+	r.run(8 * second)
+	for _, c := range trioControls {
+		s := r.servers[c.Name]
+		_, ok := s.View().Of("f")
+		require.False(t, ok, c.Name)
+		require.True(t, s.View().Gone(7), c.Name)
+		require.Len(t, s.people, 3, c.Name)
+	}
+	require.Empty(t, r.servers["m0"].leases)
+	require.Empty(t, r.servers["m0"].lessees)
+	require.Empty(t, r.servers["m0"].own.rows)
+	r.servers["m0"].Linked(r.now, r.link("f", 7))
+	r.run(200 * ms)
+	r.shows("f", 7, Alive)
+	require.False(t, r.servers["m1"].View().Gone(7))
+}
+
+// A control member that restarts without end leaves a bounded number of tables.
+func TestTablesAreBounded(t *testing.T) {
+	r := newTrio(t)
+	for i := range uint64(20) {
+		r.begin("m0", 2000+i)
+		r.run(100 * ms)
+		r.servers["m0"].Linked(r.now, r.link(fmt.Sprintf("f%02d", i), 100+i))
+		r.run(300 * ms)
+	}
+	s := r.servers["m1"]
+	require.LessOrEqual(t, len(s.byName["m0"].tables), mostTables+1)
+	require.LessOrEqual(t, s.View().Len(), 3+mostTables+1)
+	require.True(t, s.View().Alive(119))
+}
+
+// Pulls are answered at a bounded rate for each control member and table.
+func TestPullsAreBounded(t *testing.T) {
+	r := newTrio(t)
+	s := r.servers["m0"]
+	s.Linked(r.now, r.link("f", 7))
+	r.run(100 * ms)
+	p := pullMessage{home: "m0", epoch: 1000, whole: true}
+	for range 100 {
+		require.NoError(t, s.ReceiveControl(r.now, "m1", 1001, Pull, p.encode()))
+	}
+	require.Len(t, s.Actions(), 3)
+	require.NoError(t, s.ReceiveControl(r.now, "m2", 1002, Pull, p.encode()))
+	require.Len(t, s.Actions(), 1, "another is not held up")
+}
+
+// What the log has is sent at a bounded rate too.
+func TestCatchUpsAreBounded(t *testing.T) {
+	p := newPair(t, 3)
+	sequence, digest := p.server.sequence, p.server.View().Digest()
+	p.other(9, 9)
+	p.run(100 * ms)
+	l := Link{From: "odd", Zone: "za", Incarnation: 3, Greeted: p.now}
+	before := p.server.Counters.CatchUps
+	for range 100 {
+		h := heartbeat{name: "odd", subscribe: true, resume: true, epoch: 1, sequence: sequence, digest: digest}
+		require.NoError(t, p.server.Receive(p.now, l, Heartbeat, h.encode()))
+	}
+	require.Equal(t, 8, p.server.Counters.CatchUps-before)
+}
+
+// A name with many processes tells the last few in its row, which others take.
+func TestManyProcesses(t *testing.T) {
+	r := newTrio(t)
+	for i := range uint64(10) {
+		r.now += 20 * second // beyond damping
+		for _, c := range trioControls {
+			r.servers[c.Name].now = r.now
+		}
+		r.servers["m0"].Linked(r.now, r.link("f", 100+i))
+		r.run(100 * ms)
+	}
+	require.Empty(t, r.errors)
+	r.shows("f", 109, Alive)
+	require.Len(t, r.servers["m0"].own.rows["f"].past, toldPast)
+	for i := range uint64(9) {
+		require.True(t, r.servers["m1"].View().Replaced(100+i))
+	}
+}
+
+// A process has a bounded number of links; the oldest are closed.
+func TestManyLinks(t *testing.T) {
+	p := newPair(t, 0)
+	closed := 0
+	for i := range 10 {
+		l := p.link
+		l.Greeted += Micros(i + 1)
+		p.server.Linked(p.now, l)
+		closed += len(p.server.Close())
+	}
+	require.Equal(t, 11-mostLinks, closed)
+	require.Len(t, p.server.lessees["f"].links, mostLinks)
+}
+
+// Messages that nobody fetches are bounded.
+func TestActionsAreBounded(t *testing.T) {
+	p := newPair(t, 0)
+	for range mostActions + 10 {
+		require.NoError(t, p.server.Receive(p.now, p.link, Heartbeat, (&heartbeat{name: "f"}).encode()))
+	}
+	require.Len(t, p.server.Actions(), mostActions)
+}
+
+// Of two processes of one name the order becomes right as soon as messages say better how far the clocks are apart, without any
+// change of their rows.
+func TestOrderFollowsTheClocks(t *testing.T) {
+	r := newTrio(t)
+	s := NewServer(Config{Name: "m2", Zone: "zc", Incarnation: 1002, Controls: trioControls})
+	s.Tick(r.now, r.seen("m2"))
+	push := func(home string, epoch, incarnation uint64, sent, challenged Micros) {
+		m := tableMessage{version: version{home, epoch, 1, 0}, sent: sent, rows: []row{{name: "f", zone: "za", incarnation: incarnation, challenged: challenged}}}
+		m.sum = m.rows[0].digest()
+		require.NoError(t, s.ReceiveControl(r.now, home, epoch, Table, m.encode()))
+	}
+	// The earlier process is told of in a message that took 10 s.
+	push("m0", 1000, 9, r.now-10*second, r.now-10*second-100*ms)
+	push("m1", 1001, 5, r.now, r.now-second)
+	s.Tick(r.now+50*ms, nil)
+	e, _ := s.View().Of("f")
+	require.Equal(t, uint64(9), e.Incarnation)
+	require.NoError(t, s.PeerVersions(r.now+60*ms, "m0", 1000, encodeVersions(r.now+59*ms, nil)))
+	s.Tick(r.now+100*ms, nil)
+	e, _ = s.View().Of("f")
+	require.Equal(t, uint64(5), e.Incarnation)
+}
+
+// An empty slot leaves the preferred control member of the other empty slot to that.
+func TestSlotsLeaveEachOtherTheirs(t *testing.T) {
+	controls := []ControlMember{{Name: "a", Zone: "z1"}, {Name: "b", Zone: "z2"}, {Name: "c", Zone: "z2"}}
+	for i := range 50 {
+		c := NewClient(Config{Name: fmt.Sprint("f", i), Zone: "z1", Incarnation: 7, Controls: controls})
+		c.Tick(0)
+		second := c.slots[1].preferred
+		first := c.slots[0].preferred
+		first.shunned = 1 << 60
+		c.slots[0].due, c.slots[1].due = 1, 2
+		c.Tick(1)
+		assert.NotEqual(t, second, c.slots[0].current)
+		c.Tick(2)
+		assert.Equal(t, second, c.slots[1].current)
+	}
+}
