--- a/attach/rig_test.go
+++ b/attach/rig_test.go
@@ -77,6 +77,7 @@
 	servers  []*rigServer
 	clients  []*rigClient
 	names    map[string]*rigServer
+	byName   map[string]*rigClient
 	lossy    int // per thousand of messages
 	doubled  int // per thousand
 	slowest  Micros
@@ -89,7 +90,7 @@
 }
 
 func newRig(t testing.TB, seed uint64, zones ...string) *rig {
-	r := &rig{t: t, random: random(seed), names: map[string]*rigServer{}, next: 100, slowest: 5 * ms,
+	r := &rig{t: t, random: random(seed), names: map[string]*rigServer{}, byName: map[string]*rigClient{}, next: 100, slowest: 5 * ms,
 		cut: func(_, _ string) bool { return false }, refuse: func(*rigClient) bool { return false }, check: func() {}}
 	for i, zone := range zones {
 		r.controls = append(r.controls, ControlMember{Name: fmt.Sprintf("m%02d", i), Zone: zone})
@@ -251,22 +252,24 @@
 			})
 			continue
 		}
-		for _, c := range r.clients {
-			l := c.links[s.cfg.Name]
-			if c.cfg.Name != m.To || c.cfg.Incarnation != m.Incarnation || l == nil || l.closed {
-				continue
-			}
-			if r.refuse(c) {
-				s.Refused(r.now, m.To, m.Incarnation)
-				continue
-			}
-			s.bytes += len(m.Body) + 50
-			c.in += len(m.Body) + 50
-			r.carry(s.cfg.Name, c.cfg.Name, func() { r.deliver(c, l, m) })
+		c := r.byName[m.To]
+		if c == nil {
+			continue
 		}
+		l := c.links[s.cfg.Name]
+		if c.cfg.Incarnation != m.Incarnation || l == nil || l.closed {
+			continue
+		}
+		if r.refuse(c) {
+			s.Refused(r.now, m.To, m.Incarnation)
+			continue
+		}
+		s.bytes += len(m.Body) + 50
+		c.in += len(m.Body) + 50
+		r.carry(s.cfg.Name, c.cfg.Name, func() { r.deliver(c, l, m) })
 	}
 	for _, l := range s.Close() {
-		for _, c := range r.clients {
+		if c := r.byName[l.From]; c != nil {
 			if o := c.links[s.cfg.Name]; o != nil && o.link == l {
 				r.closeLink(o)
 			}
@@ -308,6 +311,7 @@
 func (r *rig) attach(name, zone string) *rigClient {
 	c := &rigClient{cfg: Config{Name: name, Zone: zone, Controls: r.controls, Seed: 1}}
 	r.clients = append(r.clients, c)
+	r.byName[name] = c
 	r.restart(c)
 	return c
 }
@@ -421,14 +425,7 @@
 	}
 }
 
-func (r *rig) client(name string) *rigClient {
-	for _, c := range r.clients {
-		if c.cfg.Name == name {
-			return c
-		}
-	}
-	return nil
-}
+func (r *rig) client(name string) *rigClient { return r.byName[name] }
 
 // agreed checks that all views are the same and show every process that runs alive, under its incarnation.
 func (r *rig) agreed() {
--- a/attach/targets_test.go
+++ b/attach/targets_test.go
@@ -205,3 +205,55 @@
 		}
 	}
 }
+
+// However control members come and go, the two slots never hold the same one, and all is as preferred in the end.
+func TestSlotsDiffer(t *testing.T) {
+	for seed := range 20 {
+		controls := manyControls(2, 2)
+		c := NewClient(Config{Name: fmt.Sprint("f", seed), Zone: "z00", Incarnation: 7, Controls: controls})
+		for _, o := range controls {
+			c.view.apply([]change{{Entry: Entry{Name: o.Name, Zone: o.Zone, Home: o.Name, Incarnation: 1 + weight(o.Name, "", 0)%1000}}}, followed)
+		}
+		down := random(seed)
+		var preferred []string
+		for now := Micros(0); now < 1000*second; now += 100 * ms {
+			mask := uint64(0)
+			if now > 5*second && now < 600*second {
+				mask = weight("down", fmt.Sprint(now/(20*second)), uint64(down))
+			}
+			for i, o := range controls {
+				if mask>>i&1 == 1 && slices.Contains(c.Targets(now), o.Name) {
+					c.Unlinked(now, o.Name)
+				}
+			}
+			for _, name := range c.Targets(now) {
+				i := slices.IndexFunc(controls, func(o ControlMember) bool { return o.Name == name })
+				if mask>>i&1 == 0 && !c.byName[name].linked {
+					c.Linked(now, name, 1+weight(name, "", 0)%1000)
+				}
+			}
+			answerAll(c, now, mask, controls)
+			a, b := c.slots[0].current, c.slots[1].current
+			require.True(t, a == nil || a != b, "at %d ms", now/ms)
+			if now == 4*second {
+				preferred = c.Targets(now)
+			}
+		}
+		require.Equal(t, preferred, c.Targets(1000*second))
+		require.Equal(t, preferred[0], c.Home())
+	}
+}
+
+// answerAll answers the heartbeats to those that are not in mask.
+func answerAll(c *Client, now Micros, mask uint64, controls []ControlMember) {
+	for _, m := range c.Actions() {
+		o := c.byName[m.To]
+		i := slices.IndexFunc(controls, func(o ControlMember) bool { return o.Name == m.To })
+		if mask>>i&1 == 1 || !o.linked {
+			continue
+		}
+		h, _ := decodeHeartbeat(m.Body)
+		answer := viewMessage{epoch: o.incarnation, answers: true, echo: h.sent}
+		_ = c.Receive(now, m.To, o.incarnation, ViewPart, answer.encode())
+	}
+}
