--- /dev/null
+++ b/attach/full_test.go
@@ -0,0 +1,74 @@
+package attach
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The whole fleet in virtual time: 53 control members and 2,700 front ends in 23 zones. It logs what each front end receives when
+// all start at once, at rest, when a tenth restarts within 10 s, and when a control member dies.
+func TestFullFleet(t *testing.T) {
+	if os.Getenv("CHUTECHUTE_LONG") == "" {
+		t.Skip("CHUTECHUTE_LONG is not set")
+	}
+	const zones, size, span = 23, 2700, 10 * second
+	var in []string
+	for i := range 53 {
+		in = append(in, fmt.Sprintf("zone-%02d", i%zones))
+	}
+	r := newRig(t, 1, in...)
+	r.run(second)
+	for i := range size {
+		r.attach(fmt.Sprintf("front-%04d", i), fmt.Sprintf("zone-%02d", i%zones))
+	}
+	phase := func(name string, length Micros) {
+		for _, c := range r.clients {
+			c.in, c.out = 0, 0
+		}
+		for _, s := range r.servers {
+			s.bytes = 0
+		}
+		began := time.Now()
+		r.run(length)
+		var incoming, outgoing, served []int
+		for _, c := range r.clients {
+			incoming, outgoing = append(incoming, c.in), append(outgoing, c.out)
+		}
+		for _, s := range r.servers {
+			served = append(served, s.bytes)
+		}
+		seconds := float64(length) / float64(second)
+		kilobytes := func(list []int) string {
+			slices.Sort(list)
+			sum := 0
+			for _, n := range list {
+				sum += n
+			}
+			return fmt.Sprintf("%.2f mean, %.2f most", float64(sum)/float64(len(list))/seconds/1000, float64(list[len(list)-1])/seconds/1000)
+		}
+		snapshots, repairs := 0, 0
+		for _, c := range r.clients {
+			snapshots, repairs = snapshots+c.Counters.Snapshots, repairs+c.Counters.DigestRepairs
+		}
+		t.Logf("%s: KB/s in %s, out %s; served by each %s; %d snapshots, %d repairs so far; ran %v",
+			name, kilobytes(incoming), kilobytes(outgoing), kilobytes(served), snapshots, repairs, time.Since(began).Round(time.Millisecond))
+	}
+	phase("all start", span)
+	r.agreed()
+	phase("at rest", span)
+	for i := range size / 10 {
+		r.after(Micros(i)*span/(size/10), func() { r.restart(r.clients[i*10]) })
+	}
+	phase("a tenth restarts", span)
+	r.run(5 * second)
+	r.agreed()
+	r.stop(r.servers[7])
+	phase("a control member dies", span)
+	require.Empty(t, r.errors)
+	r.agreed()
+}
