--- a/internal/epoll/attached_test.go
+++ b/internal/epoll/attached_test.go
@@ -414,3 +414,18 @@
 		assert.Equal(t, before, p.attachedIn, p.cfg.Name)
 	}
 }
+
+// Links take descriptors that clients and engines would else use, where front ends may attach; without it nothing is counted.
+func TestLinksCountAsDescriptors(t *testing.T) {
+	f := newTestFleet(t)
+	f.start("x1")
+	f.allSee(4)
+	s := &Server{cfg: &config.Config{Sockets: 1000}, pool: &pool{}, listener: &listener{}}
+	assert.Equal(t, 1000-spare, s.unused())
+	s.peers = f.fronts["n1"]
+	assert.Equal(t, 1000-spare-len(s.peers.in)-2, s.unused())
+	off := *s.peers.cfg
+	off.Attached = nil
+	s.peers = &peers{cfg: &off, in: s.peers.in, out: s.peers.out}
+	assert.Equal(t, 1000-spare, s.unused())
+}
--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -1,6 +1,7 @@
 package epoll
 
 import (
+	"bytes"
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
@@ -209,6 +210,9 @@
 
 // reload puts other budgets into force.
 func (p *peers) reload(cfg *config.Peers) {
+	if p != nil && cfg != nil && (p.cfg.Attached != nil || cfg.Attached != nil) && !bytes.Equal(p.cfg.Digest, cfg.Digest) {
+		slog.Warn("reload: what all front ends of the fleet agree on takes effect at the next start")
+	}
 	switch {
 	case p == nil || cfg == nil:
 	case p.holder != nil && cfg.Budgets != nil:
