exercise/membership: whole fleets of control members and attached front ends in virtual time

Need: aims at 2,700 front ends that no machine here can hold as sockets. An event queue, a network with loss, delay, cuts and slow readers, processes with clocks of their own, the truth that views are compared with, and the account by role.

--- /dev/null
+++ b/exercise/membership/burst.go
@@ -0,0 +1,83 @@
+package membership
+
+import "slices"
+
+// Burst is what control members had to take in the second after something happened: counted from the first accept, or the first
+// snapshot, that followed.
+type Burst struct {
+	Of        string
+	Accepts   Load
+	Snapshots Load
+}
+
+// Load is a count over the control members that run.
+type Load struct {
+	Total int
+	Mean  float64
+	Most  int // at any one
+}
+
+// Ratio is how much more than the mean the busiest one had; 0 where there was nothing.
+func (l Load) Ratio() float64 {
+	if l.Total == 0 {
+		return 0
+	}
+	return float64(l.Most) / l.Mean
+}
+
+// mark says that something happened whose burst is to be counted.
+type mark struct {
+	of string
+	at Micros
+}
+
+func (s *Sim) mark(of string) { s.account.marks = append(s.account.marks, mark{of, s.now}) }
+
+// bursts counts what followed each mark, up to the next.
+func (s *Sim) bursts() (list []Burst) {
+	for i, m := range s.account.marks {
+		until := s.now
+		if i+1 < len(s.account.marks) {
+			until = s.account.marks[i+1].at
+		}
+		list = append(list, Burst{
+			Of:        m.of,
+			Accepts:   s.firstSecond(m.at, until, func(p *place) []Micros { return p.bursts.accepts }),
+			Snapshots: s.firstSecond(m.at, until, func(p *place) []Micros { return p.bursts.snapshots }),
+		})
+	}
+	return list
+}
+
+// firstSecond counts, at each control member, the times within a second of the first of all.
+func (s *Sim) firstSecond(from, until Micros, times func(*place) []Micros) (l Load) {
+	first := until
+	for _, p := range s.controls {
+		list := times(p)
+		if place, _ := slices.BinarySearch(list, from); place < len(list) {
+			first = min(first, list[place])
+		}
+	}
+	there := 0
+	for _, p := range s.controls {
+		if p.ranAt(first) {
+			there++
+		}
+		list := times(p)
+		begin, _ := slices.BinarySearch(list, first)
+		end, _ := slices.BinarySearch(list, min(first+second, until))
+		l.Total += end - begin
+		l.Most = max(l.Most, end-begin)
+	}
+	l.Mean = float64(l.Total) / float64(max(1, there))
+	return l
+}
+
+// ranAt says whether a process ran at a time.
+func (p *place) ranAt(when Micros) bool {
+	place, exact := slices.BinarySearch(p.turns, when)
+	if exact {
+		place++
+	}
+	return place%2 == 1
+}
--- /dev/null
+++ b/exercise/membership/doc.go
@@ -0,0 +1,21 @@
+// Package membership plays the membership of a whole fleet in one process and in virtual time: attached front ends
+// (attach.Client), control members (attach.Server, and among one another member.Set with heartbeats to all), unchanged, over a
+// network and clocks of its own that one seed drives. It counts what each role sends and receives, how long changes take to reach
+// the last member alive, and compares every view with the truth.
+//
+// Nothing here waits or reads a clock; the same seed gives the same figures. The one exception is the processor time, which is
+// measured only where Options.Processor asks for it and is never part of what tests assert.
+//
+// What is simplified: a message is lost as a whole and never sent again by the transport, which is harsher than a stream that
+// repeats it; bytes of TCP, TLS and acknowledgements are not counted; heartbeats among control members are encoded once and read
+// once for all receivers, and lack the fields about the record (about 40 bytes).
+package membership
+
+// Micros is a time or a span in microseconds, of true time where nothing else is said.
+type Micros = int64
+
+const (
+	ms     Micros = 1000
+	second        = 1000 * ms
+	minute        = 60 * second
+)
--- /dev/null
+++ b/exercise/membership/heartbeat.go
@@ -0,0 +1,62 @@
+package membership
+
+import (
+	"chutechute/internal/proto"
+	"chutechute/member"
+)
+
+// heartbeat is what control members send each other: package fleet's, without the fields about the record and with the versions
+// of the tables.
+type heartbeat struct {
+	incarnation uint64
+	leaving     bool
+	reports     []member.Report
+	versions    []byte
+}
+
+func (h *heartbeat) encode() []byte {
+	var b []byte
+	b = proto.Uint(b, 1, h.incarnation)
+	b = proto.Bool(b, 8, h.leaving)
+	for _, r := range h.reports {
+		m := proto.String(nil, 1, r.Name)
+		m = proto.Uint(m, 2, r.Incarnation)
+		m = proto.Uint(m, 3, uint64(max(0, r.Age)))
+		b = proto.Message(b, 10, m)
+	}
+	return proto.Bytes(b, 11, h.versions)
+}
+
+func decodeHeartbeat(b []byte) (h heartbeat, err error) {
+	err = proto.Each(b, func(f proto.Field) error {
+		switch f.Number {
+		case 1:
+			h.incarnation = f.Uint
+		case 8:
+			h.leaving = f.Uint != 0
+		case 10:
+			r, err := decodeReport(f.Data)
+			h.reports = append(h.reports, r)
+			return err
+		case 11:
+			h.versions = f.Copy()
+		}
+		return nil
+	})
+	return h, err
+}
+
+func decodeReport(b []byte) (r member.Report, err error) {
+	err = proto.Each(b, func(f proto.Field) error {
+		switch f.Number {
+		case 1:
+			r.Name = f.Text()
+		case 2:
+			r.Incarnation = f.Uint
+		case 3:
+			r.Age = Micros(min(f.Uint, 1<<62))
+		}
+		return nil
+	})
+	return r, err
+}
--- /dev/null
+++ b/exercise/membership/report.go
@@ -0,0 +1,190 @@
+package membership
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"chutechute/attach"
+	"chutechute/internal/scale"
+)
+
+// report fills in what a run showed.
+func (s *Sim) report(o Options, scenario Scenario, out *Outcome) {
+	t := s.truth
+	out.FalseDeaths, out.PastBack, out.Faults, out.Disagree = t.falseDeaths, t.pastBack, t.words, t.inWords()
+	out.Bursts = s.bursts()
+	out.Rejected = s.account.faults
+	out.BusiestWho = s.account.busiest.who
+	out.Busiest = float64(s.account.busiest.bytes) / windowSeconds
+	out.Noticed, out.Spreads = t.spans()
+	for _, turns := range t.turns {
+		out.Turns = max(out.Turns, turns)
+	}
+	for _, c := range s.controls {
+		if c.proc != nil {
+			out.Refused += c.proc.control.server.Counters.Refused
+		}
+	}
+	r := &scale.Result{Name: scenario.Name, Mode: scale.ModeVirtual, FrontEnds: s.shape.Total(), Controls: s.shape.Controls,
+		Zones: s.shape.Zones, Seconds: s.shape.Seconds, Seed: s.shape.Seed, Faults: o.Faults}
+	out.Result = r
+	for _, role := range []attach.Role{attach.Attached, attach.Control} {
+		r.Roles = append(r.Roles, s.roleFigures(role))
+	}
+	front := r.Roles[0]
+	out.Rest = front.BytesIn + front.BytesOut + front.FramingIn + front.FramingOut
+	r.Spread = scale.SpreadOf(durations(out.Spreads), t.unreached())
+	r.Points = append(r.Points, scale.Point{Axis: "front ends", X: float64(s.shape.Total()), Figures: s.figures(out)})
+	r.Notes = s.notes(out)
+}
+
+// members is the places of a role.
+func (s *Sim) members(role attach.Role) []*place {
+	if role == attach.Control {
+		return s.controls
+	}
+	return s.attached
+}
+
+func (s *Sim) roleFigures(role attach.Role) scale.RoleFigures {
+	list := s.members(role)
+	f := s.account.role(list)
+	ins, outs := sum(f.ins), sum(f.outs)
+	seconds := float64(s.account.measured) / float64(second)
+	each := func(v int64) float64 { return float64(v) / seconds / float64(len(list)) }
+	figures := scale.RoleFigures{Role: roleName(role), Members: len(list), MessagesIn: each(ins.messages), MessagesOut: each(outs.messages),
+		BytesIn: each(ins.bytes), BytesOut: each(outs.bytes), FramingIn: each(ins.framing), FramingOut: each(outs.framing),
+		Connections: s.connections(list)}
+	if s.meter != nil {
+		figures.CPUMicros = float64(s.meter.of(role).Microseconds()) / seconds / float64(len(list))
+	}
+	return figures
+}
+
+// connections is how many a member has at the end: among control members one each way.
+func (s *Sim) connections(list []*place) float64 {
+	count := 0
+	for _, p := range list {
+		if p.proc == nil {
+			continue
+		}
+		p.proc.eachLink(func(l *link) {
+			if l.open[p.proc.side()] {
+				count++
+			}
+		})
+		if p.role == attach.Control {
+			count += 2 * (len(s.controls) - 1)
+		}
+	}
+	return float64(count) / float64(len(list))
+}
+
+// spans are how long deaths took to be noticed, and changes to be known.
+func (t *truth) spans() (noticed, spreads []Micros) {
+	for _, c := range t.closed {
+		spreads = append(spreads, c.known-c.noticed)
+		if c.kind == vanished {
+			noticed = append(noticed, c.noticed-c.since)
+		}
+	}
+	slices.Sort(noticed)
+	slices.Sort(spreads)
+	return noticed, spreads
+}
+
+// unreached is how many noticed changes somebody alive still doesn't know.
+func (t *truth) unreached() (count int) {
+	for _, list := range t.open {
+		for _, c := range list {
+			if c.counts && c.waiting != nil {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+func durations(list []Micros) (spans []time.Duration) {
+	for _, span := range list {
+		spans = append(spans, time.Duration(span)*time.Microsecond)
+	}
+	return spans
+}
+
+// figures are those that a result has no field for; the last word of a name is its unit.
+func (s *Sim) figures(out *Outcome) map[string]float64 {
+	f := map[string]float64{
+		"front end in and out B/s":             out.Rest,
+		"front end busiest 10 s B/s":           out.Busiest,
+		"false deaths count":                   float64(out.FalseDeaths),
+		"past processes seen again count":      float64(out.PastBack),
+		"views agree after the last fault ms":  float64(out.Settled / ms),
+		"views still wrong at the end members": float64(len(out.Disagree)),
+	}
+	if noticed := scale.SpreadOf(durations(out.Noticed), 0); noticed != nil {
+		f["deaths noticed count"] = float64(noticed.Count)
+		f["death noticed median ms"] = noticed.MedianMS
+		f["death noticed p99 ms"] = noticed.P99MS
+		f["death noticed most ms"] = noticed.MostMS
+	}
+	for _, b := range out.Bursts {
+		addLoad(f, b.Of+": accepts in the first second", b.Accepts)
+		addLoad(f, b.Of+": snapshots in the first second", b.Snapshots)
+	}
+	if out.Turns > 0 {
+		f["changes seen of the one that flaps count"] = float64(out.Turns)
+	}
+	for _, role := range []attach.Role{attach.Attached, attach.Control} {
+		s.addKinds(f, role)
+	}
+	return f
+}
+
+func addLoad(f map[string]float64, name string, l Load) {
+	f[name+", all count"] = float64(l.Total)
+	f[name+", mean count"] = l.Mean
+	f[name+", most at one control member count"] = float64(l.Most)
+}
+
+// addKinds adds the bytes of each kind of message.
+func (s *Sim) addKinds(f map[string]float64, role attach.Role) {
+	list := s.members(role)
+	flow := s.account.role(list)
+	each := float64(s.account.measured) / float64(second) * float64(len(list))
+	for k := range messageKinds {
+		for _, way := range []struct {
+			name string
+			t    traffic
+		}{{"in", flow.ins[k]}, {"out", flow.outs[k]}} {
+			if way.t.messages > 0 {
+				f[fmt.Sprintf("%s: %s %s B/s", roleName(role), k, way.name)] = float64(way.t.whole()) / each
+			}
+		}
+	}
+}
+
+// notes say what the figures leave out.
+func (s *Sim) notes(out *Outcome) []string {
+	list := []string{
+		"bytes of TCP, TLS and acknowledgements are not counted",
+		"heartbeats among control members lack the fields about the record, about 40 bytes",
+	}
+	if s.meter != nil {
+		list = append(list, "processor: this process's time, divided by the time that steps of each role took; heartbeats among control members "+
+			"are read once for all receivers, and links cost nothing")
+		runtime.GC()
+		var m runtime.MemStats
+		runtime.ReadMemStats(&m)
+		list = append(list, fmt.Sprintf("live heap of the whole run over all members of both roles: %d bytes each", int(m.HeapAlloc)/len(s.places)))
+	}
+	for _, word := range out.Faults {
+		list = append(list, "fault: "+word)
+	}
+	for _, word := range out.Disagree {
+		list = append(list, "wrong at the end: "+word)
+	}
+	return list
+}
--- /dev/null
+++ b/exercise/membership/run.go
@@ -0,0 +1,197 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+
+	"chutechute/attach"
+	"chutechute/internal/scale"
+)
+
+// Options say what to play.
+type Options struct {
+	FrontEnds int // all of them, as scale.Shape counts: control members too
+	Controls  int
+	Zones     int
+	Seconds   float64 // of the measured part; 0: as the scenario has it
+	Seed      uint64
+	Faults    string // a scenario's name, or a script as scale.ParseFaults reads it; empty for none
+	Processor bool   // measure the processor time, which is no function of the seed
+	// Progress is told what is being done; nil: nobody is.
+	Progress func(word string)
+}
+
+// Outcome is what a run showed.
+type Outcome struct {
+	Result *scale.Result
+	// Faults is what broke the rules, in words; FalseDeaths and PastBack count them.
+	FalseDeaths int // members that run seen dead, by somebody who could have known
+	PastBack    int // processes seen again after a later one of their name
+	Faults      []string
+	Steady      bool // the scenario allows no false death
+	// Disagree is what views still had wrong when the time for them to settle was over.
+	Disagree []string
+	Settled  Micros // until all views agreed with the truth once all faults were over
+	// Noticed is how long it took, for each death, until the first control member held it for one; Spreads how long until
+	// the last member alive knew of a change, from when it was noticed. Both are sorted.
+	Noticed []Micros
+	Spreads []Micros
+	Bursts  []Burst
+	// Rest is the mean bytes a second in and out of an attached front end; Busiest the mean over the busiest ten seconds of any.
+	Rest, Busiest float64
+	BusiestWho    string
+	Turns         int // the most changes of the flapping front end that any control member saw
+	Refused       int // queues that were full
+	Rejected      map[string]int
+}
+
+// Spans of a run.
+const (
+	warmStart   = 20 * second // over which a fleet starts that isn't started at once
+	settleMost  = 180 * second
+	settleStep  = second
+	warmRest    = 15 * second // between the views' agreeing and the measured part: the ten-second windows are clear of the start
+	mostInWords = 10
+)
+
+var errUnsettled = errors.New("membership: views don't agree with the truth")
+
+// Run plays a fleet and gives its figures. What breaks a rule is an error; the result is given too.
+func Run(o Options) (*scale.Result, error) {
+	outcome, err := Play(o)
+	if outcome == nil {
+		return nil, err
+	}
+	return outcome.Result, errors.Join(err, outcome.Err())
+}
+
+// Err is what broke a rule; nil where nothing did.
+func (o *Outcome) Err() error {
+	var list []error
+	if len(o.Disagree) > 0 {
+		list = append(list, fmt.Errorf("%w: %v", errUnsettled, o.Disagree))
+	}
+	if o.PastBack > 0 {
+		list = append(list, fmt.Errorf("membership: %d times a past process was seen again: %v", o.PastBack, o.Faults))
+	}
+	if o.FalseDeaths > 0 && o.Steady {
+		list = append(list, fmt.Errorf("membership: %d false deaths: %v", o.FalseDeaths, o.Faults))
+	}
+	return errors.Join(list...)
+}
+
+// Play plays a fleet.
+func Play(o Options) (*Outcome, error) {
+	shape := scale.Shape{FrontEnds: o.FrontEnds, Controls: o.Controls, Zones: o.Zones, Seconds: o.Seconds, Seed: o.Seed}
+	scenario, err := o.scenario(&shape)
+	if err != nil {
+		return nil, err
+	}
+	if o.Progress == nil {
+		o.Progress = func(string) {}
+	}
+	s := newSim(shape)
+	if o.Processor {
+		s.meter = newMeter()
+	}
+	if err := s.warm(scenario, o.Progress); err != nil {
+		return nil, err
+	}
+	o.Progress("measured part: " + scenario.About)
+	s.measure(scenario, o.Progress)
+	o.Progress("faults are over")
+	outcome := &Outcome{Steady: scenario.steady}
+	s.heal()
+	settled, err := s.settle()
+	outcome.Settled = settled
+	if err != nil && !errors.Is(err, errUnsettled) {
+		return nil, err
+	}
+	s.report(o, scenario, outcome)
+	return outcome, nil
+}
+
+// scenario is what the options ask for; the shape is checked and gets the scenario's span.
+func (o *Options) scenario(shape *scale.Shape) (Scenario, error) {
+	name := o.Faults
+	if name == "" {
+		name = "rest"
+	}
+	scenario, known := Named(name)
+	if shape.Seconds == 0 {
+		shape.Seconds = scenario.Seconds
+	}
+	if err := shape.Check(); err != nil {
+		return scenario, err
+	}
+	if shape.Attached() == 0 || shape.Controls < 2 {
+		return scenario, errors.New("membership: without two control members and an attached front end there is nothing to play")
+	}
+	if known {
+		return scenario, nil
+	}
+	return scripted(o.Faults, *shape)
+}
+
+// warm starts a fleet and has its views settle, unless the scenario begins with the start.
+func (s *Sim) warm(scenario Scenario, progress func(string)) error {
+	if scenario.cold {
+		return nil
+	}
+	progress("start")
+	s.startAll(warmStart)
+	if err := s.run(warmStart); err != nil {
+		return err
+	}
+	if _, err := s.settle(); err != nil {
+		return fmt.Errorf("%w at the start: %v", err, s.truth.inWords())
+	}
+	return s.run(warmRest)
+}
+
+// measure plays the scenario.
+func (s *Sim) measure(scenario Scenario, progress func(string)) {
+	s.meter.reset()
+	s.account.begin(s)
+	s.truth.begin()
+	scenario.play(s)
+	span := s.span()
+	for done := Micros(0); done < span && s.failed == nil; {
+		part := min(minute, span-done)
+		_ = s.run(part) // failed has it too
+		done += part
+		progress(fmt.Sprintf("%g of %g s", float64(done)/float64(second), s.shape.Seconds))
+	}
+	s.account.end()
+	s.truth.recording = false
+}
+
+// settle waits until all views agree with the truth, and gives how long it took.
+func (s *Sim) settle() (Micros, error) {
+	began := s.now
+	for s.now-began < settleMost {
+		if err := s.run(settleStep); err != nil {
+			return 0, err
+		}
+		if len(s.truth.compare(1)) == 0 {
+			return s.now - began, nil
+		}
+	}
+	return s.now - began, errUnsettled
+}
+
+// inWords is what views have wrong now.
+func (t *truth) inWords() (list []string) {
+	for _, d := range t.compare(mostInWords) {
+		list = append(list, fmt.Sprintf("%s sees %s: %s", d.by, d.about, d.sees))
+	}
+	return list
+}
+
+// roleName is a role as results have it.
+func roleName(role attach.Role) string {
+	if role == attach.Control {
+		return scale.RoleControl
+	}
+	return scale.RoleFrontEnd
+}
--- /dev/null
+++ b/exercise/membership/scenario.go
@@ -0,0 +1,218 @@
+package membership
+
+import (
+	"slices"
+
+	"chutechute/attach"
+)
+
+// Scenario is a hard case that a script of faults can't say, or that has a name since it is asked for.
+type Scenario struct {
+	Name    string
+	About   string
+	Seconds float64 // of the measured part, where nothing else is asked for
+	cold    bool    // the measured part begins as the whole fleet does
+	steady  bool    // nobody is ever to be held for dead who runs
+	play    func(*Sim)
+}
+
+// Scenarios is all that have names.
+func Scenarios() []Scenario { return slices.Clone(scenarios) }
+
+// Named is the scenario of a name.
+func Named(name string) (Scenario, bool) {
+	place := slices.IndexFunc(scenarios, func(c Scenario) bool { return c.Name == name })
+	if place < 0 {
+		return Scenario{}, false
+	}
+	return scenarios[place], true
+}
+
+// Spans of the scenarios.
+const (
+	zoneAway    = 30 * second // until a lost zone is back
+	controlAway = 60 * second // until a lost control member is back
+	deafFor     = 60 * second
+	downFor     = second // from a restarted process's end to the next one's start
+	flapEvery   = 3 * second
+	flapFor     = 2 * minute
+	cutChange   = 30 * second // between two changes on each side of a cut
+	stoppedFor  = 10 * second
+	lossyShare  = 0.01
+	lossyDelay  = 300 * ms
+	slowReader  = 400 // bytes a second
+)
+
+var scenarios = []Scenario{
+	{Name: "rest", About: "nothing happens", Seconds: 120, steady: true, play: func(*Sim) {}},
+	{Name: "start", About: "the whole fleet starts in one instant", Seconds: 60, cold: true, steady: true, play: func(s *Sim) {
+		s.mark("start")
+		s.startAll(0)
+	}},
+	{Name: "zone", About: "a zone and its control members lost in one instant, and back together", Seconds: 90, steady: true, play: loseZone},
+	{Name: "restarts", About: "a tenth of the attached front ends restarted within 10 s", Seconds: 60, steady: true, play: restartTenth},
+	{Name: "flap", About: "one attached front end that restarts every 3 s for 2 minutes", Seconds: 180, steady: true, play: flap},
+	{Name: "deaths", About: "one attached front end in a hundred dies within 30 s, for good", Seconds: 60, steady: true, play: deaths},
+	{Name: "regions", About: "two regions lose each other for an hour, with changes in both", Seconds: 3600, steady: true, play: loseRegions},
+	{Name: "split", About: "two regions lose all others for an hour, with changes on both sides", Seconds: 3600, play: split},
+	{Name: "control", About: "a control member lost, and back after a minute", Seconds: 120, steady: true, play: loseControl},
+	{Name: "deaf", About: "a control member cut off from all attached front ends, and not from the rest, for a minute", Seconds: 120, steady: true,
+		play: deafen},
+	{Name: "lossy", About: "an hour with a hundredth of the messages lost and all up to 300 ms late", Seconds: 3600, steady: true, play: func(s *Sim) {
+		s.network.loss, s.network.delay = lossyShare, lossyDelay
+	}},
+	{Name: "stopped", About: "an attached front end and a control member stand still for 10 s", Seconds: 60, play: stopTwo},
+	{Name: "slow", About: "an attached front end that reads 400 bytes a second while a tenth are restarted", Seconds: 90, steady: true, play: readSlowly},
+}
+
+// startAll starts whoever is down, over a span.
+func (s *Sim) startAll(over Micros) {
+	for _, p := range s.places {
+		s.after(s.between(0, over), p.start)
+	}
+}
+
+// zoneToLose is the last zone: at full size one of those with two control members and 117 attached front ends.
+func (s *Sim) zoneToLose() int { return s.shape.Zones - 1 }
+
+func loseZone(s *Sim) {
+	var lost []*place
+	for _, p := range s.places {
+		if p.zone == s.zoneToLose() {
+			lost = append(lost, p)
+		}
+	}
+	s.after(second, func() {
+		s.mark("zone lost")
+		for _, p := range lost {
+			p.end(true)
+		}
+	})
+	s.after(second+zoneAway, func() {
+		s.mark("zone back")
+		for _, p := range lost {
+			p.start()
+		}
+	})
+}
+
+// restart ends a process and starts the next one.
+func (p *place) restart() {
+	p.end(false)
+	p.s.after(downFor, p.start)
+}
+
+// some draws so many attached front ends.
+func (s *Sim) some(count int) (list []*place) {
+	for _, i := range s.rng.Perm(len(s.attached))[:min(count, len(s.attached))] {
+		list = append(list, s.attached[i])
+	}
+	return list
+}
+
+func restartTenth(s *Sim) {
+	s.mark("restarts")
+	for _, p := range s.some(len(s.attached) / 10) {
+		s.after(s.between(0, 10*second), p.restart)
+	}
+}
+
+func flap(s *Sim) {
+	p := s.attached[0]
+	for _, c := range s.controls {
+		s.truth.turns[[2]int{c.index, p.index}] = 0
+	}
+	for at := second; at < flapFor; at += flapEvery {
+		s.after(at, p.restart)
+	}
+}
+
+func deaths(s *Sim) {
+	for _, p := range s.some(max(1, len(s.attached)/100)) {
+		s.after(s.between(0, 30*second), func() { p.end(false) })
+	}
+}
+
+// changes restarts an attached front end of each group every so often, as long as the measured part lasts.
+func (s *Sim) changes(groups ...[]*place) {
+	for _, group := range groups {
+		for at := cutChange; at < s.span(); at += cutChange {
+			p := group[s.rng.IntN(len(group))]
+			s.after(at, p.restart)
+		}
+	}
+}
+
+// attachedIn is the attached front ends of some.
+func (s *Sim) attachedIn(which func(*place) bool) (list []*place) {
+	for _, p := range s.attached {
+		if which(p) {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func loseRegions(s *Sim) {
+	s.network.apart[[2]int{0, 1}] = true
+	s.network.severedNow()
+	in := func(region int) []*place { return s.attachedIn(func(p *place) bool { return p.region == region }) }
+	s.changes(in(0), in(1))
+}
+
+func split(s *Sim) {
+	few := func(p *place) bool { return p.region < 2 && p.region < s.shape.Zones-1 }
+	s.network.halves = few
+	s.network.severedNow()
+	s.changes(s.attachedIn(few), s.attachedIn(func(p *place) bool { return !few(p) }))
+}
+
+func loseControl(s *Sim) {
+	lost := s.controls[0]
+	s.after(second, func() {
+		s.mark("control member lost")
+		lost.end(false)
+	})
+	s.after(second+controlAway, func() {
+		s.mark("control member back")
+		lost.start()
+	})
+}
+
+func deafen(s *Sim) {
+	p := s.controls[0]
+	s.after(second, func() {
+		s.mark("control member deaf")
+		p.deaf = true
+		s.network.severedNow()
+	})
+	s.after(second+deafFor, func() {
+		s.mark("control member hears again")
+		p.deaf = false
+	})
+}
+
+func stopTwo(s *Sim) {
+	for _, p := range []*place{s.attached[0], s.controls[0]} {
+		s.after(second, p.pause)
+		s.after(second+stoppedFor, p.resume)
+	}
+}
+
+func readSlowly(s *Sim) {
+	s.attached[0].slow = slowReader
+	restartTenth(s)
+}
+
+// heal ends all faults but deaths that were to last.
+func (s *Sim) heal() {
+	s.network.heal()
+	s.network.loss, s.network.delay = 0, 0
+	for _, p := range s.places {
+		p.slow = 0
+		p.resume()
+		if p.proc != nil && p.role == attach.Attached {
+			p.proc.eachLink(func(l *link) { l.drain(controlSide) })
+		}
+	}
+}
--- /dev/null
+++ b/exercise/membership/truth.go
@@ -0,0 +1,292 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+
+	"chutechute/attach"
+)
+
+// sight is how one member sees another: the number of the other's process, from 1, and its state. 0: not in the view.
+type sight uint32
+
+func sightOf(order int, state attach.State) sight { return sight(order)<<2 | sight(state) }
+
+func (v sight) order() int          { return int(v >> 2) }
+func (v sight) state() attach.State { return attach.State(v & 3) }
+
+// mostWords bounds the faults of a kind that are kept in words.
+const mostWords = 20
+
+// truth knows what really happened, and compares what members see with it.
+type truth struct {
+	s         *Sim
+	orders    map[uint64]int // of each process at its place, by incarnation
+	seen      [][]sight      // by the place that sees and the place that is seen
+	highest   [][]uint16     // the latest process that was seen, likewise
+	open      [][]*change    // changes that not all alive know yet, by the place that they are about
+	count     int            // of those
+	closed    []*change      // all alive know these
+	recording bool           // changes from now on are part of the figures
+
+	falseDeaths int // of members that run and can be reached, in anybody's view
+	pastBack    int // a process was seen again after a later one of its name
+	words       []string
+	turns       map[[2]int]int // changes seen, by the two places, for those that are counted
+}
+
+func newTruth(s *Sim) *truth {
+	t := &truth{s: s, orders: map[uint64]int{}, open: make([][]*change, len(s.places)), turns: map[[2]int]int{}}
+	for range s.places {
+		t.seen = append(t.seen, make([]sight, len(s.places)))
+		t.highest = append(t.highest, make([]uint16, len(s.places)))
+	}
+	return t
+}
+
+// changeKind says what changed.
+type changeKind uint8
+
+const (
+	appeared changeKind = iota // a process is there
+	vanished                   // a process has ended
+)
+
+// begin forgets what was found so far, and has changes count from now on.
+func (t *truth) begin() {
+	t.recording = true
+	t.closed = nil
+}
+
+// change is something that all alive should come to know.
+type change struct {
+	kind    changeKind
+	place   *place
+	order   int
+	since   Micros // when it happened
+	noticed Micros // when the first control member saw it; 0: not yet
+	known   Micros // when the last one so far did
+	waiting []bool // by place: who does not know yet
+	left    int
+	counts  bool // it is part of the figures
+}
+
+// shows says whether somebody who sees that knows of the change.
+func (c *change) shows(v sight) bool {
+	switch {
+	case v == 0 || v.order() < c.order:
+		return false
+	case v.order() > c.order:
+		return true
+	}
+	return c.kind == appeared || v.state() == attach.Dead || v.state() == attach.Left
+}
+
+// shownBy says whether that is the change itself, and not a later one.
+func (c *change) shownBy(v sight) bool { return c.shows(v) && v.order() == c.order }
+
+// began takes a process's start.
+func (t *truth) began(q *process) {
+	t.orders[q.incarnation] = q.order
+	clear(t.seen[q.p.index])
+	clear(t.highest[q.p.index])
+	q.seenDigest = 0
+	t.add(&change{kind: appeared, place: q.p, order: q.order, since: t.s.now})
+}
+
+// ended takes a process's end.
+func (t *truth) ended(q *process) {
+	t.left(q.p.index)
+	t.add(&change{kind: vanished, place: q.p, order: q.order, since: t.s.now})
+}
+
+func (t *truth) add(c *change) {
+	c.counts = t.recording
+	t.open[c.place.index] = append(t.open[c.place.index], c)
+	t.count++
+}
+
+// left takes a member out of those that are waited for.
+func (t *truth) left(index int) {
+	if t.count == 0 {
+		return
+	}
+	for _, p := range t.s.places {
+		for _, c := range slices.Clone(t.open[p.index]) {
+			if c.waiting != nil {
+				t.learnt(c, index)
+			}
+		}
+	}
+}
+
+// watch compares a process's view with what it was.
+func (t *truth) watch(q *process) {
+	view := q.view()
+	if digest := view.Digest(); digest == q.seenDigest {
+		return
+	} else {
+		q.seenDigest = digest
+	}
+	seen := t.seen[q.p.index]
+	present := make([]bool, len(seen))
+	for _, e := range view.List() {
+		subject := t.s.byName[e.Name]
+		if subject == nil {
+			t.s.fail(fmt.Errorf("membership: %s sees %q, which there is not", q.p.name, e.Name))
+			return
+		}
+		present[subject.index] = true
+		if v := sightOf(t.orders[e.Incarnation], e.State); v != seen[subject.index] {
+			t.observe(q, subject, v)
+		}
+	}
+	for i, there := range present {
+		if !there && seen[i] != 0 {
+			t.observe(q, t.s.places[i], 0)
+		}
+	}
+}
+
+// observe takes that one member now sees another in another way.
+func (t *truth) observe(q *process, subject *place, v sight) {
+	at, about := q.p.index, subject.index
+	t.seen[at][about] = v
+	if _, counted := t.turns[[2]int{at, about}]; counted {
+		t.turns[[2]int{at, about}]++
+	}
+	if v == 0 {
+		return
+	}
+	if order := uint16(v.order()); order < t.highest[at][about] {
+		t.pastBack++
+		t.word("%s sees process %d of %s again, after %d", q.p.name, order, subject.name, t.highest[at][about])
+	} else {
+		t.highest[at][about] = order
+	}
+	if v.state() == attach.Dead && t.wronglyDead(q.p, subject, v.order()) {
+		t.falseDeaths++
+		t.word("%s sees %s dead, which runs", q.p.name, subject.name)
+	}
+	for _, c := range slices.Clone(t.open[about]) {
+		t.inform(c, q, v)
+	}
+}
+
+// wronglyDead says whether a member runs, and has for long enough been where the one who holds it for dead could have known.
+func (t *truth) wronglyDead(by, subject *place, order int) bool {
+	return subject.running() && subject.births == order && t.s.network.sameSide(by, subject)
+}
+
+// inform takes what one member sees of what a change is about.
+func (t *truth) inform(c *change, q *process, v sight) {
+	if c.waiting != nil {
+		if c.shows(v) {
+			t.learnt(c, q.p.index)
+		}
+		return
+	}
+	if q.control == nil || q.p == c.place || !c.shows(v) {
+		return
+	}
+	if !c.shownBy(v) { // a later one made it void before anybody saw it
+		t.drop(c)
+		return
+	}
+	t.notice(c, q)
+}
+
+// notice begins to wait for all that run now and could know.
+func (t *truth) notice(c *change, q *process) {
+	c.noticed, c.known = t.s.now, t.s.now
+	c.waiting = make([]bool, len(t.s.places))
+	for _, p := range t.s.places {
+		if p != c.place && p.running() && t.s.network.sameSide(p, q.p) && !c.shows(t.seen[p.index][c.place.index]) {
+			c.waiting[p.index] = true
+			c.left++
+		}
+	}
+	if c.left == 0 {
+		t.close(c)
+	}
+}
+
+// learnt takes that a member knows, or is no more waited for.
+func (t *truth) learnt(c *change, index int) {
+	if !c.waiting[index] {
+		return
+	}
+	c.waiting[index] = false
+	c.left--
+	if t.s.places[index].running() {
+		c.known = t.s.now
+	}
+	if c.left == 0 {
+		t.close(c)
+	}
+}
+
+func (t *truth) close(c *change) {
+	t.drop(c)
+	if c.counts {
+		t.closed = append(t.closed, c)
+	}
+	c.waiting = []bool{}
+}
+
+func (t *truth) drop(c *change) {
+	list := t.open[c.place.index]
+	if place := slices.Index(list, c); place >= 0 {
+		t.open[c.place.index] = slices.Delete(list, place, place+1)
+		t.count--
+	}
+}
+
+func (t *truth) word(format string, args ...any) {
+	if len(t.words) < mostWords {
+		t.words = append(t.words, fmt.Sprintf("%10.3f s: ", float64(t.s.now)/float64(second))+fmt.Sprintf(format, args...))
+	}
+}
+
+// disagreement is a member whose view differs from the truth.
+type disagreement struct {
+	by, about string
+	sees      string
+}
+
+// compare gives what views have wrong, at most so many.
+func (t *truth) compare(most int) (list []disagreement) {
+	for _, p := range t.s.places {
+		if !p.running() {
+			continue
+		}
+		t.watch(p.proc)
+		for i, v := range t.seen[p.index] {
+			if subject := t.s.places[i]; !agrees(subject, v) {
+				list = append(list, disagreement{p.name, subject.name, v.String()})
+			}
+			if len(list) >= most {
+				return list
+			}
+		}
+	}
+	return list
+}
+
+// agrees says whether that is how a member is to be seen in the end. One that ended may be forgotten.
+func agrees(subject *place, v sight) bool {
+	switch {
+	case subject.proc != nil:
+		return v != 0 && v.order() == subject.births && v.state() == attach.Alive
+	case v == 0:
+		return true
+	}
+	return v.order() == subject.births && (v.state() == attach.Dead || v.state() == attach.Left)
+}
+
+func (v sight) String() string {
+	if v == 0 {
+		return "not at all"
+	}
+	return fmt.Sprintf("process %d %s", v.order(), v.state())
+}
