--- a/exercise/membership/account.go
+++ b/exercise/membership/account.go
@@ -97,8 +97,8 @@
 
 func measureHello() handshake {
 	identity := func(name string, incarnation uint64) *peer.Identity {
-		return &peer.Identity{Site: "site", Name: name, Zone: "a", Incarnation: incarnation, Copy: incarnation, Oldest: peer.OldestVersion,
-			Newest: peer.NewestVersion, Settings: make([]byte, 8)}
+		return &peer.Identity{Site: "site", Name: name, Zone: "a", Incarnation: incarnation, Copy: incarnation,
+			Oldest: peer.OldestVersion, Newest: peer.NewestVersion, Settings: make([]byte, 8)}
 	}
 	d := peer.Dialler{Self: identity("front-0001", 1<<62), To: "control-01"}
 	l := peer.Listener{Self: identity("control-01", 1<<61), Known: func(string) bool { return true }}
--- a/exercise/membership/report.go
+++ b/exercise/membership/report.go
@@ -54,8 +54,10 @@
 	ins, outs := sum(f.ins), sum(f.outs)
 	seconds := float64(s.account.measured) / float64(second)
 	each := func(v int64) float64 { return float64(v) / seconds / float64(len(list)) }
-	figures := scale.RoleFigures{Role: roleName(role), Members: len(list), MessagesIn: each(ins.messages), MessagesOut: each(outs.messages),
-		BytesIn: each(ins.bytes), BytesOut: each(outs.bytes), FramingIn: each(ins.framing), FramingOut: each(outs.framing),
+	figures := scale.RoleFigures{Role: roleName(role), Members: len(list),
+		MessagesIn: each(ins.messages), MessagesOut: each(outs.messages),
+		BytesIn: each(ins.bytes), BytesOut: each(outs.bytes),
+		FramingIn: each(ins.framing), FramingOut: each(outs.framing),
 		Connections: s.connections(list)}
 	if s.meter != nil {
 		figures.CPUMicros = float64(s.meter.of(role).Microseconds()) / seconds / float64(len(list))
@@ -173,12 +175,13 @@
 		"heartbeats among control members lack the fields about the record, about 40 bytes",
 	}
 	if s.meter != nil {
-		list = append(list, "processor: this process's time, divided by the time that steps of each role took; heartbeats among control members "+
-			"are read once for all receivers, and links cost nothing")
+		list = append(list, "processor: this process's time, divided by the time that steps of each role took; heartbeats among "+
+			"control members are read once for all receivers, and links cost nothing")
 		runtime.GC()
 		var m runtime.MemStats
 		runtime.ReadMemStats(&m)
-		list = append(list, fmt.Sprintf("live heap of the whole run over all members of both roles: %d bytes each", int(m.HeapAlloc)/len(s.places)))
+		list = append(list, fmt.Sprintf("live heap of the whole run over all members of both roles: %d bytes each",
+			int(m.HeapAlloc)/len(s.places)))
 	}
 	for _, word := range out.Faults {
 		list = append(list, "fault: "+word)
--- a/exercise/membership/scenario.go
+++ b/exercise/membership/scenario.go
@@ -44,26 +44,34 @@
 )
 
 var scenarios = []Scenario{
-	{Name: "rest", About: "nothing happens", Seconds: 120, steady: true, play: func(*Sim) {}},
-	{Name: "start", About: "the whole fleet starts in one instant", Seconds: 60, cold: true, steady: true, play: func(s *Sim) {
-		s.mark("start")
-		s.startAll(0)
-	}},
-	{Name: "zone", About: "a zone and its control members lost in one instant, and back together", Seconds: 90, steady: true, play: loseZone},
-	{Name: "restarts", About: "a tenth of the attached front ends restarted within 10 s", Seconds: 60, steady: true, play: restartTenth},
-	{Name: "flap", About: "one attached front end that restarts every 3 s for 2 minutes", Seconds: 180, steady: true, play: flap},
-	{Name: "deaths", About: "one attached front end in a hundred dies within 30 s, for good", Seconds: 60, steady: true, play: deaths},
-	{Name: "regions", About: "two regions lose each other for an hour, with changes in both", Seconds: 3600, steady: true, play: loseRegions},
-	{Name: "split", About: "two regions lose all others for an hour, with changes on both sides", Seconds: 3600, play: split},
-	{Name: "control", About: "a control member lost, and back after a minute", Seconds: 120, steady: true, play: loseControl},
-	{Name: "deaf", About: "a control member cut off from all attached front ends, and not from the rest, for a minute", Seconds: 120, steady: true,
-		play: deafen},
-	{Name: "lossy", About: "an hour with a hundredth of the messages lost and all up to 300 ms late", Seconds: 3600, steady: true, play: func(s *Sim) {
-		s.network.loss, s.network.delay = lossyShare, lossyDelay
-	}},
-	{Name: "stopped", About: "an attached front end and a control member stand still for 10 s", Seconds: 60, play: stopTwo},
-	{Name: "slow", About: "an attached front end that reads 400 bytes a second while a tenth are restarted", Seconds: 90, steady: true, play: readSlowly},
-}
+	{Name: "rest", Seconds: 120, steady: true, play: func(*Sim) {}, About: "nothing happens"},
+	{Name: "start", Seconds: 60, cold: true, steady: true, play: startAtOnce, About: "the whole fleet starts in one instant"},
+	{Name: "zone", Seconds: 90, steady: true, play: loseZone,
+		About: "a zone and its control members lost in one instant, and back together"},
+	{Name: "restarts", Seconds: 60, steady: true, play: restartTenth,
+		About: "a tenth of the attached front ends restarted within 10 s"},
+	{Name: "flap", Seconds: 180, steady: true, play: flap, About: "one attached front end that restarts every 3 s for 2 minutes"},
+	{Name: "deaths", Seconds: 60, steady: true, play: deaths,
+		About: "one attached front end in a hundred dies within 30 s, for good"},
+	{Name: "regions", Seconds: 3600, steady: true, play: loseRegions,
+		About: "two regions lose each other for an hour, with changes in both"},
+	{Name: "split", Seconds: 3600, play: split, About: "two regions lose all others for an hour, with changes on both sides"},
+	{Name: "control", Seconds: 120, steady: true, play: loseControl, About: "a control member lost, and back after a minute"},
+	{Name: "deaf", Seconds: 120, steady: true, play: deafen,
+		About: "a control member cut off from all attached front ends, and not from the rest, for a minute"},
+	{Name: "lossy", Seconds: 3600, steady: true, play: lose,
+		About: "an hour with a hundredth of the messages lost and all up to 300 ms late"},
+	{Name: "stopped", Seconds: 60, play: stopTwo, About: "an attached front end and a control member stand still for 10 s"},
+	{Name: "slow", Seconds: 90, steady: true, play: readSlowly,
+		About: "an attached front end that reads 400 bytes a second while a tenth are restarted"},
+}
+
+func startAtOnce(s *Sim) {
+	s.mark("start")
+	s.startAll(0)
+}
+
+func lose(s *Sim) { s.network.loss, s.network.delay = lossyShare, lossyDelay }
 
 // startAll starts whoever is down, over a span.
 func (s *Sim) startAll(over Micros) {
--- /dev/null
+++ b/exercise/membership/scenarios_test.go
@@ -0,0 +1,170 @@
+package membership_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chutechute/exercise/membership"
+	"chutechute/internal/scale"
+)
+
+// The aims at 2,700 attached front ends.
+const (
+	restBytes    = 1000  // a second in and out of an attached front end while nothing happens
+	busyBytes    = 11000 // the same over the busiest ten seconds of any
+	spreadMost   = 3_000_000
+	spreadP99    = 1_000_000
+	noticeMost   = 5_000_000
+	burstRatio   = 3
+	growth       = 1.2
+	fullAttached = 2700
+	fullControls = 53
+	fullZones    = 23
+)
+
+// small is a fleet that CI plays.
+func small(faults string, seconds float64, seed uint64) membership.Options {
+	return membership.Options{FrontEnds: 65, Controls: 5, Zones: 3, Seconds: seconds, Seed: seed, Faults: faults}
+}
+
+// smallSeconds shortens those that take an hour.
+var smallSeconds = map[string]float64{"rest": 30, "regions": 90, "split": 90, "lossy": 120}
+
+// over counts the spans above one.
+func over(spans []membership.Micros, most membership.Micros) (count int) {
+	for _, span := range spans {
+		if span > most {
+			count++
+		}
+	}
+	return count
+}
+
+// Whatever happens, all views agree with the truth in the end, no past process comes back, and nobody who runs and can be
+// reached is ever held for dead.
+func TestScenariosSmall(t *testing.T) {
+	for _, scenario := range membership.Scenarios() {
+		t.Run(scenario.Name, func(t *testing.T) {
+			o, err := membership.Play(small(scenario.Name, smallSeconds[scenario.Name], 1))
+			require.NoError(t, err)
+			require.NoError(t, o.Err())
+			assert.Empty(t, o.Rejected, "messages that one side sent and the other refused")
+			assert.LessOrEqual(t, o.Busiest, float64(busyBytes), "%s", o.BusiestWho)
+			if scenario.Name == "rest" || scenario.Name == "lossy" {
+				assert.LessOrEqual(t, o.Rest, float64(restBytes))
+			}
+			if s := o.Result.Spread; s != nil {
+				assert.Zero(t, s.Unreached)
+			}
+		})
+	}
+}
+
+// The same seed gives the same figures, and another gives others.
+func TestSameSeedSameFigures(t *testing.T) {
+	figures := func(seed uint64) string {
+		r, err := membership.Run(small("restarts", 20, seed))
+		require.NoError(t, err)
+		text, err := json.Marshal(r)
+		require.NoError(t, err)
+		return string(text)
+	}
+	first := figures(7)
+	assert.Equal(t, first, figures(7))
+	assert.NotEqual(t, first, figures(8))
+}
+
+// A script of faults plays as the tool's sockets play it.
+func TestScript(t *testing.T) {
+	o, err := membership.Play(small("1s kill control 1 for 8s; 2s restart 10% over 2s; 3s stop attached 3 for 10s; 14s cut zone b; 24s heal", 30, 3))
+	require.NoError(t, err)
+	require.NoError(t, o.Err())
+	assert.Len(t, o.Bursts, 4)
+	var wrong *scale.ScriptError
+	_, err = membership.Run(small("1s kill control 9", 30, 3))
+	assert.ErrorAs(t, err, &wrong)
+	_, err = membership.Run(small("1s burn", 30, 3))
+	assert.ErrorAs(t, err, &wrong)
+	var flag *scale.FlagError
+	_, err = membership.Run(small("", -1, 3))
+	assert.ErrorAs(t, err, &flag)
+}
+
+func long(t *testing.T) {
+	if os.Getenv("CHUTECHUTE_LONG") == "" {
+		t.Skip("takes minutes: make scale-full plays it")
+	}
+}
+
+// TestScenariosFull plays full size, and says of each aim whether it is met. CHUTECHUTE_RESULTS names a folder for the results.
+func TestScenariosFull(t *testing.T) {
+	long(t)
+	for _, scenario := range membership.Scenarios() {
+		t.Run(scenario.Name, func(t *testing.T) {
+			began := time.Now()
+			o, err := membership.Play(membership.Options{FrontEnds: fullAttached + fullControls, Controls: fullControls, Zones: fullZones,
+				Seed: 1, Faults: scenario.Name, Processor: true, Progress: func(word string) { t.Logf("%6.1f s: %s", time.Since(began).Seconds(), word) }})
+			require.NoError(t, err)
+			t.Logf("took %.0f s", time.Since(began).Seconds())
+			if folder := os.Getenv("CHUTECHUTE_RESULTS"); folder != "" {
+				require.NoError(t, scale.Write(fmt.Sprintf("%s/virtual-%s.json", folder, scenario.Name), o.Result))
+			}
+			text, err := json.MarshalIndent(o.Result, "", "  ")
+			require.NoError(t, err)
+			t.Logf("%s", text)
+			assert.NoError(t, o.Err())
+			assert.Empty(t, o.Rejected)
+			aims(t, scenario, o)
+		})
+	}
+}
+
+// aims says of each aim whether it is met.
+func aims(t *testing.T, scenario membership.Scenario, o *membership.Outcome) {
+	state := func(met bool, form string, args ...any) {
+		word := "missed"
+		if met {
+			word = "met"
+		}
+		t.Logf("aim %s: %s", word, fmt.Sprintf(form, args...))
+	}
+	if scenario.Name == "rest" {
+		state(o.Rest <= restBytes, "%.0f B/s at rest in and out, at most %d", o.Rest, restBytes)
+	}
+	state(o.Busiest <= busyBytes, "%.0f B/s over the busiest 10 s (%s), at most %d", o.Busiest, o.BusiestWho, busyBytes)
+	if s := o.Result.Spread; s != nil {
+		state(s.P99MS <= spreadP99/1000 && s.MostMS <= spreadMost/1000 && s.Unreached == 0,
+			"%d changes known to all after %.0f ms median, %.0f ms p99, %.0f ms most; %d unreached", s.Count, s.MedianMS, s.P99MS, s.MostMS, s.Unreached)
+	}
+	if len(o.Noticed) > 0 {
+		state(over(o.Noticed, noticeMost) == 0, "%d deaths noticed after %d ms at most; %d after more than 5 s",
+			len(o.Noticed), o.Noticed[len(o.Noticed)-1]/1000, over(o.Noticed, noticeMost))
+	}
+	if scenario.Name == "lossy" {
+		state(o.FalseDeaths == 0, "%d false deaths", o.FalseDeaths)
+	}
+	for _, b := range o.Bursts {
+		state(b.Accepts.Ratio() <= burstRatio, "%s: accepts %+v, most %.1f of the mean", b.Of, b.Accepts, b.Accepts.Ratio())
+		state(b.Snapshots.Ratio() <= burstRatio, "%s: snapshots %+v, most %.1f of the mean", b.Of, b.Snapshots, b.Snapshots.Ratio())
+	}
+}
+
+// TestRestGrowth compares rest at 2,700 attached front ends with 300.
+func TestRestGrowth(t *testing.T) {
+	long(t)
+	rest := func(attached int) float64 {
+		o, err := membership.Play(membership.Options{FrontEnds: attached + fullControls, Controls: fullControls, Zones: fullZones, Seed: 1, Seconds: 60})
+		require.NoError(t, err)
+		require.NoError(t, o.Err())
+		return o.Rest
+	}
+	few, many := rest(300), rest(fullAttached)
+	t.Logf("%.1f B/s at 300, %.1f at %d: %.3f times", few, many, fullAttached, many/few)
+	assert.LessOrEqual(t, many, growth*few)
+}
