--- a/exercise/membership/run.go
+++ b/exercise/membership/run.go
@@ -47,7 +47,7 @@
 
 // Spans of a run.
 const (
-	warmStart   = 20 * second // over which a fleet starts that isn't started at once
+	warmStart   = 3 * second // over which a fleet starts that isn't started at once
 	settleMost  = 180 * second
 	settleStep  = second
 	warmRest    = 15 * second // between the views' agreeing and the measured part: the ten-second windows are clear of the start
--- a/exercise/membership/scenario.go
+++ b/exercise/membership/scenario.go
@@ -73,10 +73,13 @@
 
 func lose(s *Sim) { s.network.loss, s.network.delay = lossyShare, lossyDelay }
 
-// startAll starts whoever is down, over a span.
+// startAll starts whoever is down: attached front ends over a span, control members in the first tenth of it.
 func (s *Sim) startAll(over Micros) {
-	for _, p := range s.places {
-		s.after(s.between(0, over), p.start)
+	for _, p := range s.controls {
+		s.after(s.between(0, over/10), p.start)
+	}
+	for _, p := range s.attached {
+		s.after(s.between(over/10, over), p.start)
 	}
 }
 
--- a/exercise/membership/scenarios_test.go
+++ b/exercise/membership/scenarios_test.go
@@ -82,7 +82,8 @@
 
 // A script of faults plays as the tool's sockets play it.
 func TestScript(t *testing.T) {
-	o, err := membership.Play(small("1s kill control 1 for 8s; 2s restart 10% over 2s; 3s stop attached 3 for 10s; 14s cut zone b; 24s heal", 30, 3))
+	const script = "1s kill control 1 for 8s; 2s restart 10% over 2s; 3s stop attached 3 for 10s; 14s cut zone b; 24s heal"
+	o, err := membership.Play(small(script, 30, 3))
 	require.NoError(t, err)
 	require.NoError(t, o.Err())
 	assert.Len(t, o.Bursts, 4)
@@ -102,14 +103,21 @@
 	}
 }
 
+// full is a fleet with so many attached front ends and all control members.
+func full(attached int, faults string) membership.Options {
+	return membership.Options{FrontEnds: attached + fullControls, Controls: fullControls, Zones: fullZones, Seed: 1, Faults: faults}
+}
+
 // TestScenariosFull plays full size, and says of each aim whether it is met. CHUTECHUTE_RESULTS names a folder for the results.
 func TestScenariosFull(t *testing.T) {
 	long(t)
 	for _, scenario := range membership.Scenarios() {
 		t.Run(scenario.Name, func(t *testing.T) {
 			began := time.Now()
-			o, err := membership.Play(membership.Options{FrontEnds: fullAttached + fullControls, Controls: fullControls, Zones: fullZones,
-				Seed: 1, Faults: scenario.Name, Processor: true, Progress: func(word string) { t.Logf("%6.1f s: %s", time.Since(began).Seconds(), word) }})
+			options := full(fullAttached, scenario.Name)
+			options.Processor = true
+			options.Progress = func(word string) { t.Logf("%6.1f s: %s", time.Since(began).Seconds(), word) }
+			o, err := membership.Play(options)
 			require.NoError(t, err)
 			t.Logf("took %.0f s", time.Since(began).Seconds())
 			if folder := os.Getenv("CHUTECHUTE_RESULTS"); folder != "" {
@@ -140,7 +148,8 @@
 	state(o.Busiest <= busyBytes, "%.0f B/s over the busiest 10 s (%s), at most %d", o.Busiest, o.BusiestWho, busyBytes)
 	if s := o.Result.Spread; s != nil {
 		state(s.P99MS <= spreadP99/1000 && s.MostMS <= spreadMost/1000 && s.Unreached == 0,
-			"%d changes known to all after %.0f ms median, %.0f ms p99, %.0f ms most; %d unreached", s.Count, s.MedianMS, s.P99MS, s.MostMS, s.Unreached)
+			"%d changes known to all after %.0f ms median, %.0f ms p99, %.0f ms most; %d unreached",
+			s.Count, s.MedianMS, s.P99MS, s.MostMS, s.Unreached)
 	}
 	if len(o.Noticed) > 0 {
 		state(over(o.Noticed, noticeMost) == 0, "%d deaths noticed after %d ms at most; %d after more than 5 s",
@@ -159,7 +168,7 @@
 func TestRestGrowth(t *testing.T) {
 	long(t)
 	rest := func(attached int) float64 {
-		o, err := membership.Play(membership.Options{FrontEnds: attached + fullControls, Controls: fullControls, Zones: fullZones, Seed: 1, Seconds: 60})
+		o, err := membership.Play(full(attached, "rest"))
 		require.NoError(t, err)
 		require.NoError(t, o.Err())
 		return o.Rest
--- a/exercise/membership/sim.go
+++ b/exercise/membership/sim.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strings"
 
 	"chutechute/attach"
 	"chutechute/internal/scale"
@@ -34,6 +36,7 @@
 	places   []*place // control members first, then attached front ends
 	controls []*place
 	attached []*place
+	sorted   []*place // by name
 	byName   map[string]*place
 	network  network
 	truth    *truth
@@ -52,6 +55,7 @@
 	for i := range shape.Attached() {
 		s.attached = append(s.attached, s.newPlace(fmt.Sprintf("front-%04d", i+1), i%shape.Zones, attach.Attached))
 	}
+	s.sorted = slices.SortedFunc(slices.Values(s.places), func(a, b *place) int { return strings.Compare(a.name, b.name) })
 	s.network = network{s: s, apart: map[[2]int]bool{}}
 	s.truth = newTruth(s)
 	return s
--- a/exercise/membership/truth.go
+++ b/exercise/membership/truth.go
@@ -120,32 +120,37 @@
 	}
 }
 
-// watch compares a process's view with what it was.
+// watch compares a process's view with what it was. Both are by name, so that one walk finds all differences.
 func (t *truth) watch(q *process) {
 	view := q.view()
-	if digest := view.Digest(); digest == q.seenDigest {
+	digest := view.Digest()
+	if digest == q.seenDigest {
 		return
-	} else {
-		q.seenDigest = digest
 	}
+	q.seenDigest = digest
+	list := view.List()
 	seen := t.seen[q.p.index]
-	present := make([]bool, len(seen))
-	for _, e := range view.List() {
-		subject := t.s.byName[e.Name]
-		if subject == nil {
-			t.s.fail(fmt.Errorf("membership: %s sees %q, which there is not", q.p.name, e.Name))
-			return
+	for _, subject := range t.s.sorted {
+		v := sight(0)
+		if len(list) > 0 && list[0].Name == subject.name {
+			v = sightOf(t.order(subject, list[0].Incarnation), list[0].State)
+			list = list[1:]
 		}
-		present[subject.index] = true
-		if v := sightOf(t.orders[e.Incarnation], e.State); v != seen[subject.index] {
+		if v != seen[subject.index] {
 			t.observe(q, subject, v)
 		}
 	}
-	for i, there := range present {
-		if !there && seen[i] != 0 {
-			t.observe(q, t.s.places[i], 0)
-		}
+	if len(list) > 0 {
+		t.s.fail(fmt.Errorf("membership: %s sees %q, which there is not", q.p.name, list[0].Name))
+	}
+}
+
+// order is the number of a process at its place; mostly it is the last one.
+func (t *truth) order(subject *place, incarnation uint64) int {
+	if subject.proc != nil && subject.proc.incarnation == incarnation {
+		return subject.births
 	}
+	return t.orders[incarnation]
 }
 
 // observe takes that one member now sees another in another way.
