--- a/exercise/membership/report.go
+++ b/exercise/membership/report.go
@@ -13,7 +13,9 @@
 // report fills in what a run showed.
 func (s *Sim) report(o Options, scenario Scenario, out *Outcome) {
 	t := s.truth
-	out.FalseDeaths, out.PastBack, out.Faults, out.Disagree = t.falseDeaths, t.pastBack, t.words, t.inWords()
+	out.FalseDeaths, out.PastBack, out.Older = t.falseDeaths.count, t.pastBack.count, t.older.count
+	out.Faults = slices.Concat(t.pastBack.words, t.falseDeaths.words, t.older.words)
+	out.Disagree = t.inWords()
 	out.Bursts = s.bursts()
 	out.Rejected = s.account.faults
 	out.BusiestWho = s.account.busiest.who
@@ -123,6 +125,7 @@
 		"front end busiest 10 s B/s":           out.Busiest,
 		"false deaths count":                   float64(out.FalseDeaths),
 		"past processes seen again count":      float64(out.PastBack),
+		"older processes seen late count":      float64(out.Older),
 		"views agree after the last fault ms":  float64(out.Settled / ms),
 		"views still wrong at the end members": float64(len(out.Disagree)),
 	}
--- a/exercise/membership/run.go
+++ b/exercise/membership/run.go
@@ -23,12 +23,12 @@
 
 // Outcome is what a run showed.
 type Outcome struct {
-	Result *scale.Result
-	// Faults is what broke the rules, in words; FalseDeaths and PastBack count them.
-	FalseDeaths int // members that run seen dead, by somebody who could have known
-	PastBack    int // processes seen again after a later one of their name
-	Faults      []string
-	Steady      bool // the scenario allows no false death
+	Result      *scale.Result
+	FalseDeaths int      // members that run seen dead, by somebody who could have known
+	PastBack    int      // processes seen again by somebody who had seen them replaced
+	Older       int      // processes seen for the first time by somebody who had seen a later one
+	Faults      []string // the first of them, in words
+	Steady      bool     // the scenario allows no false death
 	// Disagree is what views still had wrong when the time for them to settle was over.
 	Disagree []string
 	Settled  Micros // until all views agreed with the truth once all faults were over
--- a/exercise/membership/truth.go
+++ b/exercise/membership/truth.go
@@ -15,7 +15,7 @@
 func (v sight) order() int          { return int(v >> 2) }
 func (v sight) state() attach.State { return attach.State(v & 3) }
 
-// mostWords bounds the faults of a kind that are kept in words.
+// mostWords bounds the findings of a kind that are kept in words.
 const mostWords = 20
 
 // truth knows what really happened, and compares what members see with it.
@@ -24,14 +24,15 @@
 	orders    map[uint64]int // of each process at its place, by incarnation
 	seen      [][]sight      // by the place that sees and the place that is seen
 	highest   [][]uint16     // the latest process that was seen, likewise
+	met       [][]uint64     // the processes that were ever seen, as bits by their number
 	open      [][]*change    // changes that not all alive know yet, by the place that they are about
 	count     int            // of those
 	closed    []*change      // all alive know these
 	recording bool           // changes from now on are part of the figures
 
-	falseDeaths int // of members that run and can be reached, in anybody's view
-	pastBack    int // a process was seen again after a later one of its name
-	words       []string
+	falseDeaths findings       // of members that run and can be reached, in anybody's view
+	pastBack    findings       // a process that this member had seen replaced was seen again
+	older       findings       // one that it had never seen, though it had seen a later one
 	turns       map[[2]int]int // changes seen, by the two places, for those that are counted
 }
 
@@ -40,6 +41,7 @@
 	for range s.places {
 		t.seen = append(t.seen, make([]sight, len(s.places)))
 		t.highest = append(t.highest, make([]uint16, len(s.places)))
+		t.met = append(t.met, make([]uint64, len(s.places)))
 	}
 	return t
 }
@@ -90,6 +92,7 @@
 	t.orders[q.incarnation] = q.order
 	clear(t.seen[q.p.index])
 	clear(t.highest[q.p.index])
+	clear(t.met[q.p.index])
 	q.seenDigest = 0
 	t.add(&change{kind: appeared, place: q.p, order: q.order, since: t.s.now})
 }
@@ -163,21 +166,30 @@
 	if v == 0 {
 		return
 	}
-	if order := uint16(v.order()); order < t.highest[at][about] {
-		t.pastBack++
-		t.word("%s sees process %d of %s again, after %d", q.p.name, order, subject.name, t.highest[at][about])
-	} else {
-		t.highest[at][about] = order
-	}
+	t.past(q, subject, v.order())
 	if v.state() == attach.Dead && t.wronglyDead(q.p, subject, v.order()) {
-		t.falseDeaths++
-		t.word("%s sees %s dead, which runs", q.p.name, subject.name)
+		t.falseDeaths.add(t.s, "%s sees %s dead, which runs", q.p.name, subject.name)
 	}
 	for _, c := range slices.Clone(t.open[about]) {
 		t.inform(c, q, v)
 	}
 }
 
+// past notes which processes a member sees, and finds those that it ought not to see any more.
+func (t *truth) past(q *process, subject *place, order int) {
+	highest, met := &t.highest[q.p.index][subject.index], &t.met[q.p.index][subject.index]
+	bit := uint64(1) << (order % 64)
+	if order < int(*highest) {
+		found := &t.older
+		if *met&bit != 0 {
+			found = &t.pastBack
+		}
+		found.add(t.s, "%s sees process %d of %s after %d", q.p.name, order, subject.name, *highest)
+	}
+	*met |= bit
+	*highest = max(*highest, uint16(order))
+}
+
 // wronglyDead says whether a member runs, and has for long enough been where the one who holds it for dead could have known.
 func (t *truth) wronglyDead(by, subject *place, order int) bool {
 	return subject.running() && subject.births == order && t.s.network.sameSide(by, subject)
@@ -248,9 +260,16 @@
 	}
 }
 
-func (t *truth) word(format string, args ...any) {
-	if len(t.words) < mostWords {
-		t.words = append(t.words, fmt.Sprintf("%10.3f s: ", float64(t.s.now)/float64(second))+fmt.Sprintf(format, args...))
+// findings are things of one kind that ought not to be.
+type findings struct {
+	count int
+	words []string // the first ones
+}
+
+func (f *findings) add(s *Sim, format string, args ...any) {
+	f.count++
+	if len(f.words) < mostWords {
+		f.words = append(f.words, fmt.Sprintf("%.3f s: ", float64(s.now)/float64(second))+fmt.Sprintf(format, args...))
 	}
 }
 
