--- a/attach/targets.go
+++ b/attach/targets.go
@@ -31,6 +31,15 @@
 	wantsSums   bool   // it can't follow up on what this view is without the sums
 	behind      bool   // it told of a later view than was received by then
 	lastResume  Micros
+	clock       offset
+	told        told
+}
+
+// told is what the last answer to a heartbeat said: how far the view was when it was asked.
+type told struct {
+	answered bool
+	sequence uint64
+	asked    Micros
 }
 
 // slot is one of the control members to keep a link with.
