exercise/membership: views are compared whole where they settle; a replaced process that is shown as dead is not back

Run: go test ./exercise/membership: trickle fails (a front end's view stays empty, as its links are closed for repairs that it could not read while it was slow); the rest passed.

--- a/exercise/membership/truth.go
+++ b/exercise/membership/truth.go
@@ -123,15 +123,17 @@
 	}
 }
 
-// watch compares a process's view with what it was. Both are by name, so that one walk finds all differences.
+// watch compares a process's view with what it was, where its digest has changed.
 func (t *truth) watch(q *process) {
-	view := q.view()
-	digest := view.Digest()
-	if digest == q.seenDigest {
-		return
+	if digest := q.view().Digest(); digest != q.seenDigest {
+		q.seenDigest = digest
+		t.look(q)
 	}
-	q.seenDigest = digest
-	list := view.List()
+}
+
+// look compares a process's view with what it was. Both are by name, so that one walk finds all differences.
+func (t *truth) look(q *process) {
+	list := q.view().List()
 	seen := t.seen[q.p.index]
 	for _, subject := range t.s.sorted {
 		v := sight(0)
@@ -166,7 +168,7 @@
 	if v == 0 {
 		return
 	}
-	t.past(q, subject, v.order())
+	t.past(q, subject, v)
 	if v.state() == attach.Dead && t.wronglyDead(q.p, subject, v.order()) {
 		t.falseDeaths.add(t.s, "%s sees %s dead, which runs", q.p.name, subject.name)
 	}
@@ -175,19 +177,19 @@
 	}
 }
 
-// past notes which processes a member sees, and finds those that it ought not to see any more.
-func (t *truth) past(q *process, subject *place, order int) {
+// past notes which processes a member sees, and finds those that it ought not to see any more but as dead.
+func (t *truth) past(q *process, subject *place, v sight) {
 	highest, met := &t.highest[q.p.index][subject.index], &t.met[q.p.index][subject.index]
-	bit := uint64(1) << (order % 64)
-	if order < int(*highest) {
+	bit := uint64(1) << (v.order() % 64)
+	if v.order() < int(*highest) && v.state() != attach.Dead {
 		found := &t.older
 		if *met&bit != 0 {
 			found = &t.pastBack
 		}
-		found.add(t.s, "%s sees process %d of %s after %d", q.p.name, order, subject.name, *highest)
+		found.add(t.s, "%s sees process %d of %s %s after %d", q.p.name, v.order(), subject.name, v.state(), *highest)
 	}
 	*met |= bit
-	*highest = max(*highest, uint16(order))
+	*highest = max(*highest, uint16(v.order()))
 }
 
 // wronglyDead says whether a member runs, and has for long enough been where the one who holds it for dead could have known.
@@ -285,7 +287,7 @@
 		if !p.running() {
 			continue
 		}
-		t.watch(p.proc)
+		t.look(p.proc) // what a view shows may change where its digest, which is over what was told, does not
 		for i, v := range t.seen[p.index] {
 			if subject := t.s.places[i]; !agrees(subject, v) {
 				list = append(list, disagreement{p.name, subject.name, v.String()})
