--- a/exercise/membership/process.go
+++ b/exercise/membership/process.go
@@ -78,14 +78,27 @@
 		return
 	}
 	q.paused = false
+	p.resumed = p.s.now
 	waiting := q.waiting
 	q.waiting, q.backlog = nil, 0
+	if p.s.rng.IntN(2) == 0 { // its clock may be read before what has come is
+		q.does(q.tick)
+	}
 	for _, do := range waiting {
 		q.does(do)
 	}
 	q.eachLink(func(l *link) { l.drain(q.side().other()) })
 }
 
+// tick lets time pass for the process's part.
+func (q *process) tick() {
+	if q.control != nil {
+		q.control.tick()
+		return
+	}
+	q.front.step()
+}
+
 // local is the time by the process's clock.
 func (q *process) local() Micros { return q.offset + Micros(float64(q.s.now)*q.rate) }
 
--- a/exercise/membership/sim.go
+++ b/exercise/membership/sim.go
@@ -70,6 +70,7 @@
 	region  int
 	role    attach.Role
 	proc    *process // nil: none runs
+	resumed Micros   // when it last went on after it had stood still
 	off     bool     // the machine is off: nobody answers a dial or ends a connection
 	births  int      // processes so far
 	turns   []Micros // when processes began and ended, by turns
--- a/exercise/membership/truth.go
+++ b/exercise/membership/truth.go
@@ -192,8 +192,14 @@
 	*highest = max(*highest, uint16(v.order()))
 }
 
-// wronglyDead says whether a member runs, and has for long enough been where the one who holds it for dead could have known.
+// stoppedWord is for how long the word may still be about that a member is dead that stood still and goes on.
+const stoppedWord = 2 * second
+
+// wronglyDead says whether a member runs, and is where the one who holds it for dead could have known.
 func (t *truth) wronglyDead(by, subject *place, order int) bool {
+	if subject.resumed != 0 && t.s.now-subject.resumed < stoppedWord {
+		return false
+	}
 	return subject.running() && subject.births == order && t.s.network.sameSide(by, subject)
 }
 
