exercise/membership: what differs between two digests of a view is found once for all members that go from one to the other

Need: an hour of a lossy network at full size took 80 minutes on this machine, most of it in comparing views.

--- a/exercise/membership/truth.go
+++ b/exercise/membership/truth.go
@@ -30,14 +30,16 @@
 	closed    []*change      // all alive know these
 	recording bool           // changes from now on are part of the figures
 
-	falseDeaths findings       // of members that run and can be reached, in anybody's view
-	pastBack    findings       // a process that this member had seen replaced was seen again
-	older       findings       // one that it had never seen, though it had seen a later one
+	falseDeaths findings // of members that run and can be reached, in anybody's view
+	pastBack    findings // a process that this member had seen replaced was seen again
+	older       findings // one that it had never seen, though it had seen a later one
+	differing   map[transition][]*place
 	turns       map[[2]int]int // changes seen, by the two places, for those that are counted
 }
 
 func newTruth(s *Sim) *truth {
-	t := &truth{s: s, orders: map[uint64]int{}, open: make([][]*change, len(s.places)), turns: map[[2]int]int{}}
+	t := &truth{s: s, orders: map[uint64]int{}, open: make([][]*change, len(s.places)), turns: map[[2]int]int{},
+		differing: map[transition][]*place{}}
 	for range s.places {
 		t.seen = append(t.seen, make([]sight, len(s.places)))
 		t.highest = append(t.highest, make([]uint16, len(s.places)))
@@ -123,16 +125,49 @@
 	}
 }
 
-// watch compares a process's view with what it was, where its digest has changed.
+// transition is two digests of a view, one after the other.
+type transition struct{ from, to uint64 }
+
+// Bounds of what is remembered of transitions.
+const (
+	mostTransitions = 100_000
+	mostDiffering   = 256 // above it a whole walk is cheaper
+)
+
+// watch compares a process's view with what it was, where its digest has changed. Views of the same digest hold the same entries,
+// so who differs between two digests is found once, and is the same for all members that go from one to the other.
 func (t *truth) watch(q *process) {
-	if digest := q.view().Digest(); digest != q.seenDigest {
-		q.seenDigest = digest
-		t.look(q)
+	step := transition{q.seenDigest, q.view().Digest()}
+	if step.from == step.to {
+		return
+	}
+	q.seenDigest = step.to
+	differing, known := t.differing[step]
+	if known && len(differing) <= mostDiffering {
+		for _, subject := range differing {
+			t.lookAt(q, subject)
+		}
+		return
+	}
+	if len(t.differing) >= mostTransitions {
+		clear(t.differing)
+	}
+	t.differing[step] = t.look(q)
+}
+
+// lookAt compares how a process sees one other with how it did.
+func (t *truth) lookAt(q *process, subject *place) {
+	v := sight(0)
+	if e, ok := q.view().Of(subject.name); ok {
+		v = sightOf(t.order(subject, e.Incarnation), e.State)
+	}
+	if v != t.seen[q.p.index][subject.index] {
+		t.observe(q, subject, v)
 	}
 }
 
-// look compares a process's view with what it was. Both are by name, so that one walk finds all differences.
-func (t *truth) look(q *process) {
+// look compares a process's view with what it was, and gives who differs. Both are by name, so that one walk finds all.
+func (t *truth) look(q *process) (differing []*place) {
 	list := q.view().List()
 	seen := t.seen[q.p.index]
 	for _, subject := range t.s.sorted {
@@ -143,11 +178,13 @@
 		}
 		if v != seen[subject.index] {
 			t.observe(q, subject, v)
+			differing = append(differing, subject)
 		}
 	}
 	if len(list) > 0 {
 		t.s.fail(fmt.Errorf("membership: %s sees %q, which there is not", q.p.name, list[0].Name))
 	}
+	return differing
 }
 
 // order is the number of a process at its place; mostly it is the last one.
