--- a/exercise/membership/burst.go
+++ b/exercise/membership/burst.go
@@ -32,7 +32,14 @@
 	at Micros
 }
 
-func (s *Sim) mark(of string) { s.account.marks = append(s.account.marks, mark{of, s.now}) }
+func (s *Sim) mark(of string) {
+	list := &s.account.marks
+	if last := len(*list) - 1; last >= 0 && (*list)[last].at == s.now { // it is one burst
+		(*list)[last].of += " and " + of
+		return
+	}
+	*list = append(*list, mark{of, s.now})
+}
 
 // bursts counts what followed each mark, up to the next.
 func (s *Sim) bursts() (list []Burst) {
