Scale: a tool that runs hollow front ends over sockets and measures their control traffic

What the fleet's control costs by its size was known from scratch trials alone. chutechute-scale run starts processes of the program as control members, and beside them hollow front ends: the membership, links and copy of the record of a Server without clients, engines and decisions, many in one loop (epoll.Hollow). Each role has processes of its own, so that its processor time and memory can be told apart. The files that front ends are told by move to internal/standin/site, which tests share with the tool.

--- a/internal/epoll/fleet.go
+++ b/internal/epoll/fleet.go
@@ -41,6 +41,7 @@
 	listener *peerListener
 	admin    *adminListener
 	jitter   uint64
+	traffic  Traffic
 	leaving  Micros // since when this front end gives back what it may spend; 0 before
 }
 
--- /dev/null
+++ b/internal/epoll/hollow.go
@@ -0,0 +1,261 @@
+package epoll
+
+import (
+	"errors"
+	"fmt"
+
+	"golang.org/x/sys/unix"
+
+	"chutechute/internal/config"
+	"chutechute/member"
+)
+
+// Hollow is several front ends over one loop, without clients, engines and decisions: each has the membership, the links and
+// the copy of the record that a Server has. It is there to measure what a large fleet's control costs. Run and all methods but Do
+// and Stop belong to one goroutine.
+type Hollow struct {
+	host
+	posts   posts
+	members []*hollowMember // in the order of their starts
+	awaited []*awaited
+	stopped bool
+}
+
+// hollowMember is one front end of a Hollow.
+type hollowMember struct {
+	*peers
+	nextTick Micros
+	pumped   int    // messages that had come at the last pump
+	paused   Micros // until when it stands still; 0: it runs
+}
+
+// Errors of a Hollow.
+var (
+	ErrHollowName = errors.New("epoll: no hollow front end of that name runs here")
+	ErrHollowTwin = errors.New("epoll: a hollow front end of that name runs already")
+)
+
+// NewHollow builds a loop without front ends.
+func NewHollow() (*Hollow, error) {
+	l, err := newLoop()
+	if err != nil {
+		return nil, err
+	}
+	return &Hollow{host: newHost(l)}, nil
+}
+
+// Do hands work to the loop, which runs it within a tick. It may be called from any goroutine.
+func (h *Hollow) Do(work func()) { h.posts.add(work) }
+
+// Stop ends Run within a tick. It may be called from any goroutine.
+func (h *Hollow) Stop() { h.Do(func() { h.stopped = true }) }
+
+// Now is the time of this turn of the loop, in microseconds of Unix time that never goes back.
+func (h *Hollow) Now() Micros { return h.now }
+
+// Start starts a front end under its configured name and addresses, and gives its process's number. Its record is kept in memory.
+func (h *Hollow) Start(cfg *config.Peers, seed uint64) (incarnation uint64, err error) {
+	if h.member(cfg.Name) != nil {
+		return 0, fmt.Errorf("%w: %q", ErrHollowTwin, cfg.Name)
+	}
+	m := &hollowMember{nextTick: h.now + Micros(seed%uint64(tickEvery))} // processes don't tick together
+	of := program{host: &h.host, seed: seed, post: h.Do, draining: func() bool { return false }}
+	if m.peers, err = newPeers(of, cfg); err != nil {
+		return 0, err
+	}
+	if err := m.listen(); err != nil {
+		return 0, err
+	}
+	h.members = append(h.members, m)
+	return m.self.Incarnation, nil
+}
+
+// Kill ends a front end without a word: its connections are closed as the system closes those of a dead process.
+func (h *Hollow) Kill(name string) error {
+	m := h.member(name)
+	if m == nil {
+		return fmt.Errorf("%w: %q", ErrHollowName, name)
+	}
+	m.halt()
+	for i := range h.members {
+		if h.members[i] == m {
+			h.members = append(h.members[:i], h.members[i+1:]...)
+			break
+		}
+	}
+	h.forget(m)
+	return nil
+}
+
+// Pause has a front end stand still until a time, as a stopped process does: nothing is read, sent or noticed.
+func (h *Hollow) Pause(name string, until Micros) error {
+	m := h.member(name)
+	if m == nil {
+		return fmt.Errorf("%w: %q", ErrHollowName, name)
+	}
+	if m.paused == 0 {
+		m.each(func(fd int, _ uint32, _ handler) { h.loop.mute(fd) })
+	}
+	m.paused = until
+	h.forget(m)
+	return nil
+}
+
+// resume lets a front end go on that stood still.
+func (h *Hollow) resume(m *hollowMember) {
+	m.paused = 0
+	m.each(func(fd int, want uint32, owner handler) {
+		if err := h.loop.add(fd, want, owner); err != nil {
+			h.loop.drop(fd) // its next write fails, and the link is made anew
+		}
+	})
+}
+
+func (h *Hollow) member(name string) *hollowMember {
+	for _, m := range h.members {
+		if m.cfg.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// Run carries the loop until a time of its clock, or until Stop.
+func (h *Hollow) Run(until Micros) error {
+	for !h.stopped && h.now < until {
+		if err := h.turn(until); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// turn waits, reads all that is ready, and lets each front end do what a Server's turn does.
+func (h *Hollow) turn(until Micros) error {
+	if rest := h.now + leastTurn - h.clock.now(); rest > 0 {
+		t := unix.NsecToTimespec(rest * 1000)
+		_ = unix.Nanosleep(&t, nil) // a signal may cut it short, to no harm
+	}
+	next := min(until, h.now+tickEvery)
+	for _, m := range h.members {
+		next = min(next, max(m.nextTick, m.paused))
+	}
+	n, err := h.loop.wait(next - h.clock.now())
+	if err != nil {
+		return err
+	}
+	h.now = h.clock.now()
+	h.posts.run()
+	for _, m := range h.members {
+		m.at(h.now)
+	}
+	h.loop.dispatch(n)
+	for _, m := range h.members {
+		h.step(m)
+	}
+	return nil
+}
+
+// step lets time pass for a front end whose tick is due, and carries out what messages have made it want.
+func (h *Hollow) step(m *hollowMember) {
+	if m.paused > h.now {
+		return
+	}
+	if m.paused > 0 {
+		h.resume(m)
+	}
+	if h.now >= m.nextTick {
+		m.nextTick = h.now + tickEvery
+		m.tick()
+		h.look(m)
+	}
+	if m.pumped != m.traffic.MessagesIn {
+		m.pumped = m.traffic.MessagesIn
+		m.pump()
+	}
+}
+
+// Traffic is what a front end has read and written since its start; false where none of that name runs here.
+func (h *Hollow) Traffic(name string) (Traffic, bool) {
+	m := h.member(name)
+	if m == nil {
+		return Traffic{}, false
+	}
+	return m.traffic, true
+}
+
+// Connections is how many connections a front end has, those that it accepted and those that it dialled.
+func (h *Hollow) Connections(name string) int {
+	m := h.member(name)
+	if m == nil {
+		return 0
+	}
+	return m.connections()
+}
+
+// Complete is how many front ends here see so many as alive, themselves too.
+func (h *Hollow) Complete(total int) (complete int) {
+	for _, m := range h.members {
+		if m.alive() == total {
+			complete++
+		}
+	}
+	return complete
+}
+
+// Close ends all front ends here.
+func (h *Hollow) Close() {
+	for _, m := range h.members {
+		m.halt()
+	}
+	h.members, h.awaited = nil, nil
+	unix.Close(h.loop.fd)
+}
+
+// halt closes all that a front end has open.
+func (p *peers) halt() {
+	for _, l := range p.out {
+		l.close()
+	}
+	for l := range p.in {
+		l.end()
+	}
+	if p.listener != nil {
+		p.host.loop.drop(p.listener.fd)
+	}
+	p.close()
+}
+
+// each gives all of a front end's open descriptors with what is awaited of them and their owners.
+func (p *peers) each(do func(fd int, want uint32, owner handler)) {
+	do(p.listener.fd, unix.EPOLLIN, p.listener)
+	for _, l := range p.out {
+		if !l.closed {
+			do(l.fd, l.want, l)
+		}
+	}
+	for l := range p.in {
+		do(l.fd, l.want, l)
+	}
+}
+
+func (p *peers) connections() int {
+	open := len(p.in)
+	for _, l := range p.out {
+		if !l.closed {
+			open++
+		}
+	}
+	return open
+}
+
+// alive is how many front ends this one sees as alive, itself too.
+func (p *peers) alive() int {
+	alive := 1
+	for _, m := range p.node.Members().List() {
+		if m.State == member.Alive {
+			alive++
+		}
+	}
+	return alive
+}
--- /dev/null
+++ b/internal/epoll/hollow_change.go
@@ -0,0 +1,83 @@
+package epoll
+
+import "chutechute/member"
+
+// Change is something about one front end that all others are to learn: that a process is there, or that it is gone.
+type Change struct {
+	Name        string `json:"name"`
+	Incarnation uint64 `json:"incarnation"`
+	Gone        bool   `json:"gone"`
+}
+
+// awaited is a change that front ends here have not all seen yet.
+type awaited struct {
+	change  Change
+	pending map[*hollowMember]struct{}
+	seen    Micros // by the last so far
+	done    func(seen Micros)
+}
+
+// Await has done called, on the loop, once every front end that runs here now and that is not the change's own has seen a change, or has
+// ended; seen is when the last of them did, as of its tick. With none to wait for it is called at once, with 0 where there is none at all.
+func (h *Hollow) Await(change Change, done func(seen Micros)) {
+	a := &awaited{change: change, pending: map[*hollowMember]struct{}{}, done: done}
+	for _, m := range h.members {
+		switch {
+		case m.cfg.Name == change.Name || m.paused > 0:
+		case m.sees(change):
+			a.seen = h.now
+		default:
+			a.pending[m] = struct{}{}
+		}
+	}
+	if len(a.pending) == 0 {
+		done(a.seen)
+		return
+	}
+	h.awaited = append(h.awaited, a)
+}
+
+// look notes which changes a front end has seen.
+func (h *Hollow) look(m *hollowMember) {
+	for _, a := range h.awaited {
+		if _, waits := a.pending[m]; waits && m.sees(a.change) {
+			delete(a.pending, m)
+			a.seen = h.now
+		}
+	}
+	h.settle()
+}
+
+// forget waits no more for a front end that has ended or stands still.
+func (h *Hollow) forget(m *hollowMember) {
+	for _, a := range h.awaited {
+		delete(a.pending, m)
+	}
+	h.settle()
+}
+
+// settle ends the waits for what all have seen.
+func (h *Hollow) settle() {
+	kept := h.awaited[:0]
+	var over []*awaited
+	for _, a := range h.awaited {
+		if len(a.pending) > 0 {
+			kept = append(kept, a)
+		} else {
+			over = append(over, a)
+		}
+	}
+	h.awaited = kept
+	for _, a := range over {
+		a.done(a.seen)
+	}
+}
+
+// sees says whether a front end's view shows a change.
+func (p *peers) sees(change Change) bool {
+	if change.Gone {
+		return p.node.Gone(change.Incarnation)
+	}
+	m := p.node.Members().Of(change.Name)
+	return m != nil && m.Incarnation == change.Incarnation && m.State == member.Alive
+}
--- a/internal/epoll/keys.go
+++ b/internal/epoll/keys.go
@@ -14,25 +14,30 @@
 	list []func()
 }
 
-// post hands work to the loop. It may be called from any goroutine.
-func (s *Server) post(work func()) {
-	s.posts.mu.Lock()
-	s.posts.list = append(s.posts.list, work)
-	s.posts.mu.Unlock()
-	s.wake.send(wakePosted)
+// add hands work to the loop. It may be called from any goroutine.
+func (p *posts) add(work func()) {
+	p.mu.Lock()
+	p.list = append(p.list, work)
+	p.mu.Unlock()
 }
 
-// take runs what was posted.
-func (s *Server) takePosts() {
-	s.posts.mu.Lock()
-	list := s.posts.list
-	s.posts.list = nil
-	s.posts.mu.Unlock()
+// run runs what was handed over.
+func (p *posts) run() {
+	p.mu.Lock()
+	list := p.list
+	p.list = nil
+	p.mu.Unlock()
 	for _, work := range list {
 		work()
 	}
 }
 
+// post hands work to the loop. It may be called from any goroutine.
+func (s *Server) post(work func()) {
+	s.posts.add(work)
+	s.wake.send(wakePosted)
+}
+
 // guarded puts the identity and TLS sections into force, and their files, which are watched from then on. With an error
 // nothing changes.
 func (s *Server) guarded(cfg *config.Config) error {
--- a/internal/epoll/links.go
+++ b/internal/epoll/links.go
@@ -80,6 +80,7 @@
 			l.fail(err)
 			return
 		}
+		l.p.traffic.sent(frame)
 	}
 	if before == 0 {
 		l.since = l.p.host.now
@@ -107,6 +108,7 @@
 		return
 	}
 	l.stream = newStream(l.p.host.loop, fd, linkIn, linkOut, &l.budget)
+	l.traffic = &l.p.traffic
 	l.connecting, l.want = true, unix.EPOLLOUT
 	l.shake = &peer.Dialler{Self: l.p.self, To: l.name, Secret: l.p.cfg.Secret}
 	if err := l.p.host.loop.add(fd, l.want, l); err != nil {
@@ -225,6 +227,7 @@
 			Known: func(name string) bool { return l.p.out[name] != nil }}}
 		in.budget.Most = 2 * linkIn
 		in.stream = newStream(l.p.host.loop, fd, linkIn, linkIn, &in.budget)
+		in.traffic = &l.p.traffic
 		in.want = unix.EPOLLIN
 		if err := l.p.host.loop.add(fd, in.want, in); err != nil {
 			in.close()
@@ -296,6 +299,7 @@
 		reply, list, err := l.shake.Take()
 		l.write(reply)
 		for _, m := range list {
+			l.p.traffic.took(m)
 			if err == nil {
 				l.link.From, l.link.Incarnation = l.shake.Other.Name, l.shake.Other.Incarnation
 				err = l.p.node.Receive(l.p.host.now, l.link, m.Kind, m.Body)
--- a/internal/epoll/loop.go
+++ b/internal/epoll/loop.go
@@ -60,6 +60,13 @@
 	_ = unix.EpollCtl(l.fd, unix.EPOLL_CTL_MOD, fd, &unix.EpollEvent{Events: want, Fd: int32(fd), Pad: l.slots[int32(fd)].gen})
 }
 
+// mute takes a descriptor out of the set without closing it; add puts it back.
+func (l *loop) mute(fd int) {
+	delete(l.slots, int32(fd))
+	// It can only fail for a descriptor that is not registered.
+	_ = unix.EpollCtl(l.fd, unix.EPOLL_CTL_DEL, fd, nil)
+}
+
 // drop closes a descriptor, which takes it out of the set too.
 func (l *loop) drop(fd int) {
 	delete(l.slots, int32(fd))
@@ -97,6 +104,7 @@
 	always  uint32 // what is told whatever is read or written
 	closed  bool
 	secure  *tlsio.Conn // nil without TLS
+	traffic *Traffic    // of the links to other front ends; nil for all else
 	shaken  bool        // its handshake is over
 }
 
@@ -121,6 +129,7 @@
 			return false
 		}
 		s.in.Commit(n)
+		s.traffic.read(n)
 		if n < len(space) {
 			return true
 		}
@@ -159,6 +168,7 @@
 			return err
 		}
 		s.out.Discard(n)
+		s.traffic.written(n)
 	}
 	return nil
 }
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -289,7 +289,7 @@
 		w.s.print()
 	}
 	if told >= wakePosted {
-		w.s.takePosts()
+		w.s.posts.run()
 	}
 	if told%wakePosted >= wakeDrain {
 		w.s.life.Drain(w.s.now)
--- a/internal/scale/machine.go
+++ b/internal/scale/machine.go
@@ -134,7 +134,8 @@
 	return netip.AddrFrom4([4]byte{127, network, byte(number / hosts), byte(number%hosts + 1)})
 }
 
-// FreePorts finds a free port on each of the addresses. Errors name the flag that asks for so many.
+// FreePorts finds a free port on each of the addresses, another one for an address that stands twice. Errors name the flag that asks
+// for so many.
 func FreePorts(flag string, addresses []netip.Addr) ([]netip.AddrPort, error) {
 	list := make([]netip.AddrPort, 0, len(addresses))
 	for _, address := range addresses {
@@ -142,8 +143,8 @@
 		if err != nil {
 			return nil, fmt.Errorf("--%s: this machine can't hold it: listening addresses: %w", flag, err)
 		}
+		defer listener.Close() // once all are found
 		list = append(list, listener.Addr().(*net.TCPAddr).AddrPort())
-		listener.Close()
 	}
 	return list, nil
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -121,8 +121,9 @@
 	assert.Positive(t, limits.Ports)
 	assert.Positive(t, limits.MemoryBytes)
 	assert.Contains(t, Machine(), "cores")
-	ports, err := FreePorts("control", []netip.Addr{Address(1, 0), Address(1, 1)})
+	ports, err := FreePorts("control", []netip.Addr{Address(1, 0), Address(1, 1), Address(1, 1)})
 	require.NoError(t, err)
+	assert.NotEqual(t, ports[1].Port(), ports[2].Port())
 	assert.NotEqual(t, ports[0].Addr(), ports[1].Addr())
 	_, err = FreePorts("control", []netip.Addr{netip.MustParseAddr("192.0.2.1")}) // of no machine
 	assert.ErrorContains(t, err, "--control:")
--- /dev/null
+++ b/internal/scale/sockets/change.go
@@ -0,0 +1,151 @@
+package sockets
+
+import (
+	"sync"
+	"time"
+
+	"chutechute/internal/epoll"
+)
+
+// watch collects how long changes take to reach the last hollow front end alive.
+type watch struct {
+	mu     sync.Mutex
+	open   int
+	starts []time.Duration // of processes that have started
+	ends   []time.Duration // of processes that are gone
+}
+
+// started is a process of a front end that has just started.
+type started struct {
+	incarnation uint64
+	at          epoll.Micros
+}
+
+// seedStep keeps the seeds of a run's processes apart from those of other runs.
+const seedStep = 1_000_003
+
+// wall is the time that workers' clocks count by too.
+func wall() epoll.Micros { return time.Now().UnixMicro() }
+
+// start starts a front end; at is when its process was there.
+func (r *run) start(f *front) (s started, err error) {
+	r.starts++
+	if p := r.processOf(f); p != nil {
+		s.at = wall()
+		if s.incarnation, err = p.start(); err == nil {
+			r.running[f] = s
+		}
+		return s, err
+	}
+	reply, err := r.hollowsOf(f).ask(request{Op: opStart, Member: f.name, Seed: r.o.Shape.Seed*seedStep + r.starts})
+	if err != nil {
+		return s, err
+	}
+	s = started{reply.Incarnation, reply.At}
+	r.running[f] = s
+	return s, nil
+}
+
+// kill ends a front end without a word; it gives when.
+func (r *run) kill(f *front) (at epoll.Micros, err error) {
+	delete(r.running, f)
+	if p := r.processOf(f); p != nil {
+		at = wall()
+		p.kill()
+		return at, nil
+	}
+	reply, err := r.hollowsOf(f).ask(request{Op: opKill, Member: f.name})
+	return reply.At, err
+}
+
+// pause has a front end stand still for a span.
+func (r *run) pause(f *front, span time.Duration) error {
+	if p := r.processOf(f); p != nil {
+		return p.stop(span)
+	}
+	_, err := r.hollowsOf(f).ask(request{Op: opPause, Member: f.name, Span: span.Microseconds()})
+	return err
+}
+
+// follow notes when a change, that was at a time, has reached all hollow front ends.
+func (r *run) follow(change epoll.Change, at epoll.Micros) error {
+	left, last := len(r.hollows), at
+	var mu sync.Mutex
+	r.watch.mu.Lock()
+	r.watch.open++
+	r.watch.mu.Unlock()
+	for _, h := range r.hollows {
+		err := h.send(request{Op: opAwait, Change: &change}, func(reply reply) {
+			mu.Lock()
+			defer mu.Unlock()
+			left--
+			last = max(last, reply.SeenAt)
+			if left == 0 {
+				r.watch.reached(change.Gone, time.Duration(last-at)*time.Microsecond)
+			}
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (w *watch) reached(gone bool, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.open--
+	if gone {
+		w.ends = append(w.ends, took)
+	} else {
+		w.starts = append(w.starts, took)
+	}
+}
+
+// settle waits until all changes so far have reached all, for a while.
+func (w *watch) settle() (unreached int) {
+	for until := time.Now().Add(changeWait); time.Now().Before(until); time.Sleep(pollEvery) {
+		w.mu.Lock()
+		unreached = w.open
+		w.mu.Unlock()
+		if unreached == 0 {
+			break
+		}
+	}
+	return unreached
+}
+
+// lose kills a front end and follows its end.
+func (r *run) lose(f *front) error {
+	process, runs := r.running[f]
+	if !runs {
+		return nil
+	}
+	at, err := r.kill(f)
+	if err != nil {
+		return err
+	}
+	return r.follow(epoll.Change{Name: f.name, Incarnation: process.incarnation, Gone: true}, at)
+}
+
+// bring starts a front end that doesn't run and follows its start.
+func (r *run) bring(f *front) error {
+	if _, runs := r.running[f]; runs {
+		return nil
+	}
+	s, err := r.start(f)
+	if err != nil {
+		return err
+	}
+	return r.follow(epoll.Change{Name: f.name, Incarnation: s.incarnation}, s.at)
+}
+
+// restart ends a front end and starts it as another process at once.
+func (r *run) restart(f *front) error {
+	if _, runs := r.running[f]; runs {
+		if _, err := r.kill(f); err != nil {
+			return err
+		}
+	}
+	return r.bring(f)
+}
--- /dev/null
+++ b/internal/scale/sockets/plan.go
@@ -0,0 +1,154 @@
+package sockets
+
+import (
+	"fmt"
+	"net/netip"
+
+	"chutechute/internal/scale"
+	"chutechute/internal/standin/site"
+)
+
+// Options are what a run needs besides the fleet's shape.
+type Options struct {
+	Shape   scale.Shape
+	Real    int    // control members that are processes of the program
+	Program string // the built program; needed with Real above 0
+	Changes int    // front ends that are killed and started again, one by one, after the measured part
+	Faults  []scale.Fault
+	Script  string // that Faults was read from
+	// Worker is the command line of a process of hollow front ends; without one they run within this process.
+	Worker []string
+	// Progress is told of each step.
+	Progress func(format string, args ...any)
+}
+
+// front is one front end of a run.
+type front struct {
+	name     string
+	zone     string
+	attached bool
+	real     bool
+	address  netip.AddrPort // for other front ends
+	listen   netip.AddrPort // for clients; of a real one
+}
+
+// Most front ends of one role in one process of hollow ones: a control member's traffic grows with the fleet, and one loop has one
+// core.
+const (
+	mostControlsAProcess = 10
+	mostAttachedAProcess = 400
+)
+
+// plan is who runs where.
+type plan struct {
+	fronts []*front
+	real   []*front
+	groups [][]*front // each a process of hollow front ends of one role
+}
+
+// newPlan names all front ends. Zones follow one another, so that each has its share of both roles. The processes of the program are the
+// first by name, so that the record's copies are theirs and hollow control members have the membership alone.
+func newPlan(o *Options) *plan {
+	p := &plan{}
+	var controls, attached []*front
+	for i := range o.Shape.Total() {
+		f := &front{zone: scale.ZoneName(i % o.Shape.Zones)}
+		switch {
+		case i < o.Shape.Controls:
+			f.name = fmt.Sprintf("c%03d", i+1)
+			f.real = i < o.Real
+		default:
+			f.attached, f.name = true, fmt.Sprintf("f%04d", i-o.Shape.Controls+1)
+		}
+		p.fronts = append(p.fronts, f)
+		switch {
+		case f.real:
+			p.real = append(p.real, f)
+		case f.attached:
+			attached = append(attached, f)
+		default:
+			controls = append(controls, f)
+		}
+	}
+	p.groups = append(split(controls, mostControlsAProcess), split(attached, mostAttachedAProcess)...)
+	return p
+}
+
+// split shares a list out evenly, so many a part at most.
+func split(list []*front, most int) (parts [][]*front) {
+	count := (len(list) + most - 1) / most
+	for i := range count {
+		parts = append(parts, list[i*len(list)/count:(i+1)*len(list)/count])
+	}
+	return parts
+}
+
+// What a run is taken to need, a little above what was measured: descriptors of a process besides its links, bytes of a process, of a
+// connection's two ends, and of one that is attached.
+const (
+	spareDescriptors  = 64
+	processBytes      = 40 << 20
+	connectionBytes   = 128 << 10
+	attachedBytes     = 2 << 20
+	linksOfAttached   = 2
+	descriptorsOfLink = 2 // one for each direction
+)
+
+// needs is what the run takes of the machine.
+func (p *plan) needs(o *Options) scale.Needs {
+	controls, attached := o.Shape.Controls, o.Shape.Attached()
+	links := descriptorsOfLink*(controls-1) + 2*linksOfAttached*attached/controls // of one control member; attached ones spread unevenly
+	n := scale.Needs{Flag: "control", Processes: len(p.real) + len(p.groups)}
+	if attached > 0 {
+		n.Flag = "front-ends"
+	}
+	for _, group := range p.groups {
+		each := links + 1
+		if group[0].attached {
+			each = linksOfAttached * descriptorsOfLink
+		}
+		n.Descriptors = max(n.Descriptors, spareDescriptors+each*len(group))
+	}
+	n.Ports = controls + linksOfAttached*attached // to one address at most
+	n.MemoryBytes = int64(n.Processes)*processBytes + int64(controls)*int64(links)*connectionBytes + int64(attached)*attachedBytes
+	return n
+}
+
+// place gives each front end its addresses, that are free now.
+func (p *plan) place(o *Options) error {
+	flag := "control"
+	if o.Shape.Attached() > 0 {
+		flag = "front-ends"
+	}
+	var addresses []netip.Addr
+	for i := range p.fronts {
+		addresses = append(addresses, scale.Address(o.Shape.Seed, i))
+	}
+	for i, f := range p.fronts {
+		if f.real {
+			addresses = append(addresses, scale.Address(o.Shape.Seed, i))
+		}
+	}
+	ports, err := scale.FreePorts(flag, addresses)
+	if err != nil {
+		return err
+	}
+	for i, f := range p.fronts {
+		f.address = ports[i]
+	}
+	for i, f := range p.real {
+		f.listen = ports[len(p.fronts)+i]
+	}
+	return nil
+}
+
+// section is the installation's on the fleet.
+func (p *plan) section() map[string]any {
+	var members []site.Member
+	for _, f := range p.fronts {
+		if !f.attached {
+			members = append(members, site.Member{Name: f.name, Address: f.address.String(), Zone: f.zone})
+		}
+	}
+	return map[string]any{"enabled": true, "site": "scale", "members": members}
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -19,6 +19,7 @@
 	"golang.org/x/sys/unix"
 
 	"chutechute/internal/history"
+	"chutechute/internal/standin/site"
 )
 
 // Fleet is several front ends as processes, each on a loopback address of its own, with a relay for every way from one to
@@ -35,7 +36,7 @@
 	Lasting bool           // the record is kept in folders
 	Section map[string]any // what the fleet's section sets besides
 	relays  map[[2]int]*Relay
-	journal net.Listener
+	journal *site.Journal
 	calls   atomic.Int64
 	script  *strings.Builder
 	began   time.Time
@@ -78,10 +79,9 @@
 		Section: map[string]any{}, script: &strings.Builder{}, began: time.Now()}
 	f.Record = &history.Record{Now: func() int64 { return time.Since(f.began).Microseconds() }}
 	var err error
-	f.journal, err = net.Listen("tcp4", "127.0.0.1:0")
+	f.journal, err = site.NewJournal()
 	require.NoError(t, err)
-	t.Cleanup(func() { f.journal.Close() })
-	go f.tell()
+	t.Cleanup(func() { _ = f.journal.Close() })
 	for i := range fronts {
 		ip := address(int(nets.Add(1))%250 + 1)
 		name := fmt.Sprintf("n%d", i+1)
@@ -131,25 +131,6 @@
 	return f
 }
 
-// tell is the journal service: it has nothing to tell.
-func (f *Fleet) tell() {
-	for {
-		conn, err := f.journal.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			for {
-				if _, err := conn.Write([]byte{0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0}); err != nil {
-					return
-				}
-				time.Sleep(time.Second)
-			}
-		}()
-	}
-}
-
 // Did adds a line to the script of faults, which a failing test prints.
 func (f *Fleet) Did(format string, args ...any) {
 	fmt.Fprintf(f.script, "%8.3f s  %s\n", time.Since(f.began).Seconds(), fmt.Sprintf(format, args...))
@@ -157,41 +138,29 @@
 
 // write writes the front end's files, and gives their paths.
 func (n *Front) write() (config, installation string) {
-	t := n.F.T
-	settings := map[string]any{}
-	require.NoError(t, json.Unmarshal([]byte(Settings), &settings))
-	settings["balancers"] = len(n.F.Fronts)
-	var targets, members []any
+	files := site.Front{Name: n.Name, Listen: n.Listen, Seed: fmt.Sprintf("%x", 100*n.N+n.Starts), Journal: n.F.journal.Address(),
+		FrontEnds: len(n.F.Fronts)}
 	for _, w := range n.F.Workers {
-		targets = append(targets, map[string]any{"uid": w.Name, "endpoint": w.Addr.String(), "az": "a", "model": "k",
-			"pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0})
+		files.Engines = append(files.Engines, site.Engine{Name: w.Name, Address: w.Addr.String()})
 	}
+	var members []site.Member
 	for _, o := range n.F.Fronts {
 		addr := n.Peer
 		if o != n {
 			addr = n.F.relays[[2]int{n.N, o.N}].Addr
 		}
-		members = append(members, map[string]any{"name": o.Name, "address": addr, "zone": o.Zone})
+		members = append(members, site.Member{Name: o.Name, Address: addr, Zone: o.Zone})
 	}
-	section := map[string]any{"enabled": true, "site": "test", "members": members, "admin": n.Admin}
+	files.Fleet = map[string]any{"enabled": true, "site": "test", "members": members, "admin": n.Admin}
 	if n.F.Lasting {
-		section["folder"] = n.Folder
+		files.Fleet["folder"] = n.Folder
 	}
 	for k, v := range n.F.Section {
-		section[k] = v
-	}
-	file := func(name string, v any) string {
-		path := filepath.Join(n.F.Dir, n.Name+"-"+name+".json")
-		text, err := json.Marshal(v)
-		require.NoError(t, err)
-		require.NoError(t, os.WriteFile(path+".new", text, 0o600))
-		require.NoError(t, os.Rename(path+".new", path))
-		return path
+		files.Fleet[k] = v
 	}
-	return file("config", map[string]any{"name": n.Name, "listen": n.Listen, "seed": fmt.Sprintf("%x", 100*n.N+n.Starts),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "journal": n.F.journal.Addr().String(),
-		"settings": settings, "known": map[string]any{"pos": 41, "entries": []any{map[string]any{"pos": 41,
-			"hosts": map[string]any{"rev": 1, "all": true, "targets": targets}}}}}), file("installation", map[string]any{"fleet": section})
+	config, installation, err := files.Write(n.F.Dir)
+	require.NoError(n.F.T, err)
+	return config, installation
 }
 
 // Start starts the front end's process, under its name and addresses.
