--- a/internal/scale/machine.go
+++ b/internal/scale/machine.go
@@ -126,6 +126,16 @@
 	return total, free, lines.Err()
 }
 
+// Busy says how many tasks of the whole machine ran or waited for a core, as a mean over the last minute.
+func Busy() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	mean, _, _ := strings.Cut(string(text), " ")
+	return mean
+}
+
 // Address is a loopback address by its number from 0; all processes of a run share one network of 127.0.0.0/8, which seed
 // chooses, so that two runs at a time don't meet.
 func Address(seed uint64, number int) netip.Addr {
--- a/internal/scale/sockets/run.go
+++ b/internal/scale/sockets/run.go
@@ -16,7 +16,7 @@
 	idleSpan     = time.Second
 	assembleWait = 60 * time.Second // from the start until all see all
 	settleSpan   = 2 * time.Second  // until what the start has caused is over
-	changeWait   = 10 * time.Second // for a change to reach all
+	changeWait   = 30 * time.Second // for a change to reach all, also on a busy machine
 	pollEvery    = 50 * time.Millisecond
 	overhead     = 5 * time.Minute // a worker ends itself by this much after the measured part
 )
