--- a/cmd/chutechute-scale/main_test.go
+++ b/cmd/chutechute-scale/main_test.go
@@ -41,6 +41,29 @@
 	}
 }
 
+// In virtual time what is asked for is checked alike, and a run gives figures of both roles.
+func TestRunInVirtualTime(t *testing.T) {
+	for _, c := range []struct{ flag, value, want string }{
+		{"--control", "1", "--control: 1"},
+		{"--front-ends", "5", "--front-ends: 5"},
+		{"--zones", "0", "--zones: 0"},
+		{"--seconds", "0", "--seconds: 0"},
+		{"--faults", "1s explode all", `--faults: fault 1: "explode"`},
+		{"--faults", "nonsense", `--faults: fault 1: "nonsense"`},
+	} {
+		_, err := execute("run", "--virtual", "--front-ends", "20", c.flag, c.value)
+		assert.ErrorContains(t, err, c.want)
+	}
+	path := filepath.Join(t.TempDir(), "small.json")
+	_, err := execute("run", "--virtual", "--front-ends", "20", "--seconds", "5", "--json", path)
+	require.NoError(t, err)
+	r, err := scale.Read(path)
+	require.NoError(t, err)
+	assert.Equal(t, "small", r.Name)
+	assert.Equal(t, scale.ModeVirtual, r.Mode)
+	assert.Len(t, r.Roles, 2)
+}
+
 func TestFitOfFiles(t *testing.T) {
 	dir := t.TempDir()
 	var files []string
--- a/cmd/chutechute-scale/run.go
+++ b/cmd/chutechute-scale/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/spf13/cobra"
 
+	"chutechute/exercise/membership"
 	"chutechute/internal/cli"
 	"chutechute/internal/scale"
 	"chutechute/internal/scale/sockets"
@@ -38,6 +39,8 @@
 	changes int
 	program string
 	note    string
+
+	processor bool
 }
 
 func newRun() *cobra.Command {
@@ -60,8 +63,9 @@
 	flags.IntVar(&f.shape.Zones, "zones", 3, "zones that front ends are spread over")
 	flags.Float64Var(&f.shape.Seconds, "seconds", defaultSeconds, "how long is measured, once all are there")
 	flags.Uint64Var(&f.shape.Seed, "seed", defaultSeed, "of all that is drawn")
-	flags.StringVar(&f.faults, "faults", "", "a `script` of faults")
+	flags.StringVar(&f.faults, "faults", "", "a `script` of faults; in virtual time also a scenario's name, such as rest, start or zone")
 	flags.BoolVar(&f.virtual, "virtual", false, "in virtual time, without sockets")
+	flags.BoolVar(&f.processor, "processor", false, "measure processor time in virtual time too, which no seed determines")
 	flags.StringVar(&f.file, "json", "", "the result's `file`")
 	flags.IntVar(&f.real, "real", defaultReal, "control members that are processes of the program")
 	flags.IntVar(&f.changes, "changes", defaultChanges, "front ends that are killed and started one by one after the measured part")
@@ -70,23 +74,25 @@
 	return cmd
 }
 
-// run does the work. Errors before anything has started are of the way in which it was asked for.
+// run does the work. Errors before anything has started are of the way in which it was asked for. A run in virtual time that breaks a
+// rule of the membership has a result too.
 func (f *runFlags) run(cmd *cobra.Command) error {
-	slog.SetDefault(slog.New(slog.NewTextHandler(cmd.ErrOrStderr(), &slog.HandlerOptions{Level: slog.LevelWarn})))
-	faults, err := scale.ParseFaults(f.faults)
-	if err != nil {
+	slog.SetDefault(slog.New(slog.NewTextHandler(cmd.ErrOrStderr(), &slog.HandlerOptions{Level: slog.LevelError})))
+	progress := func(form string, args ...any) { fmt.Fprintf(cmd.ErrOrStderr(), form+"\n", args...) }
+	if err := f.shape.Check(); err != nil {
 		return err
 	}
-	progress := func(form string, args ...any) { fmt.Fprintf(cmd.ErrOrStderr(), form+"\n", args...) }
 	began := time.Now()
-	var result *scale.Result
+	work := f.runSockets
 	if f.virtual {
-		result, err = f.runVirtual(faults, progress)
-	} else {
-		result, err = f.runSockets(faults, progress)
+		work = f.runVirtual
+		if _, named := membership.Named(f.faults); (named || f.faults == "") && !cmd.Flags().Changed("seconds") {
+			f.shape.Seconds = 0 // as the scenario has it
+		}
 	}
-	if err != nil {
-		return err
+	result, broken := work(progress)
+	if result == nil {
+		return broken
 	}
 	progress("done in %.1f s", time.Since(began).Seconds())
 	if f.note != "" {
@@ -98,10 +104,14 @@
 			return cli.Fail(err)
 		}
 	}
-	return cli.Fail(show(cmd.OutOrStdout(), result))
+	return cli.Fail(errors.Join(broken, show(cmd.OutOrStdout(), result)))
 }
 
-func (f *runFlags) runSockets(faults []scale.Fault, progress func(string, ...any)) (*scale.Result, error) {
+func (f *runFlags) runSockets(progress func(string, ...any)) (*scale.Result, error) {
+	faults, err := scale.ParseFaults(f.faults)
+	if err != nil {
+		return nil, err
+	}
 	self, err := os.Executable()
 	if err != nil {
 		return nil, cli.Fail(err)
@@ -118,10 +128,22 @@
 	return result, cli.Fail(err)
 }
 
-var errNoVirtual = errors.New("--virtual: this build has no fleet in virtual time")
-
-func (f *runFlags) runVirtual([]scale.Fault, func(string, ...any)) (*scale.Result, error) {
-	return nil, errNoVirtual
+// runVirtual plays a fleet in virtual time. What the shape or the script has wrong is found before anything is played.
+func (f *runFlags) runVirtual(progress func(string, ...any)) (*scale.Result, error) {
+	switch {
+	case f.shape.Controls < 2:
+		return nil, &scale.FlagError{Flag: "control", Value: f.shape.Controls, Reason: "is below the two that each front end attaches to"}
+	case f.shape.Attached() == 0:
+		return nil, &scale.FlagError{Flag: "front-ends", Value: f.shape.FrontEnds, Reason: "leaves none that is attached, with --virtual"}
+	}
+	result, err := membership.Run(membership.Options{FrontEnds: f.shape.FrontEnds, Controls: f.shape.Controls, Zones: f.shape.Zones,
+		Seconds: f.shape.Seconds, Seed: f.shape.Seed, Faults: f.faults, Processor: f.processor,
+		Progress: func(word string) { progress("%s", word) }})
+	if result == nil {
+		return nil, err
+	}
+	result.Date, result.Machine = time.Now().UTC().Format(time.DateOnly), scale.Machine()
+	return result, err
 }
 
 // show prints what a run measured.
