--- a/internal/scale/sockets/faults.go
+++ b/internal/scale/sockets/faults.go
@@ -18,12 +18,9 @@
 }
 
 // steps are the faults of the script in the order of their times.
-func (r *run) steps() (list []step, err error) {
+func (r *run) steps() (list []step) {
 	random := rand.New(rand.NewPCG(r.o.Shape.Seed, 1))
-	for i, f := range r.o.Faults {
-		if f.Kind == scale.Cut || f.Kind == scale.Heal {
-			return nil, &scale.ScriptError{Fault: i + 1, Word: f.Kind.String(), Reason: "is for --virtual: hollow front ends have no relays between them"}
-		}
+	for _, f := range r.o.Faults {
 		targets := r.targets(f.Target, random)
 		for n, target := range targets {
 			at := f.At + time.Duration(float64(f.Over)*float64(n)/float64(len(targets)))
@@ -31,7 +28,17 @@
 		}
 	}
 	slices.SortStableFunc(list, func(a, b step) int { return int(a.at - b.at) })
-	return list, nil
+	return list
+}
+
+// checkFaults refuses the faults that only virtual time has.
+func checkFaults(list []scale.Fault) error {
+	for i, f := range list {
+		if f.Kind == scale.Cut || f.Kind == scale.Heal {
+			return &scale.ScriptError{Fault: i + 1, Word: f.Kind.String(), Reason: "only with --virtual: nothing stands between links over sockets"}
+		}
+	}
+	return nil
 }
 
 // stepsOf is what one target of a fault goes through.
--- a/internal/scale/sockets/measure.go
+++ b/internal/scale/sockets/measure.go
@@ -42,10 +42,7 @@
 
 // measure counts while the script goes on, and then sees how long changes take.
 func (r *run) measure() (*scale.Result, error) {
-	steps, err := r.steps()
-	if err != nil {
-		return nil, err
-	}
+	steps := r.steps()
 	before, err := r.read()
 	if err != nil {
 		return nil, err
--- a/internal/scale/sockets/run.go
+++ b/internal/scale/sockets/run.go
@@ -45,6 +45,9 @@
 	if err := scale.CheckFaults(o.Faults, o.Shape); err != nil {
 		return nil, err
 	}
+	if err := checkFaults(o.Faults); err != nil {
+		return nil, err
+	}
 	if o.Real < 0 || o.Real >= o.Shape.Controls {
 		return nil, &scale.FlagError{Flag: "real", Value: o.Real, Reason: "leaves no hollow control member"}
 	}
--- a/internal/scale/sockets/run_test.go
+++ b/internal/scale/sockets/run_test.go
@@ -62,10 +62,13 @@
 func TestRefusedBeforeAnythingStarts(t *testing.T) {
 	good := scale.Shape{Controls: 5, Zones: 2, Seconds: 2, Seed: 8}
 	for flag, change := range map[string]func(*Options){
-		"--control:":  func(o *Options) { o.Shape.Controls = 0 },
-		"--real:":     func(o *Options) { o.Real = 5 },
-		"--program:":  func(o *Options) { o.Real, o.Program = 1, "/nowhere/chutechute" },
-		"--changes:":  func(o *Options) { o.Changes = -1 },
+		"--control:": func(o *Options) { o.Shape.Controls = 0 },
+		"--real:":    func(o *Options) { o.Real = 5 },
+		"--program:": func(o *Options) { o.Real, o.Program = 1, "/nowhere/chutechute" },
+		"--changes:": func(o *Options) { o.Changes = -1 },
+		`"cut"`: func(o *Options) {
+			o.Faults = []scale.Fault{{Kind: scale.Cut, Target: scale.Target{Kind: scale.TargetAll}}}
+		},
 		"--faults:":   func(o *Options) { o.Faults = []scale.Fault{{At: time.Hour, Kind: scale.Heal}} },
 		"--seconds: ": func(o *Options) { o.Shape.Seconds = 0 },
 	} {
--- a/internal/scale/sockets/worker.go
+++ b/internal/scale/sockets/worker.go
@@ -13,9 +13,6 @@
 	"chutechute/internal/standin/site"
 )
 
-// memoryMB is what each front end is told it may use; the record's share of it is part of what all have to agree on.
-const memoryMB = 192
-
 // worker is a process of hollow front ends, or one within a test.
 type worker struct {
 	hollow  *epoll.Hollow
@@ -114,7 +111,7 @@
 	if w.section == nil {
 		return 0, errNoSetup
 	}
-	peers, err := w.section.Options(q.Member, w.site, memoryMB)
+	peers, err := w.section.Options(q.Member, w.site, site.MemoryMB)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -31,12 +31,16 @@
 	Seed      string // hexadecimal
 	Journal   string // address of the journal service
 	FrontEnds int    // of the site
+	Sockets   int    // descriptors that it may have; 0: 1024
 	Engines   []Engine
 	Fleet     map[string]any // the installation's section
 }
 
-// limits are what one front end may use: a core, and what a small site's need.
-var limits = map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}
+// What one front end may use besides a core. The record takes a share of the memory, which all have to agree on.
+const (
+	MemoryMB       = 192
+	defaultSockets = 1024
+)
 
 const journalStart = 41 // the position of the journal that the configuration is written at
 
@@ -47,6 +51,11 @@
 		return "", "", fmt.Errorf("site: settings: %w", err)
 	}
 	settings["balancers"] = f.FrontEnds
+	sockets := f.Sockets
+	if sockets == 0 {
+		sockets = defaultSockets
+	}
+	limits := map[string]any{"cores": 1, "memory_mb": MemoryMB, "sockets": sockets}
 	known := map[string]any{"pos": journalStart, "entries": []any{map[string]any{"pos": journalStart,
 		"hosts": map[string]any{"rev": 1, "all": true, "targets": f.targets()}}}}
 	config = filepath.Join(dir, f.Name+"-config.json")
