--- a/internal/epoll/hollow.go
+++ b/internal/epoll/hollow.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"chutechute/attach"
 	"chutechute/internal/config"
 	"chutechute/member"
 )
@@ -25,7 +26,7 @@
 type hollowMember struct {
 	*peers
 	nextTick Micros
-	pumped   int    // messages that had come at the last pump
+	pumped   int    // bytes that had come at the last pump
 	paused   Micros // until when it stands still; 0: it runs
 }
 
@@ -169,8 +170,8 @@
 		m.tick()
 		h.look(m)
 	}
-	if m.pumped != m.traffic.MessagesIn {
-		m.pumped = m.traffic.MessagesIn
+	if m.pumped != m.traffic.BytesIn {
+		m.pumped = m.traffic.BytesIn
 		m.pump()
 	}
 }
@@ -228,7 +229,9 @@
 
 // each gives all of a front end's open descriptors with what is awaited of them and their owners.
 func (p *peers) each(do func(fd int, want uint32, owner handler)) {
-	do(p.listener.fd, unix.EPOLLIN, p.listener)
+	if p.listener != nil {
+		do(p.listener.fd, unix.EPOLLIN, p.listener)
+	}
 	for _, l := range p.out {
 		if !l.closed {
 			do(l.fd, l.want, l)
@@ -250,12 +253,19 @@
 }
 
 // alive is how many front ends this one sees as alive, itself too.
-func (p *peers) alive() int {
-	alive := 1
+func (p *peers) alive() (alive int) {
+	if view := p.part.View(); view != nil {
+		for _, e := range view.List() {
+			if e.State == attach.Alive {
+				alive++
+			}
+		}
+		return alive
+	}
 	for _, m := range p.node.Members().List() {
 		if m.State == member.Alive {
 			alive++
 		}
 	}
-	return alive
+	return alive + 1
 }
--- a/internal/epoll/hollow_change.go
+++ b/internal/epoll/hollow_change.go
@@ -1,6 +1,9 @@
 package epoll
 
-import "chutechute/member"
+import (
+	"chutechute/attach"
+	"chutechute/member"
+)
 
 // Change is something about one front end that all others are to learn: that a process is there, or that it is gone.
 type Change struct {
@@ -75,6 +78,13 @@
 
 // sees says whether a front end's view shows a change. A process that it never heard of is gone for it.
 func (p *peers) sees(change Change) bool {
+	if view := p.part.View(); view != nil {
+		if change.Gone {
+			e, known := view.Of(change.Name)
+			return !known || e.Incarnation != change.Incarnation || e.State == attach.Dead || e.State == attach.Left
+		}
+		return view.Alive(change.Incarnation)
+	}
 	m := p.node.Members().Of(change.Name)
 	if m == nil || m.Incarnation != change.Incarnation {
 		return change.Gone
--- a/internal/scale/sockets/change.go
+++ b/internal/scale/sockets/change.go
@@ -1,6 +1,7 @@
 package sockets
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -28,23 +29,62 @@
 // wall is the time that workers' clocks count by too.
 func wall() epoll.Micros { return time.Now().UnixMicro() }
 
-// start starts a front end; at is when its process was there.
-func (r *run) start(f *front) (s started, err error) {
-	r.starts++
+// start starts a front end; its time is when its process was there.
+func (r *run) start(f *front) error {
 	if p := r.processOf(f); p != nil {
-		s.at = wall()
-		if s.incarnation, err = p.start(); err == nil {
-			r.running[f] = s
+		at := wall()
+		incarnation, err := p.start()
+		if err == nil {
+			r.running[f] = started{incarnation, at}
 		}
-		return s, err
+		return err
 	}
-	reply, err := r.hollowsOf(f).ask(request{Op: opStart, Member: f.name, Seed: r.o.Shape.Seed*seedStep + r.starts})
-	if err != nil {
-		return s, err
+	reply, err := r.hollowsOf(f).ask(r.startOf(f))
+	if err == nil {
+		r.running[f] = started{reply.Incarnation, reply.At}
+	}
+	return err
+}
+
+// startOf is the request to start a hollow front end.
+func (r *run) startOf(f *front) request {
+	r.starts++
+	q := request{Op: opStart, Member: f.name, Seed: r.o.Shape.Seed*seedStep + r.starts}
+	if f.attached {
+		q.Zone = f.zone
+	}
+	return q
+}
+
+// startAll starts all hollow front ends without waiting for one before the next.
+func (r *run) startAll() error {
+	type outcome struct {
+		f     *front
+		reply reply
+	}
+	outcomes := make(chan outcome, len(r.plan.fronts))
+	sent := 0
+	for _, h := range r.hollows {
+		for _, f := range h.fronts {
+			if err := h.send(r.startOf(f), func(reply reply) { outcomes <- outcome{f, reply} }); err != nil {
+				return err
+			}
+			sent++
+		}
 	}
-	s = started{reply.Incarnation, reply.At}
-	r.running[f] = s
-	return s, nil
+	late := time.After(replyWait)
+	for range sent {
+		select {
+		case o := <-outcomes:
+			if o.reply.Error != "" {
+				return fmt.Errorf("start %s: %s", o.f.name, o.reply.Error)
+			}
+			r.running[o.f] = started{o.reply.Incarnation, o.reply.At}
+		case <-late:
+			return errWorkerSilent
+		}
+	}
+	return nil
 }
 
 // kill ends a front end without a word; it gives when.
@@ -143,10 +183,10 @@
 	if _, runs := r.running[f]; runs {
 		return nil
 	}
-	s, err := r.start(f)
-	if err != nil {
+	if err := r.start(f); err != nil {
 		return err
 	}
+	s := r.running[f]
 	return r.follow(epoll.Change{Name: f.name, Incarnation: s.incarnation}, s.at)
 }
 
--- a/internal/scale/sockets/measure.go
+++ b/internal/scale/sockets/measure.go
@@ -82,7 +82,9 @@
 			result.Roles = append(result.Roles, f)
 		}
 	}
+	perMessage(result)
 	r.heartbeats(result, before, after)
+	r.startFigures(result)
 	r.spread(result)
 	r.realFigures(result, before, after)
 	result.Notes = append(result.Notes,
@@ -96,6 +98,18 @@
 	return result
 }
 
+// perMessage adds the processor time for each message that came, which says more than that a second where a busy machine lets
+// messages come late.
+func perMessage(result *scale.Result) {
+	figures := map[string]float64{}
+	for i := range result.Roles {
+		if f := &result.Roles[i]; f.MessagesIn > 0 {
+			figures[f.Role+", processor for a message taken in and one sent us"] = f.CPUMicros / f.MessagesIn
+		}
+	}
+	result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(result.FrontEnds), Figures: figures})
+}
+
 // roleFigures are the means of one role's hollow front ends.
 func (r *run) roleFigures(role string, before, after reading, heaps []int64) scale.RoleFigures {
 	f := scale.RoleFigures{Role: role}
@@ -154,6 +168,34 @@
 		"a control member, heartbeats in /s": count / seconds / members, "a control member, a heartbeat's payload bytes": size / count}})
 }
 
+// startFigures are what the start of all hollow front ends at once cost each, by role.
+func (r *run) startFigures(result *scale.Result) {
+	if r.started == 0 {
+		return
+	}
+	figures := map[string]float64{}
+	for _, role := range []string{scale.RoleControl, scale.RoleFrontEnd} {
+		var in, out, cpu, members float64
+		for i, h := range r.hollows {
+			if h.role() == role {
+				f := r.atStart.hollows[i]
+				in += float64(f.Traffic.BytesIn)
+				out += float64(f.Traffic.BytesOut)
+				cpu += float64(f.CPU-h.idle.CPU) - h.rate*r.started.Seconds()
+				members += float64(len(h.fronts))
+			}
+		}
+		if members > 0 {
+			each := members * r.started.Seconds()
+			figures[role+", all started at once, in with framing B/s"] = in / each
+			figures[role+", all started at once, out with framing B/s"] = out / each
+			figures[role+", all started at once, processor us/s"] = cpu / each
+		}
+	}
+	result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: figures})
+	result.Notes = append(result.Notes, fmt.Sprintf("figures of all started at once are means over the first %.1f s", r.started.Seconds()))
+}
+
 // spread tells how long starts took to be seen by all, and ends, which have to wait until silence is taken for an end.
 func (r *run) spread(result *scale.Result) {
 	w := &r.watch
--- a/internal/scale/sockets/plan.go
+++ b/internal/scale/sockets/plan.go
@@ -88,16 +88,22 @@
 const (
 	spareDescriptors  = 64
 	processBytes      = 40 << 20
-	connectionBytes   = 128 << 10
+	connectionBytes   = 32 << 10
 	attachedBytes     = 2 << 20
 	linksOfAttached   = 2
 	descriptorsOfLink = 2 // one for each direction
+	unevenness        = 2 // times the mean
 )
 
+// linksOfControl is how many connections a control member may have: attached ones spread unevenly.
+func (o *Options) linksOfControl() int {
+	return descriptorsOfLink*(o.Shape.Controls-1) + unevenness*linksOfAttached*o.Shape.Attached()/o.Shape.Controls
+}
+
 // needs is what the run takes of the machine.
 func (p *plan) needs(o *Options) scale.Needs {
 	controls, attached := o.Shape.Controls, o.Shape.Attached()
-	links := descriptorsOfLink*(controls-1) + 2*linksOfAttached*attached/controls // of one control member; attached ones spread unevenly
+	links := o.linksOfControl()
 	n := scale.Needs{Flag: "control", Processes: len(p.real) + len(p.groups)}
 	if attached > 0 {
 		n.Flag = "front-ends"
@@ -143,12 +149,16 @@
 }
 
 // section is the installation's on the fleet.
-func (p *plan) section() map[string]any {
+func (p *plan) section(shape scale.Shape) map[string]any {
 	var members []site.Member
 	for _, f := range p.fronts {
 		if !f.attached {
 			members = append(members, site.Member{Name: f.name, Address: f.address.String(), Zone: f.zone})
 		}
 	}
-	return map[string]any{"enabled": true, "site": "scale", "members": members}
+	section := map[string]any{"enabled": true, "site": "scale", "members": members}
+	if shape.Attached() > 0 {
+		section["attached"] = map[string]any{"enabled": true}
+	}
+	return section
 }
--- a/internal/scale/sockets/process.go
+++ b/internal/scale/sockets/process.go
@@ -23,6 +23,7 @@
 	program string
 	journal string
 	total   int // front ends of the site
+	sockets int // descriptors that it is given; the site's default where that is more
 	section json.RawMessage
 	cmd     *exec.Cmd // nil while it does not run
 	starts  int
@@ -45,7 +46,8 @@
 	if err := json.Unmarshal(p.section, &section); err != nil {
 		return 0, fmt.Errorf("sockets: %w", err)
 	}
-	files := site.Front{Name: p.name, Listen: p.listen.String(), Seed: strconv.Itoa(p.starts), Journal: p.journal, FrontEnds: p.total, Fleet: section}
+	files := site.Front{Name: p.name, Listen: p.listen.String(), Seed: strconv.Itoa(p.starts), Journal: p.journal, FrontEnds: p.total,
+		Sockets: max(site.DefaultSockets, p.sockets), Fleet: section}
 	config, installation, err := files.Write(p.dir)
 	if err != nil {
 		return 0, err
--- a/internal/scale/sockets/protocol.go
+++ b/internal/scale/sockets/protocol.go
@@ -29,6 +29,7 @@
 	Op      op              `json:"op"`
 	Section json.RawMessage `json:"section,omitempty"` // of opSetup: the installation's
 	Member  string          `json:"member,omitempty"`
+	Zone    string          `json:"zone,omitempty"` // of opStart: of one that is attached
 	Seed    uint64          `json:"seed,omitempty"`
 	Span    epoll.Micros    `json:"span,omitempty"`    // of opPause
 	Total   int             `json:"total,omitempty"`   // of opSeen: how many there are
--- a/internal/scale/sockets/run.go
+++ b/internal/scale/sockets/run.go
@@ -15,12 +15,16 @@
 const (
 	idleSpan     = time.Second
 	assembleWait = 60 * time.Second // from the start until all see all
+	startSpan    = 10 * time.Second // over which the start's traffic is averaged, as budgets are
 	settleSpan   = 2 * time.Second  // until what the start has caused is over
 	changeWait   = 30 * time.Second // for a change to reach all, also on a busy machine
 	pollEvery    = 50 * time.Millisecond
 	overhead     = 5 * time.Minute // a worker ends itself by this much after the measured part
 )
 
+// socketsShare is how many descriptors a control member is given for each link: attached front ends may have a quarter of them.
+const socketsShare = 8
+
 // run is a fleet that runs.
 type run struct {
 	o         *Options
@@ -33,6 +37,8 @@
 	starts    uint64
 	running   map[*front]started
 	watch     watch
+	atStart   reading       // when the start's traffic had been counted; empty without attached front ends
+	started   time.Duration // from the hollow front ends' start until then
 }
 
 // Check refuses what can't be run, before anything starts; errors name the flag.
@@ -94,35 +100,45 @@
 	if r.journal, err = site.NewJournal(); err != nil {
 		return err
 	}
-	if r.section, err = json.Marshal(r.plan.section()); err != nil {
+	if r.section, err = json.Marshal(r.plan.section(r.o.Shape)); err != nil {
 		return fmt.Errorf("sockets: %w", err)
 	}
 	if err := r.beginHollows(); err != nil {
 		return err
 	}
-	began := time.Now()
 	for _, f := range r.plan.real {
-		p := &process{front: f, dir: r.dir, program: r.o.Program, journal: r.journal.Address(), total: r.o.Shape.Total(), section: r.section}
+		p := &process{front: f, dir: r.dir, program: r.o.Program, journal: r.journal.Address(), total: r.o.Shape.Total(),
+			sockets: socketsShare * r.o.linksOfControl(), section: r.section}
 		r.processes = append(r.processes, p)
-		if _, err := p.start(); err != nil {
+		if err := r.start(f); err != nil {
 			return err
 		}
 	}
-	for _, h := range r.hollows {
-		for _, f := range h.fronts {
-			if _, err := r.start(f); err != nil {
-				return err
-			}
-		}
+	began := time.Now()
+	if err := r.startAll(); err != nil {
+		return err
 	}
 	if err := r.assemble(); err != nil {
 		return err
 	}
 	r.o.Progress("%d front ends see one another after %.1f s", r.o.Shape.Total(), time.Since(began).Seconds())
+	if r.o.Shape.Attached() > 0 {
+		return r.first(began)
+	}
 	time.Sleep(settleSpan)
 	return nil
 }
 
+// first counts what the start of the whole fleet at once cost: the first ten seconds, in which snapshots go out.
+func (r *run) first(began time.Time) (err error) {
+	time.Sleep(time.Until(began.Add(startSpan)))
+	if r.atStart, err = r.read(); err != nil {
+		return err
+	}
+	r.started = r.atStart.at.Sub(began)
+	return nil
+}
+
 // beginHollows starts the processes of hollow front ends, and sees what they take while they have none.
 func (r *run) beginHollows() error {
 	installation, err := json.Marshal(map[string]json.RawMessage{"fleet": r.section})
--- a/internal/scale/sockets/worker.go
+++ b/internal/scale/sockets/worker.go
@@ -111,7 +111,9 @@
 	if w.section == nil {
 		return 0, errNoSetup
 	}
-	peers, err := w.section.Options(q.Member, w.site, site.MemoryMB)
+	section := *w.section
+	section.Zone = q.Zone
+	peers, err := section.Options(q.Member, w.site, site.MemoryMB)
 	if err != nil {
 		return 0, err
 	}
@@ -136,14 +138,14 @@
 	return nil
 }
 
+// figures reads memory first: what a collection of garbage takes is not to count as idle.
 func (w *worker) figures(collect bool) (*figures, error) {
-	f := &figures{CPU: ownCPU(), Traffic: w.ended, Members: len(w.names)}
+	resident, heap, err := ownMemory(collect)
+	f := &figures{CPU: ownCPU(), Resident: resident, Heap: heap, Traffic: w.ended, Members: len(w.names)}
 	for _, name := range w.names {
 		traffic, _ := w.hollow.Traffic(name)
 		f.Traffic = f.Traffic.Plus(traffic)
 		f.Connections += w.hollow.Connections(name)
 	}
-	var err error
-	f.Resident, f.Heap, err = ownMemory(collect)
 	return f, err
 }
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -31,7 +31,7 @@
 	Seed      string // hexadecimal
 	Journal   string // address of the journal service
 	FrontEnds int    // of the site
-	Sockets   int    // descriptors that it may have; 0: 1024
+	Sockets   int    // descriptors that it may have; 0: DefaultSockets
 	Engines   []Engine
 	Fleet     map[string]any // the installation's section
 }
@@ -39,7 +39,7 @@
 // What one front end may use besides a core. The record takes a share of the memory, which all have to agree on.
 const (
 	MemoryMB       = 192
-	defaultSockets = 1024
+	DefaultSockets = 1024
 )
 
 const journalStart = 41 // the position of the journal that the configuration is written at
@@ -53,7 +53,7 @@
 	settings["balancers"] = f.FrontEnds
 	sockets := f.Sockets
 	if sockets == 0 {
-		sockets = defaultSockets
+		sockets = DefaultSockets
 	}
 	limits := map[string]any{"cores": 1, "memory_mb": MemoryMB, "sockets": sockets}
 	known := map[string]any{"pos": journalStart, "entries": []any{map[string]any{"pos": journalStart,
