Scale: make targets with attached front ends; a view is counted once for all that have it

The tool asked each hollow front end for a copy of its view to see whether it was whole, which at 1,000 front ends cost more than the start that was measured. Ends that nobody saw no longer stand as 0 ms. How long a start is counted for is an option, so that tests don't wait for it.

Run: go test ./internal/scale/sockets, its attached and refusal tests, passed.

--- a/Makefile
+++ b/Makefile
@@ -41,15 +41,19 @@
 
 SCALE = bin/chutechute-scale run --note "$(or $(NOTE),nothing is known of what else ran)"
 
-scale: build ## control traffic of a small fleet, under three minutes: docs/capacity/short.json
-	$(SCALE) --control 10 --seconds 10 --changes 3 --json docs/capacity/short.json
-
-scale-full: build ## control traffic by the fleet's size, two runs each, and the fit: docs/capacity; NOTE says what else runs
-	set -e; for n in 5 10 20 40 80; do \
-		$(SCALE) --control $$n --changes 5 --json docs/capacity/baseline-$$n.json; \
-		$(SCALE) --control $$n --changes 5 --seed 2 --json docs/capacity/baseline-$$n-second.json; \
-	done
+scale: build ## control traffic of a small fleet through some faults, about a minute: docs/capacity/short.json
+	$(SCALE) --front-ends 100 --control 6 --seconds 20 --changes 2 --json docs/capacity/short.json \
+		--faults "3s restart 10% over 2s; 8s kill attached 3 for 4s; 10s stop attached 5 for 2s; 14s restart control 6"
+
+scale-full: build ## control traffic by the fleet's size, two runs each, and the fits, some 15 minutes: docs/capacity; NOTE says what else runs
+	set -e; for n in 5 10 20 40 80; do for run in 1 2; do \
+		$(SCALE) --control $$n --changes 5 --seed $$run --json docs/capacity/baseline-$$n$$([ $$run = 1 ] || echo -second).json; \
+	done; done
+	set -e; for n in 30 100 300 1000; do for run in 1 2; do \
+		$(SCALE) --front-ends $$n --control 10 --zones 5 --changes 5 --seed $$run --json docs/capacity/attached-$$n$$([ $$run = 1 ] || echo -second).json; \
+	done; done
 	bin/chutechute-scale fit docs/capacity/baseline-*.json
+	bin/chutechute-scale fit docs/capacity/attached-*.json
 
 fuzz: ## ten minutes of texts nobody has thought of
 	go test -run XXX -fuzz FuzzRead -fuzztime 10m ./statement
--- a/cmd/chutechute-scale/run.go
+++ b/cmd/chutechute-scale/run.go
@@ -29,6 +29,9 @@
 	defaultSeed     = 20261202
 )
 
+// startSpan is what the traffic of a fleet that starts at once is averaged over, as its budget is.
+const startSpan = 10 * time.Second
+
 // runFlags are those of the command run.
 type runFlags struct {
 	shape   scale.Shape
@@ -119,7 +122,7 @@
 	if f.program == "" {
 		f.program = filepath.Join(filepath.Dir(self), "chutechute")
 	}
-	o := &sockets.Options{Shape: f.shape, Real: f.real, Program: f.program, Changes: f.changes, Faults: faults, Script: f.faults,
+	o := &sockets.Options{Shape: f.shape, Real: f.real, Program: f.program, Changes: f.changes, Start: startSpan, Faults: faults, Script: f.faults,
 		Worker: []string{self, hollowCommand}, Progress: progress}
 	if err := sockets.Check(o); err != nil {
 		return nil, err
--- a/internal/epoll/hollow.go
+++ b/internal/epoll/hollow.go
@@ -196,8 +196,9 @@
 
 // Complete is how many front ends here see so many as alive, themselves too.
 func (h *Hollow) Complete(total int) (complete int) {
+	counted := map[uint64]int{} // views by their digest: most are the same
 	for _, m := range h.members {
-		if m.alive() == total {
+		if m.alive(counted) == total {
 			complete++
 		}
 	}
@@ -252,20 +253,31 @@
 	return open
 }
 
-// alive is how many front ends this one sees as alive, itself too.
-func (p *peers) alive() (alive int) {
-	if view := p.part.View(); view != nil {
-		for _, e := range view.List() {
-			if e.State == attach.Alive {
-				alive++
-			}
-		}
+// alive is how many front ends this one sees as alive, itself too. What counting a view comes to is kept in counted.
+func (p *peers) alive(counted map[uint64]int) int {
+	view := p.part.View()
+	if view == nil {
+		return p.aliveMembers()
+	}
+	alive, known := counted[view.Digest()]
+	if known {
 		return alive
 	}
+	for _, e := range view.List() {
+		if e.State == attach.Alive {
+			alive++
+		}
+	}
+	counted[view.Digest()] = alive
+	return alive
+}
+
+func (p *peers) aliveMembers() int {
+	alive := 1
 	for _, m := range p.node.Members().List() {
 		if m.State == member.Alive {
 			alive++
 		}
 	}
-	return alive + 1
+	return alive
 }
--- a/internal/scale/sockets/measure.go
+++ b/internal/scale/sockets/measure.go
@@ -203,9 +203,12 @@
 	defer w.mu.Unlock()
 	result.Spread = scale.SpreadOf(w.starts, w.openStarts)
 	if ends := scale.SpreadOf(w.ends, w.openEnds); ends != nil {
-		result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: map[string]float64{
-			"ends seen by all, count": float64(ends.Count), "an end is seen by the last, median ms": ends.MedianMS,
-			"an end is seen by the last, most ms": ends.MostMS, "ends not seen by all, count": float64(ends.Unreached)}})
+		figures := map[string]float64{"ends seen by all, count": float64(ends.Count), "ends not seen by all, count": float64(ends.Unreached)}
+		if ends.Count > 0 {
+			figures["an end is seen by the last, median ms"] = ends.MedianMS
+			figures["an end is seen by the last, most ms"] = ends.MostMS
+		}
+		result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: figures})
 	}
 	if result.Spread != nil {
 		result.Notes = append(result.Notes, "spread is of starts, as hollow front ends saw them, within a tick of 25 ms; ends stand under points")
--- a/internal/scale/sockets/run.go
+++ b/internal/scale/sockets/run.go
@@ -15,7 +15,6 @@
 const (
 	idleSpan     = time.Second
 	assembleWait = 60 * time.Second // from the start until all see all
-	startSpan    = 10 * time.Second // over which the start's traffic is averaged, as budgets are
 	settleSpan   = 2 * time.Second  // until what the start has caused is over
 	changeWait   = 30 * time.Second // for a change to reach all, also on a busy machine
 	pollEvery    = 50 * time.Millisecond
@@ -37,7 +36,7 @@
 	starts    uint64
 	running   map[*front]started
 	watch     watch
-	atStart   reading       // when the start's traffic had been counted; empty without attached front ends
+	atStart   reading       // when the start's traffic had been counted; empty where it was not
 	started   time.Duration // from the hollow front ends' start until then
 }
 
@@ -122,16 +121,16 @@
 		return err
 	}
 	r.o.Progress("%d front ends see one another after %.1f s", r.o.Shape.Total(), time.Since(began).Seconds())
-	if r.o.Shape.Attached() > 0 {
+	if r.o.Shape.Attached() > 0 && r.o.Start > 0 {
 		return r.first(began)
 	}
 	time.Sleep(settleSpan)
 	return nil
 }
 
-// first counts what the start of the whole fleet at once cost: the first ten seconds, in which snapshots go out.
+// first counts what the start of the whole fleet at once cost, in which snapshots go out.
 func (r *run) first(began time.Time) (err error) {
-	time.Sleep(time.Until(began.Add(startSpan)))
+	time.Sleep(time.Until(began.Add(r.o.Start)))
 	if r.atStart, err = r.read(); err != nil {
 		return err
 	}
--- a/internal/scale/sockets/run_test.go
+++ b/internal/scale/sockets/run_test.go
@@ -52,7 +52,7 @@
 // by all of both roles.
 func TestAttachedFrontEnds(t *testing.T) {
 	o := options(t, scale.Shape{FrontEnds: 20, Controls: 4, Zones: 2, Seconds: 3, Seed: 9}, "")
-	o.Changes = 1
+	o.Changes, o.Start = 1, time.Second
 	r, err := Run(o)
 	require.NoError(t, err)
 	require.Len(t, r.Roles, 2)
