--- a/cmd/chutechute-scale/fit.go
+++ b/cmd/chutechute-scale/fit.go
@@ -21,9 +21,9 @@
 	cmd := &cobra.Command{
 		Use:   "fit FILE...",
 		Short: "Fit what runs of several sizes measured",
-		Long: `Fit fits each figure that the results have at three sizes or more by a straight line and by a power law, both by least squares, and
-says what each misses. The value at the size asked for is by the one that misses less as a share; beyond the measured range it is an
-extrapolation, and the line says how far.`,
+		Long: `Fit fits each figure that the results have at three sizes or more by a straight line and by a power law, both by least
+squares, and says what each misses. The value at the size asked for is by the one that misses less as a share; beyond the
+measured range it is an extrapolation, and the line says how far.`,
 		Args: cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, files []string) error {
 			if !(to > 0) {
--- a/cmd/chutechute-scale/run.go
+++ b/cmd/chutechute-scale/run.go
@@ -51,9 +51,9 @@
 	cmd := &cobra.Command{
 		Use:   "run",
 		Short: "Run a fleet and measure its control traffic",
-		Long: `Run starts a fleet on loopback: processes of the program as control members, and hollow front ends (membership, links and copy of
-the record without clients, engines and decisions) as all others. It counts messages and bytes at the links, processor and memory, and how
-long a change takes to reach the last front end. All that it starts ends with it.
+		Long: `Run starts a fleet on loopback: processes of the program as control members, and hollow front ends (membership, links and
+copy of the record without clients, engines and decisions) as all others. It counts messages and bytes at the links, processor
+and memory, and how long a change takes to reach the last front end. All that it starts ends with it.
 
 A script of faults has semicolons between faults: a time, a kind, whom it befalls, and how long:
   5s kill control 1; 8s restart 10% over 2s; 12s cut zone a; 15s heal; 20s stop attached 3 for 10s`,
@@ -122,8 +122,8 @@
 	if f.program == "" {
 		f.program = filepath.Join(filepath.Dir(self), "chutechute")
 	}
-	o := &sockets.Options{Shape: f.shape, Real: f.real, Program: f.program, Changes: f.changes, Start: startSpan, Faults: faults, Script: f.faults,
-		Worker: []string{self, hollowCommand}, Progress: progress}
+	o := &sockets.Options{Shape: f.shape, Real: f.real, Program: f.program, Changes: f.changes, Start: startSpan,
+		Faults: faults, Script: f.faults, Worker: []string{self, hollowCommand}, Progress: progress}
 	if err := sockets.Check(o); err != nil {
 		return nil, err
 	}
--- a/internal/epoll/hollow_change.go
+++ b/internal/epoll/hollow_change.go
@@ -20,8 +20,8 @@
 	done    func(seen Micros)
 }
 
-// Await has done called, on the loop, once every front end that runs here now and that is not the change's own has seen a change, or has
-// ended; seen is when the last of them did, as of its tick. With none to wait for it is called at once, with 0 where there is none at all.
+// Await has done called, on the loop, once every front end that runs here now and that is not the change's own has seen a change, or
+// has ended. Seen is when the last of them did, as of its tick; 0 where none has seen it, since there is none.
 func (h *Hollow) Await(change Change, done func(seen Micros)) {
 	a := &awaited{change: change, pending: map[*hollowMember]struct{}{}, done: done}
 	for _, m := range h.members {
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -63,7 +63,9 @@
 
 func TestFaultsOfTheFleet(t *testing.T) {
 	shape := Shape{FrontEnds: 9, Controls: 3, Zones: 2, Seconds: 10}
-	for script, word := range map[string]string{"10s heal": "10s", "1s kill control 4": "4", "1s kill attached 7": "7", "1s cut zone c": "c"} {
+	for script, word := range map[string]string{
+		"10s heal": "10s", "1s kill control 4": "4", "1s kill attached 7": "7", "1s cut zone c": "c",
+	} {
 		list, err := ParseFaults(script)
 		require.NoError(t, err)
 		var fault *ScriptError
@@ -185,7 +187,8 @@
 func TestFitsOfResults(t *testing.T) {
 	var results []*Result
 	for _, n := range []int{5, 10, 20, 10} {
-		results = append(results, &Result{Controls: n, Roles: []RoleFigures{{Role: RoleControl, Members: n, MessagesIn: float64(10 * (n - 1))}},
+		results = append(results, &Result{Controls: n,
+			Roles:  []RoleFigures{{Role: RoleControl, Members: n, MessagesIn: float64(10 * (n - 1))}},
 			Points: []Point{{"entries", float64(n), map[string]float64{"one look-up us": float64(n), "look-ups count": 9}}}})
 	}
 	results[3].Roles[0].MessagesIn = 110
--- a/internal/scale/shape.go
+++ b/internal/scale/shape.go
@@ -41,7 +41,8 @@
 	case s.Controls < 1 || s.Controls > MostControls:
 		return &FlagError{"control", s.Controls, fmt.Sprintf("is not from 1 to %d", MostControls)}
 	case s.FrontEnds != 0 && s.FrontEnds < s.Controls || s.FrontEnds > MostFrontEnds:
-		return &FlagError{"front-ends", s.FrontEnds, fmt.Sprintf("is neither 0 nor from the %d control members to %d", s.Controls, MostFrontEnds)}
+		return &FlagError{"front-ends", s.FrontEnds,
+			fmt.Sprintf("is neither 0 nor from the %d control members to %d", s.Controls, MostFrontEnds)}
 	case s.Zones < 1 || s.Zones > MostZones:
 		return &FlagError{"zones", s.Zones, fmt.Sprintf("is not from 1 to %d", MostZones)}
 	case math.IsNaN(s.Seconds) || s.Seconds < leastSeconds || s.Seconds > mostSeconds:
--- a/internal/scale/sockets/faults.go
+++ b/internal/scale/sockets/faults.go
@@ -35,7 +35,8 @@
 func checkFaults(list []scale.Fault) error {
 	for i, f := range list {
 		if f.Kind == scale.Cut || f.Kind == scale.Heal {
-			return &scale.ScriptError{Fault: i + 1, Word: f.Kind.String(), Reason: "only with --virtual: nothing stands between links over sockets"}
+			return &scale.ScriptError{Fault: i + 1, Word: f.Kind.String(),
+				Reason: "only with --virtual: nothing stands between links over sockets"}
 		}
 	}
 	return nil
--- a/internal/scale/sockets/measure.go
+++ b/internal/scale/sockets/measure.go
@@ -93,7 +93,8 @@
 		fmt.Sprintf("the machine's load average was %s after the measured part: above its cores, other work ran beside", scale.Busy()),
 		"processor is the time of the processes of hollow front ends by the system's count, less what they took before any started")
 	if r.o.Worker == nil {
-		result.Notes = append(result.Notes, "all hollow front ends were in the measuring process: its processor time and memory are not divided by role")
+		result.Notes = append(result.Notes,
+			"all hollow front ends were in the measuring process: its processor time and memory are not divided by role")
 	}
 	return result
 }
@@ -142,8 +143,8 @@
 	return f
 }
 
-// heartbeatsASecond is what a control member sends to each other where the section's beat_ms is not set. Ticks of 25 ms and a busy machine
-// leave somewhat fewer.
+// heartbeatsASecond is what a control member sends to each other where the section's beat_ms is not set. Ticks of 25 ms and a busy
+// machine leave somewhat fewer.
 const heartbeatsASecond = 10
 
 // heartbeats tells those among control members from all else that comes.
@@ -193,7 +194,8 @@
 		}
 	}
 	result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: figures})
-	result.Notes = append(result.Notes, fmt.Sprintf("figures of all started at once are means over the first %.1f s", r.started.Seconds()))
+	result.Notes = append(result.Notes,
+		fmt.Sprintf("figures of all started at once are means over the first %.1f s", r.started.Seconds()))
 }
 
 // spread tells how long starts took to be seen by all, and ends, which have to wait until silence is taken for an end.
@@ -211,7 +213,8 @@
 		result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: figures})
 	}
 	if result.Spread != nil {
-		result.Notes = append(result.Notes, "spread is of starts, as hollow front ends saw them, within a tick of 25 ms; ends stand under points")
+		result.Notes = append(result.Notes,
+			"spread is of starts, as hollow front ends saw them, within a tick of 25 ms; ends stand under points")
 	}
 }
 
@@ -228,6 +231,7 @@
 	}
 	if count > 0 {
 		result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: map[string]float64{
-			"a control member's whole process, processor us/s": cpu / count, "a control member's whole process, resident bytes": resident / count}})
+			"a control member's whole process, processor us/s":  cpu / count,
+			"a control member's whole process, resident bytes": resident / count}})
 	}
 }
--- a/internal/scale/sockets/plan.go
+++ b/internal/scale/sockets/plan.go
@@ -49,8 +49,8 @@
 	groups [][]*front // each a process of hollow front ends of one role
 }
 
-// newPlan names all front ends. Zones follow one another, so that each has its share of both roles. The processes of the program are the
-// first by name, so that the record's copies are theirs and hollow control members have the membership alone.
+// newPlan names all front ends. Zones follow one another, so that each has its share of both roles. The processes of the program are
+// the first by name, so that the record's copies are theirs and hollow control members have the membership alone.
 func newPlan(o *Options) *plan {
 	p := &plan{}
 	var controls, attached []*front
--- a/internal/scale/sockets/protocol.go
+++ b/internal/scale/sockets/protocol.go
@@ -1,6 +1,6 @@
 // Package sockets runs a fleet over loopback sockets and measures its control traffic: processes of the built program as control
-// members, and beside them hollow front ends (epoll.Hollow), many a process, so that a role's processor time and memory can be told from
-// the other's. The processes of hollow front ends are the tool itself, which is told what to do over a pipe.
+// members, and beside them hollow front ends (epoll.Hollow), many a process, so that a role's processor time and memory can be told
+// from the other's. The processes of hollow front ends are the tool itself, which is told what to do over a pipe.
 package sockets
 
 import (
--- a/internal/scale/sockets/run_test.go
+++ b/internal/scale/sockets/run_test.go
@@ -48,8 +48,8 @@
 	assert.Equal(t, 1.0, points["ends seen by all, count"])
 }
 
-// Attached front ends keep two links each, whatever their number, and at rest send little over them. One that is killed and started is seen
-// by all of both roles.
+// Attached front ends keep two links each, whatever their number, and at rest send little over them. One that is killed and started
+// is seen by all of both roles.
 func TestAttachedFrontEnds(t *testing.T) {
 	o := options(t, scale.Shape{FrontEnds: 20, Controls: 4, Zones: 2, Seconds: 3, Seed: 9}, "")
 	o.Changes, o.Start = 1, time.Second
