--- a/internal/scale/sockets/hollows.go
+++ b/internal/scale/sockets/hollows.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"syscall"
 	"time"
 
 	"chutechute/internal/scale"
@@ -43,6 +44,7 @@
 	}
 	h.cmd = exec.Command(command[0], append(command[1:], "--most", most.String())...)
 	h.cmd.Stderr = os.Stderr
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // where the tool itself is killed
 	in, err := h.cmd.StdinPipe()
 	if err != nil {
 		return nil, fmt.Errorf("sockets: %w", err)
--- a/internal/scale/sockets/measure.go
+++ b/internal/scale/sockets/measure.go
@@ -231,7 +231,7 @@
 	}
 	if count > 0 {
 		result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: map[string]float64{
-			"a control member's whole process, processor us/s":  cpu / count,
+			"a control member's whole process, processor us/s": cpu / count,
 			"a control member's whole process, resident bytes": resident / count}})
 	}
 }
--- a/internal/scale/sockets/process.go
+++ b/internal/scale/sockets/process.go
@@ -61,6 +61,7 @@
 	p.cmd = exec.Command(p.program, "serve", "--installation", installation)
 	p.cmd.Env = []string{"NODE_CONFIG=" + config}
 	p.cmd.Stderr = log
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // where the tool itself is killed
 	if err := p.cmd.Start(); err != nil {
 		p.cmd = nil
 		return 0, fmt.Errorf("sockets: %w", err)
