--- a/budget/history_test.go
+++ b/budget/history_test.go
@@ -103,6 +103,8 @@
 	each    int // subjects that have the whole for themselves; 0 where the budgets have none
 
 	asks, bytes int // questions put, and bytes of them and of answers
+
+	applying func() func() // called around each command that a copy applies; nil where nobody measures
 }
 
 // subject draws whose budget the next query is of.
@@ -229,7 +231,12 @@
 		if w.broken.denies && w.askers[i] != 0 && (uint64(w.askers[i])+uint64(i))%4 == 0 {
 			body = budget.Denying(body)
 		}
+		applied := func() {}
+		if w.applying != nil {
+			applied = w.applying()
+		}
 		out := c.kind.Apply(ledger.Applied{Index: uint64(i + 1), Now: c.clock.at(w.now), Note: w.note}, w.askers[i], body)
+		applied()
 		if w.broken.noReserve && w.askers[i] != 0 {
 			out = budget.Larger(out, func(name string) budget.Amount { return w.set.Of(name).Reserved() })
 		}
--- /dev/null
+++ b/decide/capacity_test.go
@@ -0,0 +1,108 @@
+package decide
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"chutechute/internal/measure"
+	"chutechute/internal/scale"
+)
+
+// The size that the users name, as one front end sees it.
+const (
+	usersFrontEnds = 2700
+	usersEngines   = 34000
+	usersZones     = 23
+	betweenQueries = Second / 1000 // 1,000 statements a second at each front end
+	queryTakes     = Second / 50
+	tableGroups    = 97
+)
+
+// largeSite is a dispatcher that knows so many engines, among as many front ends as the users have for these.
+func largeSite(t *testing.T, engines int) *Dispatcher {
+	cfg := testConfig()
+	cfg.Gateways, cfg.Zone = max(1, engines*usersFrontEnds/usersEngines), "z0"
+	d, err := New(cfg, 7)
+	require.NoError(t, err)
+	list := List{Kind: ListComplete}
+	for i := range engines {
+		list.Entries = append(list.Entries, Entry{Engine: fmt.Sprintf("s-%08x", i), Kind: "k", Zone: fmt.Sprint("z", i%usersZones)})
+	}
+	d.Step(0, []Event{list})
+	return d
+}
+
+// atPace plays so many queries at a front end's pace, each done 20 ms later, and the sweeps that fall due between them.
+func atPace(t *testing.T, d *Dispatcher, now Micros, first, count int) (Micros, int) {
+	type running struct {
+		send Send
+		over Micros
+	}
+	var out []running
+	sent, sweepAt := 0, Micros(0)
+	take := func(actions []Action) {
+		for _, action := range actions {
+			switch action := action.(type) {
+			case Send:
+				sent++
+				out = append(out, running{action, now + queryTakes})
+			case SetTimer:
+				sweepAt = action.At
+			}
+		}
+	}
+	for i := range count {
+		now += betweenQueries
+		if sweepAt > 0 && now >= sweepAt {
+			sweepAt = 0
+			take(d.Step(now, []Event{Timer{Token: "sweep"}}))
+		}
+		for len(out) > 0 && out[0].over <= now {
+			done := out[0]
+			out = out[1:]
+			take(d.Step(now, []Event{outcome(done.send.ID, 0, done.send.Engine, Done, queryTakes)}))
+		}
+		query := ask(uint64(first+i), 0, now)
+		query.Group = (first + i) % tableGroups
+		take(d.Step(now, []Event{query}))
+	}
+	for _, r := range out {
+		now = r.over
+		take(d.Step(now, []Event{outcome(r.send.ID, 0, r.send.Engine, Done, queryTakes)}))
+	}
+	return now, sent
+}
+
+// What a query and its outcome cost by the engines that the list names, and what the dispatcher holds; long.
+func TestCapacityOfDecisions(t *testing.T) {
+	if os.Getenv("CHUTECHUTE_LONG") == "" {
+		t.Skip("measures: make scale-full")
+	}
+	result := measure.New("decisions", "One query, its outcome and its part of the 20 ms sweeps, 1,000 queries a second, each of 20 ms; "+
+		"front ends in the users' ratio to engines, 23 zones, 97 table groups; processor time of the process; two runs a size.")
+	for range 2 {
+		for _, engines := range []int{8, 64, 256, 1024, 2048, 8192, 34000} {
+			before := measure.Heap()
+			d := largeSite(t, engines)
+			began := measure.Own()
+			now, _ := atPace(t, d, Second, 0, tableGroups) // each finds its engines
+			first := float64((measure.Own() - began).Nanoseconds()) / 1000 / tableGroups
+			count := max(200, min(20_000, 4_000_000/engines))
+			began = measure.Own()
+			now, sent := atPace(t, d, now, 1000, count)
+			each := float64((measure.Own() - began).Nanoseconds()) / 1000 / float64(count)
+			heap := measure.Heap() - before
+			runtime.KeepAlive(d)
+			t.Logf("%5d engines: %8.1f us, the first of a table group %8.1f us, %9.0f bytes of heap, %d of %d sent in %d s", engines, each,
+				first, heap, sent, count, now/Second)
+			require.Greater(t, sent, count*9/10, "so few were sent that it measures something else")
+			result.Points = append(result.Points, scale.Point{Axis: "engines", X: float64(engines),
+				Figures: map[string]float64{"query us": each, "first query of a group us": first, "heap bytes": heap}})
+		}
+	}
+	require.NoError(t, measure.Save(result))
+}
