standin: faults on either direction of a way, and front ends that the settings do not name

Links of attached front ends carry messages both ways, where a relay put faults on the way of who dialled only and copied the answers. A fleet can have attached front ends, and says how each sees the others.

go test -race -count=10 ./internal/standin: ok. Six process tests that use relays: ok.

--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
@@ -54,7 +55,10 @@
 	Cmd    *exec.Cmd
 	Log    *LockedBuffer
 	Starts int
-	alive  bool
+	// Attached is set on one that the settings do not name.
+	Attached bool
+	Section  map[string]any // what its fleet's section sets besides, over the fleet's
+	alive    bool
 }
 
 var nets atomic.Int64
@@ -100,7 +104,7 @@
 	}
 	for i := range f.Fronts {
 		for j := range f.Fronts {
-			if i != j {
+			if i != j && !f.Fronts[j].Attached { // nobody dials an attached one
 				r, err := NewRelay(f.Fronts[j].Peer, f.Random)
 				require.NoError(t, err)
 				t.Cleanup(r.Close)
@@ -166,7 +170,7 @@
 		targets = append(targets, map[string]any{"uid": w.Name, "endpoint": w.Addr.String(), "az": "a", "model": "k",
 			"pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0})
 	}
-	for _, o := range n.F.Fronts {
+	for _, o := range n.F.Controls() {
 		addr := n.Peer
 		if o != n {
 			addr = n.F.relays[[2]int{n.N, o.N}].Addr
@@ -174,12 +178,14 @@
 		members = append(members, map[string]any{"name": o.Name, "address": addr, "zone": o.Zone})
 	}
 	section := map[string]any{"enabled": true, "site": "test", "members": members, "admin": n.Admin}
-	if n.F.Lasting {
+	if n.F.Lasting && !n.Attached {
 		section["folder"] = n.Folder
 	}
-	for k, v := range n.F.Section {
-		section[k] = v
+	if n.Attached {
+		section["zone"] = n.Zone
 	}
+	maps.Copy(section, n.F.Section)
+	maps.Copy(section, n.Section)
 	file := func(name string, v any) string {
 		path := filepath.Join(n.F.Dir, n.Name+"-"+name+".json")
 		text, err := json.Marshal(v)
@@ -268,13 +274,24 @@
 // Way is the relay from one front end to another.
 func (f *Fleet) Way(from, to *Front) *Relay { return f.relays[[2]int{from.N, to.N}] }
 
+// Between is the relays from one front end to another and back; to an attached one there is none, as nobody dials it.
+func (f *Fleet) Between(a, b *Front) (list []*Relay) {
+	for _, way := range []*Relay{f.Way(a, b), f.Way(b, a)} {
+		if way != nil {
+			list = append(list, way)
+		}
+	}
+	return list
+}
+
 // Part cuts all ways between two sides, or heals them.
 func (f *Fleet) Part(cut bool, a, b []*Front) {
 	for _, x := range a {
 		for _, y := range b {
 			f.Did("cut %s-%s: %v", x.Name, y.Name, cut)
-			f.Way(x, y).Cut(cut)
-			f.Way(y, x).Cut(cut)
+			for _, way := range f.Between(x, y) {
+				way.Cut(cut)
+			}
 		}
 	}
 }
@@ -282,7 +299,7 @@
 // Mute cuts the ways from a front end to all others, or heals them.
 func (f *Fleet) Mute(n *Front, cut bool) {
 	f.Did("cut %s to all others: %v", n.Name, cut)
-	for _, o := range f.Fronts {
+	for _, o := range f.Controls() {
 		if o != n {
 			f.Way(n, o).Cut(cut)
 		}
@@ -293,8 +310,8 @@
 func (f *Fleet) Deafen(n *Front, cut bool) {
 	f.Did("cut all others to %s: %v", n.Name, cut)
 	for _, o := range f.Fronts {
-		if o != n {
-			f.Way(o, n).Cut(cut)
+		if way := f.Way(o, n); way != nil {
+			way.Cut(cut)
 		}
 	}
 }
@@ -304,17 +321,8 @@
 
 // Question puts a question on the operators' socket; nil where there is no answer.
 func (n *Front) Question(question string) map[string]any {
-	conn, err := net.DialTimeout("unix", n.Admin, time.Second)
-	if err != nil {
-		return nil
-	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
-	if _, err := fmt.Fprintln(conn, question); err != nil {
-		return nil
-	}
 	var v map[string]any
-	if err := json.NewDecoder(conn).Decode(&v); err != nil {
+	if !n.ask(question, &v) {
 		return nil
 	}
 	return v
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -1,29 +1,38 @@
 package standin
 
 import (
-	"io"
 	"net"
 	"sync"
 	"time"
 )
 
-// Relay is the way from one front end to another: all bytes of the links that the first dials pass through it, and faults
-// are put here. What the second answers on such a link (its hello) passes too.
+// Relay is the way from one front end to another: all bytes of the links that the first dials pass through it, in both directions, and
+// faults are put here. Those of a relay itself hold for what the dialler sends, and Back has those of what it is sent.
 type Relay struct {
+	*Flow // from who dialled
+	// Back is the way back to who dialled: the hello's answer, and on the link of an attached front end the view.
+	Back   *Flow
 	Addr   string // that the first dials
 	target string
 	l      net.Listener
 
 	mu     sync.Mutex
 	cut    bool
-	stall  bool
-	delay  time.Duration
-	jitter time.Duration
-	rate   int // bytes a second; 0: no limit
-	twice  bool
-	random *Random
+	narrow bool
 	conns  map[net.Conn]bool
-	wake   chan struct{} // closed when a stall ends
+	pipes  map[*pipe]bool
+}
+
+// pipe is one connection through a relay.
+type pipe struct {
+	mu      sync.Mutex
+	release chan struct{} // nil: what the dialler sends is not held back
+}
+
+func (p *pipe) hold() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.release
 }
 
 // NewRelay begins a relay to a target.
@@ -32,8 +41,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Addr: l.Addr().String(), target: target, l: l, random: random, conns: map[net.Conn]bool{},
-		wake: make(chan struct{})}
+	r := &Relay{Flow: newFlow(random), Back: newFlow(random), Addr: l.Addr().String(), target: target, l: l, conns: map[net.Conn]bool{},
+		pipes: map[*pipe]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -64,16 +73,26 @@
 	if err != nil {
 		return
 	}
+	p := &pipe{}
 	r.mu.Lock()
-	r.conns[to] = true
+	cut := r.cut
+	r.conns[to], r.pipes[p] = true, true
+	if r.narrow {
+		_ = to.(*net.TCPConn).SetReadBuffer(narrowBuffer)
+		_ = c.(*net.TCPConn).SetWriteBuffer(narrowBuffer)
+	}
 	r.mu.Unlock()
 	defer r.drop(to)
-	go func() { // the hello's answer
-		_, _ = io.Copy(c, to)
-		r.drop(c)
+	defer r.forget(p)
+	if cut {
+		return
+	}
+	go func() {
+		r.Back.pass(to, c, func() <-chan struct{} { return nil })
+		r.drop(c) // who listens has ended it
 		r.drop(to)
 	}()
-	r.pass(c, to)
+	r.pass(c, to, p.hold)
 }
 
 func (r *Relay) drop(c net.Conn) {
@@ -83,71 +102,34 @@
 	c.Close()
 }
 
-type chunk struct {
-	b  []byte
-	at time.Time
+func (r *Relay) forget(p *pipe) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pipes, p)
 }
 
-// pass carries frames whole, so that one can come twice, each after the delay that holds when it comes.
-func (r *Relay) pass(from, to net.Conn) {
-	list := make(chan chunk, 4096)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for c := range list {
-			time.Sleep(time.Until(c.at))
-			r.held()
-			if _, err := to.Write(c.b); err != nil {
-				from.Close()
-			}
-		}
-	}()
-	var buf []byte
-	b := make([]byte, 32<<10)
-	for {
-		n, err := from.Read(b)
-		if err != nil {
-			break
-		}
-		buf = append(buf, b[:n]...)
-		for len(buf) >= 4 {
-			size := 4 + int(uint32(buf[0])<<24|uint32(buf[1])<<16|uint32(buf[2])<<8|uint32(buf[3]))
-			if len(buf) < size {
-				break
-			}
-			frame := append([]byte(nil), buf[:size]...)
-			buf = buf[size:]
-			r.mu.Lock()
-			at, rate := time.Now().Add(r.delay), r.rate
-			if r.jitter > 0 {
-				at = at.Add(time.Duration(r.random.Uint64() % uint64(r.jitter)))
-			}
-			if r.twice && frame[4] > 3 && r.random.Uint64()%3 == 0 {
-				frame = append(frame, frame...)
-			}
-			r.mu.Unlock()
-			list <- chunk{frame, at}
-			if rate > 0 {
-				time.Sleep(time.Duration(len(frame)) * time.Second / time.Duration(rate))
-			}
-		}
-		r.held()
+// Hold keeps back what the dialler sends on the connections that are open now, also once its process has ended, until release is
+// called. Later connections pass, so what comes then is late.
+func (r *Relay) Hold() (release func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	until := make(chan struct{})
+	for p := range r.pipes {
+		p.mu.Lock()
+		p.release = until
+		p.mu.Unlock()
 	}
-	close(list)
-	<-done
+	return sync.OnceFunc(func() { close(until) })
 }
 
-// held waits while the relay stalls: connections stay open and nothing moves.
-func (r *Relay) held() {
-	for {
-		r.mu.Lock()
-		stall, wake := r.stall, r.wake
-		r.mu.Unlock()
-		if !stall {
-			return
-		}
-		<-wake
-	}
+// narrowBuffer is the kernel's buffer for one socket of a narrow relay, in bytes: what one does not read soon stays with its sender.
+const narrowBuffer = 4 << 10
+
+// Narrow gives connections from now on small buffers on the way back, so that a dialler that reads slowly holds up its sender.
+func (r *Relay) Narrow() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.narrow = true
 }
 
 // Cut ends all connections and refuses new ones, or lets them through again.
@@ -169,56 +151,15 @@
 // Reset ends all connections once.
 func (r *Relay) Reset() { r.Cut(true); r.Cut(false) }
 
-// Stall leaves connections open with nothing moving, or lets them go on.
-func (r *Relay) Stall(stall bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.stall && !stall {
-		close(r.wake)
-		r.wake = make(chan struct{})
-	}
-	r.stall = stall
-}
-
-// Slow sets a delay with jitter and a rate in bytes a second, 0 for none.
-func (r *Relay) Slow(delay, jitter time.Duration, rate int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.delay, r.jitter, r.rate = delay, jitter, rate
-}
-
-// Twice has a third of all frames come twice.
-func (r *Relay) Twice(twice bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.twice = twice
+// StallBoth leaves connections open with nothing moving in either direction, or lets them go on.
+func (r *Relay) StallBoth(stall bool) {
+	r.Stall(stall)
+	r.Back.Stall(stall)
 }
 
 // Close ends the relay.
 func (r *Relay) Close() {
 	r.l.Close()
 	r.Cut(true)
-	r.Stall(false)
-}
-
-// Random is a sequence of numbers from a seed, for one goroutine at a time.
-type Random struct {
-	mu    sync.Mutex
-	state uint64
+	r.StallBoth(false)
 }
-
-// NewRandom begins a sequence.
-func NewRandom(seed uint64) *Random { return &Random{state: seed*0x9e3779b97f4a7c15 | 1} }
-
-// Uint64 is the next number.
-func (r *Random) Uint64() uint64 {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.state ^= r.state << 13
-	r.state ^= r.state >> 7
-	r.state ^= r.state << 17
-	return r.state * 0x2545f4914f6cdd1d
-}
-
-// N is a number below n.
-func (r *Random) N(n int) int { return int(r.Uint64() >> 33 % uint64(n)) }
