standin: new connections of a way can be held back from their hello on, and frames be seen

Late messages of an ended process have to come on links whose challenge was older: HoldNew makes that crossing. A way on which nothing moves lets no new connection through either.

--- a/internal/standin/flow.go
+++ b/internal/standin/flow.go
@@ -23,10 +23,12 @@
 	twice  bool
 	delay  time.Duration
 	jitter time.Duration
-	rate   int           // bytes a second; 0: no limit
-	frames int           // that were passed on
-	bytes  int           // of them
-	lost   int           // frames
+	rate   int // bytes a second; 0: no limit
+	frames int // that were passed on
+	bytes  int // of them
+	lost   int // frames
+	taken  int // frames that have come
+	tap    func(frame []byte)
 	wake   chan struct{} // closed when a stall ends
 }
 
@@ -71,6 +73,20 @@
 	return f.frames, f.bytes, f.lost
 }
 
+// Waiting is how many frames have come and are not yet passed on.
+func (f *Flow) Waiting() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.taken - f.frames - f.lost
+}
+
+// Tap has each frame seen as it comes, whole with its length; nil ends that. See must not keep or change it.
+func (f *Flow) Tap(see func(frame []byte)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.tap = see
+}
+
 // held waits while this direction stalls.
 func (f *Flow) held() {
 	for {
@@ -94,6 +110,10 @@
 func (f *Flow) faulty(frame []byte) (c chunk, pause time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.taken++
+	if f.tap != nil {
+		f.tap(frame)
+	}
 	if f.lose {
 		f.lost++
 		return c, 0, false
@@ -161,16 +181,22 @@
 		if release := hold(); release != nil {
 			<-release
 		}
-		if ended {
-			continue
+		if !ended {
+			_, err := to.Write(c.b)
+			ended = err != nil
 		}
-		if _, err := to.Write(c.b); err != nil {
-			ended = true
-			continue
-		}
-		f.mu.Lock()
-		f.frames++
-		f.bytes += len(c.b)
-		f.mu.Unlock()
+		f.passed(len(c.b), ended)
+	}
+}
+
+// passed counts a frame that was passed on, or is lost as the other side has ended.
+func (f *Flow) passed(size int, lost bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if lost {
+		f.lost++
+		return
 	}
+	f.frames++
+	f.bytes += size
 }
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -16,17 +16,18 @@
 	target string
 	l      net.Listener
 
-	mu     sync.Mutex
-	cut    bool
-	narrow bool
-	conns  map[net.Conn]bool
-	pipes  map[*pipe]bool
+	mu      sync.Mutex
+	cut     bool
+	narrow  bool
+	holding <-chan struct{} // what the dialler sends on new connections is held back until it is closed; nil: it is not
+	conns   map[net.Conn]bool
+	pipes   map[*pipe]bool
 }
 
 // pipe is one connection through a relay.
 type pipe struct {
 	mu      sync.Mutex
-	release chan struct{} // nil: what the dialler sends is not held back
+	release <-chan struct{} // nil: what the dialler sends is not held back
 }
 
 func (p *pipe) hold() <-chan struct{} {
@@ -69,21 +70,25 @@
 
 func (r *Relay) carry(c net.Conn) {
 	defer r.drop(c)
+	r.held() // a way on which nothing moves carries no new connection either
+	r.mu.Lock()
+	p := &pipe{release: r.holding}
+	r.pipes[p] = true
+	r.mu.Unlock()
+	defer r.forget(p)
 	to, err := net.DialTimeout("tcp4", r.target, time.Second)
 	if err != nil {
 		return
 	}
-	p := &pipe{}
 	r.mu.Lock()
 	cut := r.cut
-	r.conns[to], r.pipes[p] = true, true
+	r.conns[to] = true
 	if r.narrow {
 		_ = to.(*net.TCPConn).SetReadBuffer(narrowBuffer)
 		_ = c.(*net.TCPConn).SetWriteBuffer(narrowBuffer)
 	}
 	r.mu.Unlock()
 	defer r.drop(to)
-	defer r.forget(p)
 	if cut {
 		return
 	}
@@ -122,6 +127,16 @@
 	return sync.OnceFunc(func() { close(until) })
 }
 
+// HoldNew ends all connections once, and keeps back what the dialler sends on later ones, from the hello on, until release is called.
+func (r *Relay) HoldNew() (release func()) {
+	until := make(chan struct{})
+	r.Cut(true)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut, r.holding = false, until
+	return sync.OnceFunc(func() { close(until) })
+}
+
 // narrowBuffer is the kernel's buffer for one socket of a narrow relay, in bytes: what one does not read soon stays with its sender.
 const narrowBuffer = 4 << 10
 
--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -155,6 +155,32 @@
 	old.awaits(t, old.atListener, string(frame(otherKind, "old")))
 }
 
+// What is held back on new connections has the first of them come late, and passes once it is let go.
+func TestNewConnectionsHeld(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	r, err := NewRelay(l.Addr().String(), NewRandom(1))
+	require.NoError(t, err)
+	defer r.Close()
+	before := &line{relay: r}
+	before.dial(t, l)
+	release := r.HoldNew()
+	_, err = before.dialler.Read(make([]byte, 1))
+	assert.Error(t, err, "it is ended")
+	after := &line{relay: r}
+	after.dial(t, l)
+	_, err = after.dialler.Write(frame(helloKind, "hello"))
+	require.NoError(t, err)
+	_, err = after.listener.Write(frame(helloKind, "challenge"))
+	require.NoError(t, err)
+	after.awaits(t, after.atDialler, string(frame(helloKind, "challenge")))
+	require.Eventually(t, func() bool { return r.Waiting() == 1 }, Patience, time.Millisecond)
+	assert.Empty(t, after.atListener.String())
+	release()
+	after.awaits(t, after.atListener, string(frame(helloKind, "hello")))
+}
+
 // A cut ends both directions at once and refuses what is dialled.
 func TestCutEndsBothDirections(t *testing.T) {
 	x := newLine(t)
