Attached front ends off: what passes, what a process holds and what it says are as before, tested on processes

Kinds of frames, fields of hellos and heartbeats, descriptors, goroutines and the keys of status are compared between a fleet without the section and one where it is off, and with what was there before front ends could attach.

--- /dev/null
+++ b/cmd/chutechute/attached_off_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"regexp"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"chutechute/internal/proto"
+	"chutechute/internal/standin"
+	"chutechute/peer"
+)
+
+const (
+	kindAt = 4  // in a frame: its kind
+	bodyAt = 10 // in a frame: where its message begins
+)
+
+// census is what passed between front ends: frames by kind, and for the hello and the heartbeat the fields that they had.
+type census struct {
+	mu     sync.Mutex
+	kinds  map[peer.Kind]int
+	fields map[peer.Kind]map[int]bool
+	broken []string
+}
+
+func newCensus() *census {
+	return &census{kinds: map[peer.Kind]int{}, fields: map[peer.Kind]map[int]bool{peer.Hello: {}, peer.Welcome: {}, peer.Status: {}}}
+}
+
+// see takes a frame; of a message in parts the first would not be read, and none of these is so long.
+func (c *census) see(frame []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kind, body := peer.Kind(frame[kindAt]), frame[bodyAt:]
+	c.kinds[kind]++
+	if c.fields[kind] == nil {
+		return
+	}
+	if kind != peer.Status { // sealed
+		size, n := binary.Uvarint(body[1:])
+		body = body[1+n : 1+n+int(size)]
+	}
+	if err := proto.Each(body, func(f proto.Field) error { c.fields[kind][int(f.Number)] = true; return nil }); err != nil {
+		c.broken = append(c.broken, fmt.Sprintf("%s: %v", kind, err))
+	}
+}
+
+// known is the kinds and fields that passed between front ends before any could attach.
+var known = struct {
+	kinds  []peer.Kind
+	fields map[peer.Kind]int // the highest number
+}{[]peer.Kind{peer.Challenge, peer.Hello, peer.Welcome, peer.Status, peer.Ledger, peer.Ask, peer.Answer, peer.Note, peer.Found, peer.Relay},
+	map[peer.Kind]int{peer.Hello: 9, peer.Welcome: 9, peer.Status: 10}}
+
+// Two fleets of three, one without a section on attached front ends and one where it is off; no faults. Load: one keyed load through
+// each front end. What must show: a process holds the same descriptors and goroutines in both; what passes has the kinds and the
+// fields that it had before front ends could attach, and so has the word to operators.
+func TestAttachedOffIsAsToday(t *testing.T) {
+	t.Parallel()
+	var fleets []*standin.Fleet
+	var seen []*census
+	for _, section := range []map[string]any{{}, {"attached": map[string]any{"enabled": false, "most": 100}}} {
+		c := newCensus()
+		seen = append(seen, c)
+		fleets = append(fleets, standin.NewFleet(t, program, 3, func(f *standin.Fleet) { maps.Copy(f.Section, section) }, standin.Tapped(c.see)))
+	}
+	for _, f := range fleets {
+		f.Leader(3)
+	}
+	require.EventuallyWithT(t, func(t *assert.CollectT) {
+		without, _ := holds(t, fleets[0].Fronts[0].Cmd.Process.Pid)
+		with, _ := holds(t, fleets[1].Fronts[0].Cmd.Process.Pid)
+		assert.Equal(t, without, with)
+	}, standin.Patience, 50*time.Millisecond)
+	for i, f := range fleets {
+		for k, n := range f.Fronts {
+			insist(t, f, n, load(fmt.Sprintf("once-%d", k), "k", 10))
+			s := n.Status()
+			assert.NotContains(t, s, "attached")
+			for _, m := range s["members"].([]any) {
+				assert.ElementsMatch(t, []string{"name", "zone", "state", "incarnation", "link"}, slices.Collect(maps.Keys(m.(map[string]any))))
+			}
+		}
+		seen[i].check(t)
+		f.Check()
+	}
+	without, with := goroutines(t, fleets[0].Fronts[0]), goroutines(t, fleets[1].Fronts[0])
+	assert.NotEmpty(t, without)
+	assert.Equal(t, without, with)
+}
+
+// goroutines ends a front end and gives what its goroutines were begun by, with how many each.
+func goroutines(t *testing.T, n *standin.Front) map[string]int {
+	t.Helper()
+	n.Quit()
+	list := map[string]int{}
+	for _, m := range regexp.MustCompile(`(?m)^created by (\S+)`).FindAllStringSubmatch(n.Log.String(), -1) {
+		list[m[1]]++
+	}
+	return list
+}
+
+// check compares what was seen with what is known.
+func (c *census) check(t *testing.T) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	assert.Empty(t, c.broken)
+	for kind, n := range c.kinds {
+		assert.Contains(t, known.kinds, kind, "%d frames %s", n, kind)
+	}
+	for kind, fields := range c.fields {
+		assert.NotEmpty(t, fields, "%s", kind)
+		for field := range fields {
+			assert.LessOrEqual(t, field, known.fields[kind], "%s", kind)
+		}
+	}
+}
--- a/internal/standin/attached.go
+++ b/internal/standin/attached.go
@@ -6,6 +6,7 @@
 	"net"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -25,6 +26,11 @@
 	}
 }
 
+// Tapped has all frames that pass between front ends seen, in either direction and by several goroutines.
+func Tapped(see func(frame []byte)) func(*Fleet) {
+	return func(f *Fleet) { f.tap = see }
+}
+
 // Controls is the front ends that the settings name.
 func (f *Fleet) Controls() []*Front { return f.role(false) }
 
@@ -196,3 +202,26 @@
 	}
 	return list
 }
+
+// Twin prepares another process of a front end's name, with ways of its own to all control members. It does not start it.
+func (f *Fleet) Twin(n *Front) *Front {
+	ip := address(int(nets.Add(1))%250 + 1)
+	twin := &Front{F: f, N: len(f.Fronts), Name: n.Name, Zone: n.Zone, Attached: n.Attached, Section: n.Section, Listen: port(f.T, ip),
+		Folder: n.Folder, Admin: n.Admin + "-twin", Log: &LockedBuffer{}}
+	f.Fronts = append(f.Fronts, twin)
+	for _, c := range f.Controls() {
+		r, err := NewRelay(c.Peer, f.Random)
+		require.NoError(f.T, err)
+		f.T.Cleanup(r.Close)
+		f.relays[[2]int{twin.N, c.N}] = r
+	}
+	return twin
+}
+
+// Quit has the process print all its goroutines to its log and end.
+func (n *Front) Quit() {
+	n.F.Did("quit %s", n.Name)
+	require.NoError(n.F.T, n.Cmd.Process.Signal(syscall.SIGQUIT))
+	n.alive = false
+	_ = n.Cmd.Wait() // it says that the signal ended it
+}
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -35,6 +35,7 @@
 	Dir     string
 	Lasting bool           // the record is kept in folders
 	Section map[string]any // what the fleet's section sets besides
+	tap     func(frame []byte)
 	relays  map[[2]int]*Relay
 	journal net.Listener
 	calls   atomic.Int64
@@ -108,6 +109,8 @@
 				r, err := NewRelay(f.Fronts[j].Peer, f.Random)
 				require.NoError(t, err)
 				t.Cleanup(r.Close)
+				r.Tap(f.tap)
+				r.Back.Tap(f.tap)
 				f.relays[[2]int{i, j}] = r
 			}
 		}
