--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -119,8 +119,10 @@
 		n.Start()
 	}
 	t.Cleanup(func() {
-		if t.Failed() {
+		if t.Failed() || testing.Verbose() {
 			t.Logf("seed %d, script:\n%s", f.Seed, f.script)
+		}
+		if t.Failed() {
 			for _, n := range f.Fronts {
 				s, _ := json.Marshal(n.Status())
 				t.Logf("status of %s: %s", n.Name, s)
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -19,6 +19,7 @@
 	mu      sync.Mutex
 	cut     bool
 	narrow  bool
+	dialled int             // connections that came
 	holding <-chan struct{} // what the dialler sends on new connections is held back until it is closed; nil: it is not
 	conns   map[net.Conn]bool
 	pipes   map[*pipe]bool
@@ -56,6 +57,7 @@
 		}
 		r.mu.Lock()
 		cut := r.cut
+		r.dialled++
 		if !cut {
 			r.conns[c] = true
 		}
@@ -147,6 +149,13 @@
 	r.narrow = true
 }
 
+// Dialled is how many connections have come, those that were refused too.
+func (r *Relay) Dialled() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dialled
+}
+
 // Cut ends all connections and refuses new ones, or lets them through again.
 func (r *Relay) Cut(cut bool) {
 	r.mu.Lock()
