standin: the fleet, its front ends and the loads of its clients in files of their own

Change: fleet.go keeps the fleet, its cuts, its leader and its record; front.go is one front end's process, its files, status and log; load.go is what clients ask of it. Whole declarations moved, in their order, none edited. Run: the lines of the three but for package and imports are those of the file before, sorted and compared; make lint is clean.

--- /dev/null
+++ b/internal/standin/front.go
@@ -0,0 +1,187 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+)
+
+// Front is one front end of a fleet.
+type Front struct {
+	F      *Fleet
+	N      int
+	Name   string
+	Zone   string
+	Listen string // for clients
+	Peer   string // for other front ends
+	Folder string
+	Admin  string
+	Cmd    *exec.Cmd
+	Log    *LockedBuffer
+	Starts int
+	alive  bool
+}
+
+// write writes the front end's files, and gives their paths.
+func (n *Front) write() (config, installation string) {
+	t := n.F.T
+	settings := map[string]any{}
+	require.NoError(t, json.Unmarshal([]byte(Settings), &settings))
+	settings["balancers"] = len(n.F.Fronts)
+	var targets, members []any
+	for _, w := range n.F.Workers {
+		targets = append(targets, map[string]any{"uid": w.Name, "endpoint": w.Addr.String(), "az": "a", "model": "k",
+			"pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0})
+	}
+	for _, o := range n.F.Fronts {
+		addr := n.Peer
+		if o != n {
+			addr = n.F.relays[[2]int{n.N, o.N}].Addr
+		}
+		members = append(members, map[string]any{"name": o.Name, "address": addr, "zone": o.Zone})
+	}
+	section := map[string]any{"enabled": true, "site": "test", "members": members, "admin": n.Admin}
+	if n.F.Lasting {
+		section["folder"] = n.Folder
+	}
+	for k, v := range n.F.Section {
+		section[k] = v
+	}
+	file := func(name string, v any) string {
+		path := filepath.Join(n.F.Dir, n.Name+"-"+name+".json")
+		text, err := json.Marshal(v)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(path+".new", text, 0o600))
+		require.NoError(t, os.Rename(path+".new", path))
+		return path
+	}
+	return file("config", map[string]any{"name": n.Name, "listen": n.Listen, "seed": fmt.Sprintf("%x", 100*n.N+n.Starts),
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "journal": n.F.journal.Addr().String(),
+		"settings": settings, "known": map[string]any{"pos": 41, "entries": []any{map[string]any{"pos": 41,
+			"hosts": map[string]any{"rev": 1, "all": true, "targets": targets}}}}}), file("installation", map[string]any{"fleet": section})
+}
+
+// Start starts the front end's process, under its name and addresses.
+func (n *Front) Start() {
+	n.F.Did("start %s", n.Name)
+	n.Starts++
+	config, installation := n.write()
+	n.Cmd = exec.Command(n.F.Program, "serve", "--installation", installation)
+	n.Cmd.Env = []string{"NODE_CONFIG=" + config}
+	if n.Log == nil {
+		n.Log = &LockedBuffer{}
+	}
+	before := strings.Count(n.Log.String(), "msg=serving")
+	n.Cmd.Stderr = n.Log
+	require.NoError(n.F.T, n.Cmd.Start())
+	n.alive = true
+	require.Eventually(n.F.T, func() bool { return strings.Count(n.Log.String(), "msg=serving") > before }, Patience, time.Millisecond,
+		"%s does not serve: %s", n.Name, n.Log)
+}
+
+// Reload has the front end read its files again, after a change of the section.
+func (n *Front) Reload() {
+	n.F.Did("reload %s", n.Name)
+	n.write()
+	require.NoError(n.F.T, n.Cmd.Process.Signal(syscall.SIGHUP))
+}
+
+// Leave ends the process as planned, and waits until it has ended.
+func (n *Front) Leave() {
+	n.F.Did("terminate %s", n.Name)
+	require.NoError(n.F.T, n.Cmd.Process.Signal(syscall.SIGTERM))
+	n.alive = false
+	ended := make(chan error, 1)
+	go func() { ended <- n.Cmd.Wait() }()
+	select {
+	case err := <-ended:
+		require.NoError(n.F.T, err)
+	case <-time.After(Patience):
+		_ = n.Cmd.Process.Kill()
+		require.Fail(n.F.T, "it does not end", n.Name)
+	}
+}
+
+func (n *Front) stop() {
+	if n.alive {
+		n.alive = false
+		_ = n.Cmd.Process.Signal(syscall.SIGCONT)
+		_ = n.Cmd.Process.Kill()
+		_ = n.Cmd.Wait()
+	}
+}
+
+// Kill ends the process at once; empty loses its disk too.
+func (n *Front) Kill(empty bool) {
+	n.F.Did("kill %s, disk emptied: %v", n.Name, empty)
+	n.stop()
+	if empty {
+		require.NoError(n.F.T, os.RemoveAll(n.Folder))
+	}
+}
+
+// Stop has the process stand still; Continue lets it go on.
+func (n *Front) Stop() {
+	n.F.Did("stop %s", n.Name)
+	require.NoError(n.F.T, n.Cmd.Process.Signal(syscall.SIGSTOP))
+}
+
+// Continue lets a process go on that stands still.
+func (n *Front) Continue() {
+	n.F.Did("continue %s", n.Name)
+	require.NoError(n.F.T, n.Cmd.Process.Signal(syscall.SIGCONT))
+}
+
+// Status is what a front end says of itself on its operators' socket; nil where it does not answer.
+func (n *Front) Status() map[string]any { return n.Question("status") }
+
+// Question puts a question on the operators' socket; nil where there is no answer.
+func (n *Front) Question(question string) map[string]any {
+	conn, err := net.DialTimeout("unix", n.Admin, time.Second)
+	if err != nil {
+		return nil
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Second))
+	if _, err := fmt.Fprintln(conn, question); err != nil {
+		return nil
+	}
+	var v map[string]any
+	if err := json.NewDecoder(conn).Decode(&v); err != nil {
+		return nil
+	}
+	return v
+}
+
+// Full bounds the size of the files that the process may write to what they have, as on a full disk.
+func (n *Front) Full(full bool) {
+	n.F.Did("disk of %s full: %v", n.Name, full)
+	limit := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+	if full {
+		info, err := os.Stat(filepath.Join(n.Folder, "log"))
+		require.NoError(n.F.T, err)
+		limit.Cur = uint64(info.Size())
+	}
+	require.NoError(n.F.T, unix.Prlimit(n.Cmd.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil))
+}
+
+// AwaitLog waits until a line of the front end's log matches.
+func (n *Front) AwaitLog(pattern string) {
+	n.F.T.Helper()
+	require.Eventually(n.F.T, func() bool { return n.Logged(pattern) > 0 }, Patience, time.Millisecond, pattern)
+}
+
+// Logged counts the lines of a front end's log that match.
+func (n *Front) Logged(pattern string) int {
+	return len(regexp.MustCompile(pattern).FindAllString(n.Log.String(), -1))
+}
