--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -21,6 +21,7 @@
 type Fleet struct {
 	T       *testing.T
 	Program string
+	Site    string // of its own, so that no process of another fleet is taken for one of this
 	Fronts  []*Front
 	Workers []*Worker
 	Record  *history.Record
@@ -37,14 +38,17 @@
 	began   time.Time
 }
 
-var nets atomic.Int64
+var fleets, nets atomic.Int64
 
-// address gives a loopback address of its own with ports that are free on it: no others use it, so none can take them.
-func address(n int) string {
+// Loopback is the first three bytes of addresses that only this process's tests take.
+func Loopback() string {
 	pid := os.Getpid()
-	return fmt.Sprintf("127.%d.%d.%d", 16+(pid>>8)%200, pid&255, n)
+	return fmt.Sprintf("127.%d.%d", 16+(pid>>8)%200, pid&255)
 }
 
+// address gives a loopback address of its own with ports that are free on it: no others use it, so none can take them.
+func address(n int) string { return fmt.Sprintf("%s.%d", Loopback(), n) }
+
 func port(t *testing.T, ip string) string {
 	l, err := net.Listen("tcp4", ip+":0")
 	require.NoError(t, err)
@@ -54,7 +58,7 @@
 
 // NewFleet prepares a fleet; change may set it up further before its front ends start.
 func NewFleet(t *testing.T, program string, fronts int, change ...func(*Fleet)) *Fleet {
-	f := &Fleet{T: t, Program: program, Seed: 20261201, Dir: t.TempDir(), relays: map[[2]int]*Relay{},
+	f := &Fleet{T: t, Program: program, Site: fmt.Sprintf("test-%d-%d", os.Getpid(), fleets.Add(1)), Seed: 20261201, Dir: t.TempDir(), relays: map[[2]int]*Relay{},
 		Section: map[string]any{}, script: &strings.Builder{}, began: time.Now()}
 	f.Record = &history.Record{Now: func() int64 { return time.Since(f.began).Microseconds() }}
 	var err error
@@ -90,29 +94,33 @@
 			}
 		}
 	}
+	t.Cleanup(f.end) // before the first starts: one that does not serve leaves none behind
 	for _, n := range f.Fronts {
 		n.Start()
 	}
-	t.Cleanup(func() {
-		if t.Failed() || testing.Verbose() {
-			t.Logf("seed %d, script:\n%s", f.Seed, f.script)
-		}
-		if t.Failed() {
-			for _, n := range f.Fronts {
-				s, _ := json.Marshal(n.Status())
-				t.Logf("status of %s: %s", n.Name, s)
-			}
-		}
+	return f
+}
+
+// end ends all processes, and of a test that failed shows what they said.
+func (f *Fleet) end() {
+	t := f.T
+	if t.Failed() || testing.Verbose() {
+		t.Logf("seed %d, script:\n%s", f.Seed, f.script)
+	}
+	if t.Failed() {
 		for _, n := range f.Fronts {
-			n.stop()
+			s, _ := json.Marshal(n.Status())
+			t.Logf("status of %s: %s", n.Name, s)
 		}
-		if t.Failed() {
-			for _, n := range f.Fronts {
-				t.Logf("log of %s:\n%s", n.Name, n.Log)
-			}
+	}
+	for _, n := range f.Fronts {
+		n.stop()
+	}
+	if t.Failed() {
+		for _, n := range f.Fronts {
+			t.Logf("log of %s:\n%s", n.Name, n.Log)
 		}
-	})
-	return f
+	}
 }
 
 // tell is the journal service: it has nothing to tell.
--- a/internal/standin/flow.go
+++ b/internal/standin/flow.go
@@ -9,6 +9,7 @@
 
 const (
 	frameLength   = 4    // bytes that give a frame's length
+	frameHeader   = 10   // bytes before what a frame carries
 	lastHelloKind = 3    // kinds up to it open a link and come once
 	mostHeld      = 4096 // frames that wait in one direction of a connection
 )
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -53,7 +53,7 @@
 		}
 		members = append(members, map[string]any{"name": o.Name, "address": addr, "zone": o.Zone})
 	}
-	section := map[string]any{"enabled": true, "site": "test", "members": members, "admin": n.Admin}
+	section := map[string]any{"enabled": true, "site": n.F.Site, "members": members, "admin": n.Admin}
 	if n.F.Lasting && !n.Attached {
 		section["folder"] = n.Folder
 	}
