--- a/attach/client.go
+++ b/attach/client.go
@@ -136,6 +136,9 @@
 	if o == nil {
 		return
 	}
+	if o.incarnation != incarnation {
+		o.clock, o.told = offset{}, told{}
+	}
 	o.linked, o.incarnation, o.leaving, o.behind = true, incarnation, false, false
 	o.heard, o.steady, o.beat = c.now, c.now, c.now
 	c.chooseHome()
@@ -297,6 +300,7 @@
 		o.steady = c.now
 	}
 	o.heard, o.failures = c.now, 0
+	o.clock.observe(c.now, m.sent)
 	if m.leaving && !o.leaving {
 		o.leaving = true
 		c.chooseHome()
@@ -330,15 +334,16 @@
 
 // compare takes the answer to a heartbeat: the view is confirmed, or behind, which the next heartbeat tells.
 func (c *Client) compare(o *control, m *viewMessage) {
+	if m.echo <= c.now {
+		o.told = told{true, m.sequence, m.echo}
+	}
 	if c.epoch != o.incarnation || m.sequence < c.sequence {
 		return
 	}
 	same := m.sequence == c.sequence
 	if same && m.digest == c.view.Digest() {
 		o.behind, o.wantsSums, c.failures, c.whole = false, false, 0, false
-		if m.echo <= c.now {
-			c.view.confirm(m.echo)
-		}
+		c.confirm(o)
 		c.settle()
 		return
 	}
@@ -349,6 +354,13 @@
 	}
 }
 
+// confirm notes that the view is as far as an answer said.
+func (c *Client) confirm(o *control) {
+	if o.told.answered && c.sequence >= o.told.sequence {
+		c.view.confirm(o.told.asked)
+	}
+}
+
 // settle believes a home in the end that goes on showing a process alive which this view has had replaced.
 func (c *Client) settle() {
 	if c.view.conflict && !c.view.believe(c.conflict != 0 && c.now-c.conflict >= believeSpan) {
@@ -378,7 +390,7 @@
 		c.resume(o)
 		return nil
 	}
-	changes, err := c.entries(m)
+	changes, err := c.entries(o, m)
 	if err != nil {
 		return err
 	}
@@ -389,7 +401,7 @@
 	if c.epoch == o.incarnation && m.sequence < c.sequence {
 		return nil
 	}
-	entries, err := c.entries(m)
+	entries, err := c.entries(o, m)
 	if err != nil {
 		return err
 	}
@@ -411,7 +423,7 @@
 }
 
 // entries reads and checks what a message carries.
-func (c *Client) entries(m *viewMessage) ([]change, error) {
+func (c *Client) entries(o *control, m *viewMessage) ([]change, error) {
 	b := m.entries
 	var err error
 	if m.packed {
@@ -419,7 +431,7 @@
 	}
 	var list []change
 	if err == nil {
-		list, err = decodeChanges(c.now, b, c.cfg.Most)
+		list, err = decodeChanges(&o.clock, b, c.cfg.Most)
 	}
 	if err == nil {
 		for i := range list {
@@ -455,6 +467,7 @@
 	}
 	c.epoch, c.sequence = o.incarnation, m.sequence
 	o.behind, o.wantsSums, c.whole = false, false, false
+	c.confirm(o)
 	return nil
 }
 
