--- a/cmd/chutechute/attached_load_test.go
+++ b/cmd/chutechute/attached_load_test.go
@@ -27,9 +27,9 @@
 	}
 }
 
-// A fleet of three control members and three attached front ends, one of each in each zone; no faults. Keyed loads are taken by attached ones, and
-// one is repeated at once through all six. What must show: one run of each, the same bytes through any front end, and the
-// same key with another statement is refused.
+// A fleet of three control members and three attached front ends, one of each in each zone; no faults. Keyed loads are taken by
+// attached ones, and one is repeated at once through all six. What must show: one run of each, the same bytes through any front
+// end, and the same key with another statement is refused.
 func TestKeyedLoadThroughAnAttachedFrontEnd(t *testing.T) {
 	t.Parallel()
 	f := standin.NewFleet(t, program, 3, lasting, standin.Attached("a", "b", "c"))
@@ -78,9 +78,9 @@
 	}
 }
 
-// The same fleet. Faults: the control member that an attached front end asks through is killed while the question for a load is on its
-// way there, and again while the answer is on its way back; then the leader is killed while a load of an attached one runs. What must
-// show: each load is served and runs once, and its outcome is the same bytes through any front end.
+// The same fleet. Faults: the control member that an attached front end asks through is killed while the question for a load is
+// on its way there, and again while the answer is on its way back; then the leader is killed while a load of an attached one
+// runs. What must show: each load is served and runs once, and its outcome is the same bytes through any front end.
 func TestControlMemberLostInMidLoad(t *testing.T) {
 	t.Parallel()
 	f := standin.NewFleet(t, program, 3, lasting, standin.Attached("a", "b", "c"))
--- a/cmd/chutechute/attached_lost_test.go
+++ b/cmd/chutechute/attached_lost_test.go
@@ -10,12 +10,13 @@
 	"chutechute/internal/standin"
 )
 
-// Five control members in three zones, two of them in zone a, and four attached front ends there. Faults: the zone's first control member is
-// killed, then its second. Load: a look-up and a keyed load through each attached one after each loss. What must show: they go on, are
-// seen by all and take their view from others, and nobody who is alive is held for dead at any time.
+// Five control members in three zones, two of them in zone a, and four attached front ends there. Faults: the zone's first
+// control member is killed, then its second. Load: a look-up and a keyed load through each attached one after each loss. What
+// must show: they go on, are seen by all and take their view from others, and nobody who is alive is held for dead at any time.
 func TestControlMemberLostThenItsZonesSecond(t *testing.T) {
 	t.Parallel()
-	f := standin.NewFleet(t, program, 5, lasting, standin.Attached("a", "a", "a", "a"), func(f *standin.Fleet) { f.Section["copies"] = 5 })
+	copies := func(f *standin.Fleet) { f.Section["copies"] = 5 }
+	f := standin.NewFleet(t, program, 5, lasting, copies, standin.Attached("a", "a", "a", "a"))
 	f.Leader(5)
 	f.Settled()
 	lost := []*standin.Front{f.Fronts[0], f.Fronts[3]}
@@ -51,10 +52,11 @@
 	f.Check()
 }
 
-// Three control members and six attached front ends, all of them and the first control member in zone a. Faults: the ways from the attached
-// ones to that control member are cut; then all their other ways stand still for longer than a lease too, and go on. No load. What must show: the
-// first control member, which loses all leases at once, doubts itself, and they are seen alive by way of the others; then those doubt themselves
-// too, and all are suspect and not dead until they are heard again, the same processes.
+// Three control members and six attached front ends, all of them and the first control member in zone a. Faults: the ways from
+// the attached ones to that control member are cut; then all their other ways stand still for longer than a lease too, and go
+// on. No load. What must show: the first control member, which loses all leases at once, doubts itself, and they are seen alive
+// by way of the others; then those doubt themselves too, and all are suspect and not dead until they are heard again, the same
+// processes.
 func TestControlCutOffFromItsAttachedOnly(t *testing.T) {
 	t.Parallel()
 	f := standin.NewFleet(t, program, 3, standin.Attached("a", "a", "a", "a", "a", "a"))
--- a/cmd/chutechute/attached_off_test.go
+++ b/cmd/chutechute/attached_off_test.go
@@ -32,7 +32,8 @@
 }
 
 func newCensus() *census {
-	return &census{kinds: map[peer.Kind]int{}, fields: map[peer.Kind]map[int]bool{peer.Hello: {}, peer.Welcome: {}, peer.Status: {}}}
+	fields := map[peer.Kind]map[int]bool{peer.Hello: {}, peer.Welcome: {}, peer.Status: {}}
+	return &census{kinds: map[peer.Kind]int{}, fields: fields}
 }
 
 // see takes a frame; of a message in parts the first would not be read, and none of these is so long.
@@ -57,12 +58,13 @@
 var known = struct {
 	kinds  []peer.Kind
 	fields map[peer.Kind]int // the highest number
-}{[]peer.Kind{peer.Challenge, peer.Hello, peer.Welcome, peer.Status, peer.Ledger, peer.Ask, peer.Answer, peer.Note, peer.Found, peer.Relay},
+}{[]peer.Kind{peer.Challenge, peer.Hello, peer.Welcome, peer.Status, peer.Ledger, peer.Ask, peer.Answer, peer.Note, peer.Found,
+	peer.Relay},
 	map[peer.Kind]int{peer.Hello: 9, peer.Welcome: 9, peer.Status: 10}}
 
-// Two fleets of three, one without a section on attached front ends and one where it is off; no faults. Load: one keyed load through
-// each front end. What must show: a process holds the same descriptors and goroutines in both; what passes has the kinds and the
-// fields that it had before front ends could attach, and so has the word to operators.
+// Two fleets of three, one without a section on attached front ends and one where it is off; no faults. Load: one keyed load
+// through each front end. What must show: a process holds the same descriptors and goroutines in both; what passes has the
+// kinds and the fields that it had before front ends could attach, and so has the word to operators.
 func TestAttachedOffIsAsToday(t *testing.T) {
 	t.Parallel()
 	var fleets []*standin.Fleet
@@ -70,7 +72,8 @@
 	for _, section := range []map[string]any{{}, {"attached": map[string]any{"enabled": false, "most": 100}}} {
 		c := newCensus()
 		seen = append(seen, c)
-		fleets = append(fleets, standin.NewFleet(t, program, 3, func(f *standin.Fleet) { maps.Copy(f.Section, section) }, standin.Tapped(c.see)))
+		with := func(f *standin.Fleet) { maps.Copy(f.Section, section) }
+		fleets = append(fleets, standin.NewFleet(t, program, 3, with, standin.Tapped(c.see)))
 	}
 	for _, f := range fleets {
 		f.Leader(3)
@@ -86,7 +89,8 @@
 			s := n.Status()
 			assert.NotContains(t, s, "attached")
 			for _, m := range s["members"].([]any) {
-				assert.ElementsMatch(t, []string{"name", "zone", "state", "incarnation", "link"}, slices.Collect(maps.Keys(m.(map[string]any))))
+				keys := slices.Collect(maps.Keys(m.(map[string]any)))
+				assert.ElementsMatch(t, []string{"name", "zone", "state", "incarnation", "link"}, keys)
 			}
 		}
 		seen[i].check(t)
--- a/cmd/chutechute/attached_settings_test.go
+++ b/cmd/chutechute/attached_settings_test.go
@@ -22,7 +22,8 @@
 		"members": []any{map[string]any{"name": "n1", "address": "127.0.0.1:7400", "zone": "room-a"}}}
 }
 
-// asFrontEnd runs the program as a front end of that name with a fleet's section, and gives what it says and whether that was an error.
+// asFrontEnd runs the program as a front end of that name with a fleet's section, and gives what it says and whether that was
+// an error.
 func asFrontEnd(t *testing.T, name string, section map[string]any, args ...string) (string, error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "installation.json")
@@ -81,8 +82,9 @@
 	}
 }
 
-// A control member and three front ends that want to attach: one with its secret, one with another, and one with another lease. What must show: the
-// first is linked and seen; the others are refused at the link, whose logs say why, serve on without a home, and are in no view.
+// A control member and three front ends that want to attach: one with its secret, one with another, and one with another lease.
+// What must show: the first is linked and seen; the others are refused at the link, whose logs say why, serve on without a
+// home, and are in no view.
 func TestStrangersAreNotAttached(t *testing.T) {
 	t.Parallel()
 	secret := func(text string) string {
--- a/cmd/chutechute/attached_slow_test.go
+++ b/cmd/chutechute/attached_slow_test.go
@@ -62,10 +62,11 @@
 	return list
 }
 
-// Three control members, three attached front ends and many guests at one control member. Faults: one attached front end is sent nothing over any of
-// its ways, with small buffers, while what it sends passes; later its ways go on. Load: some guests come again and again with other
-// processes, each a change of all views. What must show: the others see each round, and its home grows little; it gives its links up, and its
-// view is not confirmed; when the ways go on it comes up to date with what differs, not with the whole view.
+// Three control members, three attached front ends and many guests at one control member. Faults: one attached front end is
+// sent nothing over any of its ways, with small buffers, while what it sends passes; later its ways go on. Load: some guests
+// come again and again with other processes, each a change of all views. What must show: the others see each round, and its
+// home grows little; it gives its links up, and its view is not confirmed; when the ways go on it comes up to date with what
+// differs, not with the whole view.
 func TestSlowReader(t *testing.T) {
 	t.Parallel()
 	f := standin.NewFleet(t, program, 3, standin.Attached("a", "a", "b"))
--- a/cmd/chutechute/attached_stopped_test.go
+++ b/cmd/chutechute/attached_stopped_test.go
@@ -15,10 +15,11 @@
 // stoppedFor is how long a process stands still: longer than leases and doubt, and than a silent link is kept.
 const stoppedFor = 10 * time.Second
 
-// Three control members and three attached front ends. Fault: an attached one is stopped for 10 s while it has one load that runs and one that
-// waits behind it, and its ways stand still when it goes on. Load: those two, repeated through others meanwhile and through itself after. What must show: it is held for dead meanwhile;
-// when it goes on, its own view is as old as the stop until a control member has confirmed it; then all see the same process alive again; and the
-// loads ran as the record allows.
+// Three control members and three attached front ends. Fault: an attached one is stopped for 10 s while it has one load that
+// runs and one that waits behind it, and its ways stand still when it goes on. Load: those two, repeated through others
+// meanwhile and through itself after. What must show: it is held for dead meanwhile; when it goes on, its own view is as old as
+// the stop until a control member has confirmed it; then all see the same process alive again; and the loads ran as the record
+// allows.
 func TestAttachedStoppedAndGoesOn(t *testing.T) {
 	t.Parallel()
 	f := standin.NewFleet(t, program, 3, lasting, standin.Attached("a", "b", "c"))
@@ -41,7 +42,8 @@
 	ways(f, []*standin.Front{n}, func(way *standin.Relay) { way.StallBoth(true) })
 	n.Continue()
 	f.Await("it answers again", func() bool { return n.Standing() != nil })
-	assert.GreaterOrEqual(t, n.Standing().Attached.ViewAgeMS, float64(stoppedFor.Milliseconds()), "nobody has confirmed its view yet")
+	age := n.Standing().Attached.ViewAgeMS
+	assert.GreaterOrEqual(t, age, float64(stoppedFor.Milliseconds()), "nobody has confirmed its view yet")
 	ways(f, []*standin.Front{n}, func(way *standin.Relay) { way.StallBoth(false) })
 	f.Did("the ways of %s go on", n.Name)
 	f.Await("its view is confirmed", func() bool {
@@ -63,8 +65,9 @@
 // lateRounds bounds how often late messages are tried: a hello that comes a second after its challenge is not read at all.
 const lateRounds = 5
 
-// Three control members and two attached front ends. Fault: an attached one is killed after it has dialled its home anew, with its hello
-// on that link held back, and a later process of its name has attached itself when the hello is let go. No load. What must show: the later process stays in all views, and the earlier one's hello is counted as late.
+// Three control members and two attached front ends. Fault: an attached one is killed after it has dialled its home anew, with
+// its hello on that link held back, and a later process of its name has attached itself when the hello is let go. No load. What
+// must show: the later process stays in all views, and the earlier one's hello is counted as late.
 func TestRestartUnderTheSameNameWithLateMessages(t *testing.T) {
 	t.Parallel()
 	f := standin.NewFleet(t, program, 3, standin.Attached("a", "b"))
@@ -82,7 +85,8 @@
 	assert.True(t, seenByAll(n, others), "the later process stays")
 }
 
-// replaceWithLateHello has a process of a front end's name follow it, gives it, and says whether a hello of the earlier one was read after that.
+// replaceWithLateHello has a process of a front end's name follow it, gives it, and says whether a hello of the earlier one was
+// read after that.
 func replaceWithLateHello(f *standin.Fleet, old *standin.Front, others []*standin.Front) (later *standin.Front, late bool) {
 	home := old.Home()
 	before := home.Counter("LateOfReplaced")
--- a/cmd/chutechute/membership_page_test.go
+++ b/cmd/chutechute/membership_page_test.go
@@ -33,8 +33,8 @@
 	return strings.Join(list, "\n")
 }
 
-// What the page on membership has a new operator do, in a folder of its own and on addresses of its own: three control members and two
-// attached front ends come up and see one another, one ends as planned and is seen to have left, and all end.
+// What the page on membership has a new operator do, in a folder of its own and on addresses of its own: three control members
+// and two attached front ends come up and see one another, one ends as planned and is seen to have left, and all end.
 func TestExampleOfTheMembershipPage(t *testing.T) {
 	t.Parallel()
 	script := commands(t, "../../docs/operators/membership.md")
@@ -64,7 +64,8 @@
 		assert.Contains(t, string(log), "phase=closing", name)
 		assert.NotContains(t, string(log), "level=ERROR", name)
 	}
-	for _, line := range []string{`(?m)^ok$\n^ok$`, `n2 +control +room-b +alive`, `x1 +attached +room-c +alive +n3`, `x2 +attached +room-c +left`,
+	for _, line := range []string{`(?m)^ok$\n^ok$`, `n2 +control +room-b +alive`, `x1 +attached +room-c +alive +n3`,
+		`x2 +attached +room-c +left`,
 		`(?m)^role +attached$`, `(?m)^home +n3$`, `attached to +n3, n[12]`} {
 		assert.Regexp(t, line, string(out))
 	}
--- a/internal/standin/attached.go
+++ b/internal/standin/attached.go
@@ -12,16 +12,16 @@
 	"github.com/stretchr/testify/require"
 )
 
-// Attached adds front ends to a fleet that its settings do not name, one in each of the zones. They are a1, a2 and so on, and stand
-// behind the control members in Fronts.
+// Attached adds front ends to a fleet that its settings do not name, one in each of the zones. They are a1, a2 and so on, and
+// stand behind the control members in Fronts.
 func Attached(zones ...string) func(*Fleet) {
 	return func(f *Fleet) {
 		f.Section["attached"] = map[string]any{"enabled": true}
 		for i, zone := range zones {
 			ip := address(int(nets.Add(1))%250 + 1)
 			name := fmt.Sprintf("a%d", i+1)
-			f.Fronts = append(f.Fronts, &Front{F: f, N: len(f.Fronts), Name: name, Zone: zone, Attached: true, Listen: port(f.T, ip),
-				Folder: filepath.Join(f.Dir, "disk-"+name), Admin: filepath.Join(f.Dir, name+".sock")})
+			f.Fronts = append(f.Fronts, &Front{F: f, N: len(f.Fronts), Name: name, Zone: zone, Attached: true,
+				Listen: port(f.T, ip), Folder: filepath.Join(f.Dir, "disk-"+name), Admin: filepath.Join(f.Dir, name+".sock")})
 		}
 	}
 }
@@ -155,8 +155,8 @@
 	})
 }
 
-// Settled waits until all front ends that run see all others that run alive, each attached one follows a home, and their views are
-// alike. The script tells what was missing meanwhile.
+// Settled waits until all front ends that run see all others that run alive, each attached one follows a home, and their views
+// are alike. The script tells what was missing meanwhile.
 func (f *Fleet) Settled() {
 	f.T.Helper()
 	last := ""
@@ -227,8 +227,8 @@
 // Twin prepares another process of a front end's name, with ways of its own to all control members. It does not start it.
 func (f *Fleet) Twin(n *Front) *Front {
 	ip := address(int(nets.Add(1))%250 + 1)
-	twin := &Front{F: f, N: len(f.Fronts), Name: n.Name, Zone: n.Zone, Attached: n.Attached, Section: n.Section, Listen: port(f.T, ip),
-		Folder: n.Folder, Admin: n.Admin + "-twin", Log: &LockedBuffer{}}
+	twin := &Front{F: f, N: len(f.Fronts), Name: n.Name, Zone: n.Zone, Attached: n.Attached, Section: n.Section,
+		Listen: port(f.T, ip), Folder: n.Folder, Admin: n.Admin + "-twin", Log: &LockedBuffer{}}
 	f.Fronts = append(f.Fronts, twin)
 	for _, c := range f.Controls() {
 		r, err := NewRelay(c.Peer, f.Random)
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -58,7 +58,8 @@
 
 // NewFleet prepares a fleet; change may set it up further before its front ends start.
 func NewFleet(t *testing.T, program string, fronts int, change ...func(*Fleet)) *Fleet {
-	f := &Fleet{T: t, Program: program, Site: fmt.Sprintf("test-%d-%d", os.Getpid(), fleets.Add(1)), Seed: 20261201, Dir: t.TempDir(), relays: map[[2]int]*Relay{},
+	f := &Fleet{T: t, Program: program, Site: fmt.Sprintf("test-%d-%d", os.Getpid(), fleets.Add(1)), Seed: 20261201,
+		Dir: t.TempDir(), relays: map[[2]int]*Relay{},
 		Section: map[string]any{}, script: &strings.Builder{}, began: time.Now()}
 	f.Record = &history.Record{Now: func() int64 { return time.Since(f.began).Microseconds() }}
 	var err error
--- a/internal/standin/flow.go
+++ b/internal/standin/flow.go
@@ -132,8 +132,8 @@
 	return c, pause, true
 }
 
-// pass carries frames from one connection to another until the first has ended and what came of it is written. Hold, where it is
-// not nil, keeps all frames back until it is closed; they are read meanwhile, so that none is lost with its sender.
+// pass carries frames from one connection to another until the first has ended and what came of it is written. Hold, where it
+// is not nil, keeps all frames back until it is closed; they are read meanwhile, so that none is lost with its sender.
 func (f *Flow) pass(from, to net.Conn, hold func() <-chan struct{}) {
 	list := make(chan chunk, mostHeld)
 	done := make(chan struct{})
--- a/internal/standin/guest.go
+++ b/internal/standin/guest.go
@@ -12,8 +12,8 @@
 	"chutechute/peer"
 )
 
-// Guest is an attached front end that is no process: it proves itself to one control member and sends heartbeats, and reads what it is
-// told without making anything of it. Many of them make many changes of the view.
+// Guest is an attached front end that is no process: it proves itself to one control member and sends heartbeats, and reads
+// what it is told without making anything of it. Many of them make many changes of the view.
 type Guest struct {
 	f    *Fleet
 	name string
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -6,8 +6,9 @@
 	"time"
 )
 
-// Relay is the way from one front end to another: all bytes of the links that the first dials pass through it, in both directions, and
-// faults are put here. Those of a relay itself hold for what the dialler sends, and Back has those of what it is sent.
+// Relay is the way from one front end to another: all bytes of the links that the first dials pass through it, in both
+// directions, and faults are put here. Those of a relay itself hold for what the dialler sends, and Back has those of what it
+// is sent.
 type Relay struct {
 	*Flow // from who dialled
 	// Back is the way back to who dialled: the hello's answer, and on the link of an attached front end the view.
@@ -43,8 +44,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{Flow: newFlow(random), Back: newFlow(random), Addr: l.Addr().String(), target: target, l: l, conns: map[net.Conn]bool{},
-		pipes: map[*pipe]bool{}}
+	r := &Relay{Flow: newFlow(random), Back: newFlow(random), Addr: l.Addr().String(), target: target, l: l,
+		conns: map[net.Conn]bool{}, pipes: map[*pipe]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -115,8 +116,8 @@
 	delete(r.pipes, p)
 }
 
-// Hold keeps back what the dialler sends on the connections that are open now, also once its process has ended, until release is
-// called. Later connections pass, so what comes then is late.
+// Hold keeps back what the dialler sends on the connections that are open now, also once its process has ended, until release
+// is called. Later connections pass, so what comes then is late.
 func (r *Relay) Hold() (release func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -129,7 +130,8 @@
 	return sync.OnceFunc(func() { close(until) })
 }
 
-// HoldNew ends all connections once, and keeps back what the dialler sends on later ones, from the hello on, until release is called.
+// HoldNew ends all connections once, and keeps back what the dialler sends on later ones, from the hello on, until release is
+// called.
 func (r *Relay) HoldNew() (release func()) {
 	until := make(chan struct{})
 	r.Cut(true)
@@ -139,7 +141,8 @@
 	return sync.OnceFunc(func() { close(until) })
 }
 
-// narrowBuffer is the kernel's buffer for one socket of a narrow relay, in bytes: what one does not read soon stays with its sender.
+// narrowBuffer is the kernel's buffer for one socket of a narrow relay, in bytes: what one does not read soon stays with its
+// sender.
 const narrowBuffer = 4 << 10
 
 // Narrow gives connections from now on small buffers on the way back, so that a dialler that reads slowly holds up its sender.
--- a/internal/standin/relay_test.go
+++ b/internal/standin/relay_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -122,7 +123,8 @@
 			require.NoError(t, err)
 			_, err = s.from.Write(frame(otherKind, "end"))
 			require.NoError(t, err)
-			require.Eventually(t, func() bool { return bytes.HasSuffix([]byte(s.came.String()), []byte("end")) }, Patience, time.Millisecond)
+			over := func() bool { return strings.HasSuffix(s.came.String(), "end") }
+			require.Eventually(t, over, Patience, time.Millisecond)
 			came := []byte(s.came.String())
 			assert.Equal(t, sent, bytes.Count(came, frame(helloKind, "h")))
 			assert.Greater(t, bytes.Count(came, frame(otherKind, "o")), sent)
--- a/internal/standin/watch.go
+++ b/internal/standin/watch.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// Watch looks at how some front ends see others, again and again, until it is stopped. It gives what was not as it should be: each
-// time one of the watched was seen in one of the states.
+// Watch looks at how some front ends see others, again and again, until it is stopped. It gives what was not as it should be:
+// each time one of the watched was seen in one of the states.
 func (f *Fleet) Watch(by []*Front, watched []*Front, states ...string) (stop func() (seen []string)) {
 	until := make(chan struct{})
 	var all sync.WaitGroup
