--- a/cmd/chutechute/attached_lost_test.go
+++ b/cmd/chutechute/attached_lost_test.go
@@ -12,7 +12,8 @@
 
 // Five control members in three zones, two of them in zone a, and four attached front ends there. Faults: the zone's first
 // control member is killed, then its second. Load: a look-up and a keyed load through each attached one after each loss. What
-// must show: they go on, are seen by all and take their view from others, and nobody who is alive is held for dead at any time.
+// must show: they go on, are seen by all, have links to two others and take their view from one, and nobody who is alive is
+// held for dead at any time.
 func TestControlMemberLostThenItsZonesSecond(t *testing.T) {
 	t.Parallel()
 	copies := func(f *standin.Fleet) { f.Section["copies"] = 5 }
@@ -42,6 +43,9 @@
 		c.Kill(true)
 		f.AllSee(rest, c.Name, "dead")
 		f.Settled()
+		f.Await("each has links to two that run", func() bool {
+			return !slices.ContainsFunc(f.AttachedOnes(), func(n *standin.Front) bool { return linksTo(n, alive) != 2 })
+		})
 		for _, n := range f.AttachedOnes() {
 			assert.True(t, alive[n.Home()], "%s follows %s", n.Name, n.Home().Name)
 			assert.Equal(t, history.Answer, n.Lookup())
@@ -52,6 +56,20 @@
 	f.Check()
 }
 
+// linksTo is how many control members that run an attached front end has links to.
+func linksTo(n *standin.Front, alive map[*standin.Front]bool) (links int) {
+	s := n.Standing()
+	if s == nil {
+		return 0
+	}
+	for _, c := range n.F.Controls() {
+		if alive[c] && s.Of(c.Name).Link {
+			links++
+		}
+	}
+	return links
+}
+
 // Three control members and six attached front ends, all of them and the first control member in zone a. Faults: the ways from
 // the attached ones to that control member are cut; then all their other ways stand still for longer than a lease too, and go
 // on. No load. What must show: the first control member, which loses all leases at once, doubts itself, and they are seen alive
