--- a/cmd/chutechute/attached_stopped_test.go
+++ b/cmd/chutechute/attached_stopped_test.go
@@ -65,30 +65,39 @@
 // lateRounds bounds how often late messages are tried: a hello that comes a second after its challenge is not read at all.
 const lateRounds = 5
 
-// Three control members and two attached front ends. Fault: an attached one is killed after it has dialled its home anew, with
-// its hello on that link held back, and a later process of its name has attached itself when the hello is let go. No load. What
-// must show: the later process stays in all views, and the earlier one's hello is counted as late.
+// Three control members and two attached front ends. Faults: an attached one is killed after it has dialled its home anew, with its
+// hello on that link held back, and a later process of its name has attached itself when the hello is let go; then the same with an
+// earlier process that had not been heard by anyone before. No load. What must show: the later process stays in all views, and the
+// earlier one's hello is counted as late.
 func TestRestartUnderTheSameNameWithLateMessages(t *testing.T) {
 	t.Parallel()
 	f := standin.NewFleet(t, program, 3, standin.Attached("a", "b"))
 	f.Leader(3)
 	f.Settled()
-	n, late := f.AttachedOnes()[0], false
+	n := f.AttachedOnes()[0]
 	others := append(f.Controls(), f.AttachedOnes()[1])
-	for round := 0; round < lateRounds && !late; round++ {
-		n, late = replaceWithLateHello(f, n, others)
+	for _, known := range []bool{true, false} {
+		late := false
+		for round := 0; round < lateRounds && !late; round++ {
+			home, old := n.Home(), n
+			if !known {
+				n.Kill(false)
+				old = f.Twin(n)
+				ways(f, []*standin.Front{old}, func(way *standin.Relay) { way.Stall(way != f.Way(old, home)) })
+			}
+			n, late = replaceWithLateHello(f, old, home, others)
+		}
+		assert.True(t, late, "a late hello was read, of a process that was known: %v", known)
 	}
-	assert.True(t, late, "a late hello was read")
 	home := f.Way(n, n.Home())
 	passed, _, _ := home.Passed()
 	f.Await("the later one's heartbeats go on", func() bool { now, _, _ := home.Passed(); return now >= passed+2 })
 	assert.True(t, seenByAll(n, others), "the later process stays")
 }
 
-// replaceWithLateHello has a process of a front end's name follow it, gives it, and says whether a hello of the earlier one was
-// read after that.
-func replaceWithLateHello(f *standin.Fleet, old *standin.Front, others []*standin.Front) (later *standin.Front, late bool) {
-	home := old.Home()
+// replaceWithLateHello has a process of a front end's name follow it, gives it, and says whether a hello of the earlier one was read
+// after that. The earlier one is started, if it was not, when what it says to its home is held back.
+func replaceWithLateHello(f *standin.Fleet, old, home *standin.Front, others []*standin.Front) (later *standin.Front, late bool) {
 	before := home.Counter("LateOfReplaced")
 	later = f.Twin(old)
 	ways(f, []*standin.Front{later}, func(way *standin.Relay) { way.Stall(true) })
@@ -98,6 +107,9 @@
 	release := f.Way(old, home).HoldNew()
 	defer release()
 	f.Did("what %s sends to %s on new links is held back", old.Name, home.Name)
+	if old.Starts == 0 {
+		old.Start()
+	}
 	f.Await("its hello is on the way", func() bool { return f.Way(old, home).Waiting() > 0 })
 	old.Kill(false)
 	f.Way(later, home).Stall(false)
