--- a/attach/attach.go
+++ b/attach/attach.go
@@ -17,6 +17,11 @@
 // A control member that has restarted knows of front ends that died before only what the tables of the others' present processes
 // hold: until they are forgotten, ten minutes after their end, its view may lack some that are Dead or have Left elsewhere.
 //
+// Who drives it sends what Actions gave before the heartbeat that Versions goes into; closes the links that Close gives, and those
+// whose message was an error; tells of each link's end by Unlinked with the same Link, and at a client of each failed dial too; and
+// drops what waits for a process that it calls Refused for. The view's own type has the name View and a control member's role the name
+// Control, so the kind of message is ViewPart and a control member of the settings is a ControlMember.
+//
 // It is a stepped module without I/O, clock, goroutines or map order. All times are of this process's monotonic clock.
 package attach
 
