Links of attached front ends: the system keeps at most 64 KB of what is not read

Need: what waits in the system's send buffer counted in no bound: on loopback it took 3.9 MB per link before a slow reader was noticed. Change: SO_SNDBUF on links of attached front ends, and on no others. TestSlowReaderIsBounded now asks what waits here of a megabyte that nobody reads; without the change nothing waits, and it fails.

--- a/internal/epoll/attached_test.go
+++ b/internal/epoll/attached_test.go
@@ -333,6 +333,13 @@
 	l := n1.byProcess[d.Self.Incarnation][0]
 	l.neverSilent()
 	refused := &n1.node.Attaches().Counters.Refused
+	before, small := l.out.Len()+l.queue.Len(), make([]byte, 1000)
+	const pushed = 1000
+	for range pushed {
+		n1.pushAttached(tellOf("slow", d.Self.Incarnation, small))
+	}
+	waits := l.out.Len() + l.queue.Len() - before
+	assert.Greater(t, waits, pushed*len(small)-8*attachedSend, "the system takes little of what is not read")
 	for range 64 {
 		before := *refused
 		n1.pushAttached(tellOf("slow", d.Self.Incarnation, body))
--- a/internal/epoll/attachlinks.go
+++ b/internal/epoll/attachlinks.go
@@ -4,6 +4,8 @@
 	"errors"
 	"log/slog"
 
+	"golang.org/x/sys/unix"
+
 	"chutechute/fleet"
 	"chutechute/peer"
 )
@@ -17,6 +19,9 @@
 	attachedShaking = 512
 	// attachedSpare is how many links, for each four that may be, are allowed for old ones that are noticed late.
 	attachedSpare = 4
+	// attachedSend is the size of the system's send buffer of a link to an attached front end, which grows to megabytes by itself:
+	// what waits there counts in no bound here.
+	attachedSend = 64 << 10
 	// attachedPause is a gap between two ticks above which this process stood still.
 	attachedPause = 600 * ms
 )
@@ -50,6 +55,7 @@
 	l.p.attachedIn++
 	l.p.host.count.Attached++
 	l.attached = true
+	_ = unix.SetsockoptInt(l.fd, unix.SOL_SOCKET, unix.SO_SNDBUF, attachedSend) // without it more waits in the system
 	l.queue = peer.Queue{MostUrgent: attachedUrgent, MostBulk: l.p.cfg.Attached.MostView}
 	l.p.byProcess[other.Incarnation] = append(l.p.byProcess[other.Incarnation], l)
 	slog.Debug("attached", "from", other.Name, "incarnation", hex(other.Incarnation))
