--- a/exercise/membership/truth.go
+++ b/exercise/membership/truth.go
@@ -75,10 +75,12 @@
 	counts  bool // it is part of the figures
 }
 
-// shows says whether somebody who sees that knows of the change.
+// shows says whether somebody who sees that knows of the change. One that ended may be forgotten.
 func (c *change) shows(v sight) bool {
 	switch {
-	case v == 0 || v.order() < c.order:
+	case v == 0:
+		return c.kind == vanished
+	case v.order() < c.order:
 		return false
 	case v.order() > c.order:
 		return true
@@ -87,7 +89,7 @@
 }
 
 // shownBy says whether that is the change itself, and not a later one.
-func (c *change) shownBy(v sight) bool { return c.shows(v) && v.order() == c.order }
+func (c *change) shownBy(v sight) bool { return v != 0 && c.shows(v) && v.order() == c.order }
 
 // began takes a process's start.
 func (t *truth) began(q *process) {
@@ -202,16 +204,20 @@
 	if _, counted := t.turns[[2]int{at, about}]; counted {
 		t.turns[[2]int{at, about}]++
 	}
-	if v == 0 {
-		return
+	if v != 0 {
+		t.judge(q, subject, v)
+	}
+	for _, c := range slices.Clone(t.open[about]) {
+		t.inform(c, q, v)
 	}
+}
+
+// judge finds what a member ought not to see.
+func (t *truth) judge(q *process, subject *place, v sight) {
 	t.past(q, subject, v)
 	if v.state() == attach.Dead && t.wronglyDead(q.p, subject, v.order()) {
 		t.falseDeaths.add(t.s, "%s sees %s dead, which runs", q.p.name, subject.name)
 	}
-	for _, c := range slices.Clone(t.open[about]) {
-		t.inform(c, q, v)
-	}
 }
 
 // past notes which processes a member sees, and finds those that it ought not to see any more but as dead.
@@ -248,7 +254,7 @@
 		}
 		return
 	}
-	if q.control == nil || q.p == c.place || !c.shows(v) {
+	if q.control == nil || q.p == c.place || v == 0 || !c.shows(v) {
 		return
 	}
 	if !c.shownBy(v) { // a later one made it void before anybody saw it
