--- a/exercise/membership/truth.go
+++ b/exercise/membership/truth.go
@@ -101,9 +101,14 @@
 	t.add(&change{kind: appeared, place: q.p, order: q.order, since: t.s.now})
 }
 
-// ended takes a process's end.
+// ended takes a process's end. Nobody needs to learn any more that it was there.
 func (t *truth) ended(q *process) {
 	t.left(q.p.index)
+	for _, c := range slices.Clone(t.open[q.p.index]) {
+		if c.kind == appeared {
+			t.drop(c)
+		}
+	}
 	t.add(&change{kind: vanished, place: q.p, order: q.order, since: t.s.now})
 }
 
