--- a/cmd/chutechute-scale/main_test.go
+++ b/cmd/chutechute-scale/main_test.go
@@ -35,6 +35,7 @@
 		{"--faults", "1s kill control 9", `--faults: fault 1: "9"`},
 		{"--real", "5", "--real: 5"},
 		{"--program", "/nowhere", "--program: /nowhere"},
+		{"--over", "-1s", "--over: -1s"},
 	} {
 		_, err := execute("run", c.flag, c.value)
 		assert.ErrorContains(t, err, c.want)
--- a/cmd/chutechute-scale/run.go
+++ b/cmd/chutechute-scale/run.go
@@ -41,6 +41,7 @@
 	real    int
 	changes int
 	program string
+	over    time.Duration
 	note    string
 
 	processor bool
@@ -73,6 +74,7 @@
 	flags.IntVar(&f.real, "real", defaultReal, "control members that are processes of the program")
 	flags.IntVar(&f.changes, "changes", defaultChanges, "front ends that are killed and started one by one after the measured part")
 	flags.StringVar(&f.program, "program", "", "the built program; chutechute beside this one where it is left out")
+	flags.DurationVar(&f.over, "over", 0, "the span over which hollow front ends start evenly; 0: all at once")
 	flags.StringVar(&f.note, "note", "", "a note that the result keeps, such as what else the machine did")
 	return cmd
 }
@@ -122,7 +124,7 @@
 	if f.program == "" {
 		f.program = filepath.Join(filepath.Dir(self), "chutechute")
 	}
-	o := &sockets.Options{Shape: f.shape, Real: f.real, Program: f.program, Changes: f.changes, Start: startSpan,
+	o := &sockets.Options{Shape: f.shape, Real: f.real, Program: f.program, Changes: f.changes, Start: startSpan, Over: f.over,
 		Faults: faults, Script: f.faults, Worker: []string{self, hollowCommand}, Progress: progress}
 	if err := sockets.Check(o); err != nil {
 		return nil, err
--- a/internal/epoll/hollow.go
+++ b/internal/epoll/hollow.go
@@ -154,9 +154,18 @@
 	for _, m := range h.members {
 		h.step(m)
 	}
+	h.count.LongestTurn = max(h.count.LongestTurn, int(h.clock.now()-h.now))
 	return nil
 }
 
+// LongestTurn is the longest turn of the loop since this was asked last, in microseconds. Where it comes near the links' own spans,
+// front ends that share the loop disturb one another as processes of their own would not.
+func (h *Hollow) LongestTurn() Micros {
+	longest := h.count.LongestTurn
+	h.count.LongestTurn = 0
+	return Micros(longest)
+}
+
 // step lets time pass for a front end whose tick is due, and carries out what messages have made it want.
 func (h *Hollow) step(m *hollowMember) {
 	if m.paused > h.now {
@@ -194,15 +203,18 @@
 	return m.connections()
 }
 
-// Complete is how many front ends here see so many as alive, themselves too.
-func (h *Hollow) Complete(total int) (complete int) {
+// Complete is how many front ends here see so many as alive, themselves too, and the least that any sees.
+func (h *Hollow) Complete(total int) (complete, least int) {
+	least = total
 	counted := map[uint64]int{} // views by their digest: most are the same
 	for _, m := range h.members {
-		if m.alive(counted) == total {
+		alive := m.alive(total, counted)
+		if alive == total {
 			complete++
 		}
+		least = min(least, alive)
 	}
-	return complete
+	return complete, least
 }
 
 // Close ends all front ends here.
@@ -253,11 +265,15 @@
 	return open
 }
 
-// alive is how many front ends this one sees as alive, itself too. What counting a view comes to is kept in counted.
-func (p *peers) alive(counted map[uint64]int) int {
+// alive is how many front ends this one sees as alive, itself too; of a view with fewer than total entries, these. What counting a
+// view comes to is kept in counted.
+func (p *peers) alive(total int, counted map[uint64]int) int {
 	view := p.part.View()
-	if view == nil {
+	switch {
+	case view == nil:
 		return p.aliveMembers()
+	case view.Len() < total:
+		return view.Len()
 	}
 	alive, known := counted[view.Digest()]
 	if known {
--- a/internal/epoll/hollow_change.go
+++ b/internal/epoll/hollow_change.go
@@ -40,6 +40,19 @@
 	h.awaited = append(h.awaited, a)
 }
 
+// Waiting is the names of the front ends here that have not seen a change that is awaited, by that change.
+func (h *Hollow) Waiting() map[Change][]string {
+	waiting := map[Change][]string{}
+	for _, a := range h.awaited {
+		for _, m := range h.members {
+			if _, waits := a.pending[m]; waits {
+				waiting[a.change] = append(waiting[a.change], m.cfg.Name)
+			}
+		}
+	}
+	return waiting
+}
+
 // look notes which changes a front end has seen.
 func (h *Hollow) look(m *hollowMember) {
 	for _, a := range h.awaited {
--- a/internal/epoll/hollow_test.go
+++ b/internal/epoll/hollow_test.go
@@ -68,6 +68,12 @@
 	require.Fail(f.t, "it does not come to hold in 30 s")
 }
 
+// complete is how many see all.
+func (f *hollowFleet) complete() int {
+	complete, _ := f.Complete(len(f.names))
+	return complete
+}
+
 func (f *hollowFleet) total() (t Traffic) {
 	for _, name := range f.names {
 		one, _ := f.Traffic(name)
@@ -84,7 +90,7 @@
 	for _, name := range f.names {
 		f.start(name)
 	}
-	f.until(func() bool { return f.Complete(size) == size })
+	f.until(func() bool { return f.complete() == size })
 	for _, name := range f.names {
 		assert.Equal(t, 2*(size-1), f.Connections(name), name)
 	}
@@ -109,14 +115,14 @@
 	for _, name := range f.names {
 		f.start(name)
 	}
-	f.until(func() bool { return f.Complete(size) == size })
+	f.until(func() bool { return f.complete() == size })
 	require.NoError(t, f.Pause("n2", f.Now()+1000*ms))
 	still, _ := f.Traffic("n2")
 	require.NoError(t, f.Run(f.Now()+900*ms))
 	after, _ := f.Traffic("n2")
 	assert.Equal(t, still, after)
 	f.until(func() bool { t, _ := f.Traffic("n2"); return t.HeartbeatsIn > after.HeartbeatsIn+2*size })
-	f.until(func() bool { return f.Complete(size) == size })
+	f.until(func() bool { return f.complete() == size })
 
 	seen := Micros(-1)
 	require.NoError(t, f.Kill("n4"))
@@ -129,7 +135,7 @@
 	for _, name := range f.names[:3] {
 		assert.Equal(t, 2*(size-2), f.Connections(name), name)
 	}
-	assert.Zero(t, f.Complete(size))
+	assert.Zero(t, f.complete())
 
 	f.start("n4")
 	seen = -1
@@ -144,7 +150,7 @@
 	for _, name := range f.names {
 		f.start(name)
 	}
-	f.until(func() bool { return f.Complete(3) == 3 })
+	f.until(func() bool { return f.complete() == 3 })
 	var ended []Micros
 	never := Change{Name: "n1", Incarnation: 1}
 	f.Await(never, func(at Micros) { ended = append(ended, at) })
--- a/internal/scale/sockets/change.go
+++ b/internal/scale/sockets/change.go
@@ -1,7 +1,9 @@
 package sockets
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -62,18 +64,17 @@
 		f     *front
 		reply reply
 	}
-	outcomes := make(chan outcome, len(r.plan.fronts))
-	sent := 0
-	for _, h := range r.hollows {
-		for _, f := range h.fronts {
-			if err := h.send(r.startOf(f), func(reply reply) { outcomes <- outcome{f, reply} }); err != nil {
-				return err
-			}
-			sent++
+	order := r.startOrder()
+	outcomes := make(chan outcome, len(order))
+	began := time.Now()
+	for i, f := range order {
+		time.Sleep(time.Until(began.Add(r.o.Over * time.Duration(i) / time.Duration(len(order)))))
+		if err := r.hollowsOf(f).send(r.startOf(f), func(reply reply) { outcomes <- outcome{f, reply} }); err != nil {
+			return err
 		}
 	}
 	late := time.After(replyWait)
-	for range sent {
+	for range order {
 		select {
 		case o := <-outcomes:
 			if o.reply.Error != "" {
@@ -87,6 +88,33 @@
 	return nil
 }
 
+// startOrder is all hollow front ends, one of each process after the other: control members first where all start over a span.
+func (r *run) startOrder() (order []*front) {
+	for n := 0; ; n++ {
+		before := len(order)
+		for _, h := range r.hollows {
+			if n < len(h.fronts) {
+				order = append(order, h.fronts[n])
+			}
+		}
+		if len(order) == before {
+			break
+		}
+	}
+	if r.o.Over > 0 {
+		slices.SortStableFunc(order, func(a, b *front) int { return cmp.Compare(role(a), role(b)) })
+	}
+	return order
+}
+
+// role orders control members before those that attach to them.
+func role(f *front) int {
+	if f.attached {
+		return 1
+	}
+	return 0
+}
+
 // kill ends a front end without a word; it gives when.
 func (r *run) kill(f *front) (at epoll.Micros, err error) {
 	delete(r.running, f)
@@ -165,6 +193,20 @@
 	return unreached
 }
 
+// unseen says who has not seen which change, in words.
+func (r *run) unseen() (list []string) {
+	for _, h := range r.hollows {
+		reply, err := h.ask(request{Op: opWaiting})
+		if err != nil {
+			continue // a note is all that is lost
+		}
+		for _, one := range reply.Waiting {
+			list = append(list, "not seen: "+one)
+		}
+	}
+	return list
+}
+
 // lose kills a front end and follows its end.
 func (r *run) lose(f *front) error {
 	process, runs := r.running[f]
--- a/internal/scale/sockets/measure.go
+++ b/internal/scale/sockets/measure.go
@@ -85,6 +85,13 @@
 	perMessage(result)
 	r.heartbeats(result, before, after)
 	r.startFigures(result)
+	longest := int64(0)
+	for _, f := range after.hollows {
+		longest = max(longest, f.LongestTurn)
+	}
+	result.Notes = append(result.Notes, fmt.Sprintf("the longest turn of a loop that carries hollow front ends took %d ms while measured",
+		longest/1000))
+	result.Notes = append(result.Notes, r.unseen()...)
 	r.spread(result)
 	r.realFigures(result, before, after)
 	result.Notes = append(result.Notes,
--- a/internal/scale/sockets/plan.go
+++ b/internal/scale/sockets/plan.go
@@ -16,7 +16,9 @@
 	Program string // the built program; needed with Real above 0
 	Changes int    // front ends that are killed and started again, one by one, after the measured part
 	// Start is how long the traffic of a fleet with attached front ends is counted from its start at once on; 0: it is not.
-	Start  time.Duration
+	Start time.Duration
+	// Over is the span over which the front ends start evenly; 0: all at once, as far as this machine's cores let them.
+	Over   time.Duration
 	Faults []scale.Fault
 	Script string // that Faults was read from
 	// Worker is the command line of a process of hollow front ends; without one they run within this process.
@@ -39,7 +41,7 @@
 // core.
 const (
 	mostControlsAProcess = 10
-	mostAttachedAProcess = 400
+	mostAttachedAProcess = 200
 )
 
 // plan is who runs where.
--- a/internal/scale/sockets/protocol.go
+++ b/internal/scale/sockets/protocol.go
@@ -20,6 +20,7 @@
 	opSeen    op = "seen"    // how many see all others
 	opFigures op = "figures" // what was counted so far
 	opAwait   op = "await"   // replies once all have seen a change
+	opWaiting op = "waiting" // who has not seen which change
 	opEnd     op = "end"     // ends all and the process
 )
 
@@ -43,8 +44,10 @@
 	Error       string       `json:"error,omitempty"`
 	At          epoll.Micros `json:"at"` // the loop's time when it was done
 	Incarnation uint64       `json:"incarnation,omitempty"`
-	Seen        int          `json:"seen,omitempty"`    // of opSeen
+	Seen        int          `json:"seen,omitempty"`    // of opSeen: how many see all
+	Least       int          `json:"least,omitempty"`   // of opSeen: the least that any sees
 	SeenAt      epoll.Micros `json:"seen_at,omitempty"` // of opAwait; 0: none was here to see it
+	Waiting     []string     `json:"waiting,omitempty"` // of opWaiting, in words
 	Figures     *figures     `json:"figures,omitempty"`
 }
 
@@ -56,4 +59,5 @@
 	Traffic     epoll.Traffic `json:"traffic"`  // of all front ends here together, those ended too
 	Members     int           `json:"members"`
 	Connections int           `json:"connections"`
+	LongestTurn epoll.Micros  `json:"longest_turn"` // of the loop, since the last figures
 }
--- a/internal/scale/sockets/run.go
+++ b/internal/scale/sockets/run.go
@@ -18,7 +18,9 @@
 	settleSpan   = 2 * time.Second  // until what the start has caused is over
 	changeWait   = 30 * time.Second // for a change to reach all, also on a busy machine
 	pollEvery    = 50 * time.Millisecond
-	overhead     = 5 * time.Minute // a worker ends itself by this much after the measured part
+	// assembleEvery is longer, since counting a large view takes the loops' time.
+	assembleEvery = 200 * time.Millisecond
+	overhead      = 5 * time.Minute // a worker ends itself by this much after the measured part
 )
 
 // socketsShare is how many descriptors a control member is given for each link: attached front ends may have a quarter of them.
@@ -59,6 +61,9 @@
 	if o.Changes < 0 || o.Changes > mostChanges {
 		return nil, &scale.FlagError{Flag: "changes", Value: o.Changes, Reason: fmt.Sprintf("is not from 0 to %d", mostChanges)}
 	}
+	if o.Over < 0 || o.Over > mostOver {
+		return nil, &scale.FlagError{Flag: "over", Value: o.Over, Reason: fmt.Sprintf("is not from 0 to %s", mostOver)}
+	}
 	if o.Real > 0 {
 		if info, err := os.Stat(o.Program); err != nil || info.IsDir() || info.Mode()&0o111 == 0 {
 			return nil, &scale.FlagError{Flag: "program", Value: o.Program, Reason: "is no program: 'make build' makes it"}
@@ -72,7 +77,10 @@
 	return p, p.needs(o).Check(limits)
 }
 
-const mostChanges = 50
+const (
+	mostChanges = 50
+	mostOver    = 2 * time.Minute
+)
 
 // Run runs a fleet and measures it. All that it starts has ended when it returns.
 func Run(o *Options) (*scale.Result, error) {
@@ -121,7 +129,7 @@
 		return err
 	}
 	r.o.Progress("%d front ends see one another after %.1f s", r.o.Shape.Total(), time.Since(began).Seconds())
-	if r.o.Shape.Attached() > 0 && r.o.Start > 0 {
+	if r.o.Shape.Attached() > 0 && r.o.Start > 0 && r.o.Over == 0 {
 		return r.first(began)
 	}
 	time.Sleep(settleSpan)
@@ -144,7 +152,7 @@
 	if err != nil {
 		return fmt.Errorf("sockets: %w", err)
 	}
-	most := r.o.Shape.Span() + overhead
+	most := r.o.Over + r.o.Shape.Span() + overhead
 	r.o.Progress("%d processes of hollow front ends, %d of the program", len(r.plan.groups), len(r.plan.real))
 	for _, group := range r.plan.groups {
 		h, err := startHollows(r.o.Worker, group, most)
@@ -168,7 +176,7 @@
 // assemble waits until all hollow front ends see all others.
 func (r *run) assemble() error {
 	missing := ""
-	for until := time.Now().Add(assembleWait); time.Now().Before(until); time.Sleep(pollEvery) {
+	for until := time.Now().Add(assembleWait); time.Now().Before(until); time.Sleep(assembleEvery) {
 		missing = ""
 		for _, h := range r.hollows {
 			reply, err := h.ask(request{Op: opSeen, Total: r.o.Shape.Total()})
@@ -176,16 +184,31 @@
 				return err
 			}
 			if reply.Seen < len(h.fronts) {
-				missing += fmt.Sprintf(" %d of %s..%s", len(h.fronts)-reply.Seen, h.fronts[0].name, h.fronts[len(h.fronts)-1].name)
+				missing += fmt.Sprintf(" %d of %s..%s, the least %d;", len(h.fronts)-reply.Seen, h.fronts[0].name,
+					h.fronts[len(h.fronts)-1].name, reply.Least)
 			}
 		}
 		if missing == "" {
 			return nil
 		}
 	}
+	r.o.Progress("longest turns of the loops: %s", r.longestTurns())
 	return fmt.Errorf("sockets: after %s not all front ends see all %d:%s", assembleWait, r.o.Shape.Total(), missing)
 }
 
+// longestTurns is those of the loops since they were last asked, for a run that comes to nothing.
+func (r *run) longestTurns() string {
+	var list []string
+	for _, h := range r.hollows {
+		f, err := h.figures(false)
+		if err != nil {
+			return err.Error()
+		}
+		list = append(list, fmt.Sprintf("%d ms", f.LongestTurn/1000))
+	}
+	return strings.Join(list, ", ")
+}
+
 // end ends all that was started, and takes the files away.
 func (r *run) end() {
 	for _, h := range r.hollows {
--- a/internal/scale/sockets/worker.go
+++ b/internal/scale/sockets/worker.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"time"
 
 	"chutechute/internal/config"
@@ -79,12 +81,14 @@
 	case opPause:
 		err = w.hollow.Pause(q.Member, w.hollow.Now()+q.Span)
 	case opSeen:
-		r.Seen = w.hollow.Complete(q.Total)
+		r.Seen, r.Least = w.hollow.Complete(q.Total)
 	case opFigures:
 		r.Figures, err = w.figures(q.Collect)
 	case opAwait:
 		w.hollow.Await(*q.Change, func(seen epoll.Micros) { w.reply(reply{ID: q.ID, SeenAt: seen}) })
 		return
+	case opWaiting:
+		r.Waiting = w.waiting()
 	case opEnd:
 		w.hollow.Stop()
 	default:
@@ -141,7 +145,8 @@
 // figures reads memory first: what a collection of garbage takes is not to count as idle.
 func (w *worker) figures(collect bool) (*figures, error) {
 	resident, heap, err := ownMemory(collect)
-	f := &figures{CPU: ownCPU(), Resident: resident, Heap: heap, Traffic: w.ended, Members: len(w.names)}
+	f := &figures{CPU: ownCPU(), Resident: resident, Heap: heap, Traffic: w.ended, Members: len(w.names),
+		LongestTurn: w.hollow.LongestTurn()}
 	for _, name := range w.names {
 		traffic, _ := w.hollow.Traffic(name)
 		f.Traffic = f.Traffic.Plus(traffic)
@@ -149,3 +154,16 @@
 	}
 	return f, err
 }
+
+// waiting is who has not seen which change, in words.
+func (w *worker) waiting() (list []string) {
+	for change, names := range w.hollow.Waiting() {
+		what := "start"
+		if change.Gone {
+			what = "end"
+		}
+		list = append(list, fmt.Sprintf("the %s of %s: %s", what, change.Name, strings.Join(names, " ")))
+	}
+	slices.Sort(list)
+	return list
+}
