--- a/internal/epoll/hollow.go
+++ b/internal/epoll/hollow.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"chutechute/attach"
 	"chutechute/internal/config"
 	"chutechute/member"
 )
@@ -25,7 +26,7 @@
 type hollowMember struct {
 	*peers
 	nextTick Micros
-	pumped   int    // messages that had come at the last pump
+	pumped   int    // bytes that had come at the last pump
 	paused   Micros // until when it stands still; 0: it runs
 }
 
@@ -153,9 +154,18 @@
 	for _, m := range h.members {
 		h.step(m)
 	}
+	h.count.LongestTurn = max(h.count.LongestTurn, int(h.clock.now()-h.now))
 	return nil
 }
 
+// LongestTurn is the longest turn of the loop since this was asked last, in microseconds. Where it comes near the links' own spans,
+// front ends that share the loop disturb one another as processes of their own would not.
+func (h *Hollow) LongestTurn() Micros {
+	longest := h.count.LongestTurn
+	h.count.LongestTurn = 0
+	return Micros(longest)
+}
+
 // step lets time pass for a front end whose tick is due, and carries out what messages have made it want.
 func (h *Hollow) step(m *hollowMember) {
 	if m.paused > h.now {
@@ -169,8 +179,8 @@
 		m.tick()
 		h.look(m)
 	}
-	if m.pumped != m.traffic.MessagesIn {
-		m.pumped = m.traffic.MessagesIn
+	if m.pumped != m.traffic.BytesIn {
+		m.pumped = m.traffic.BytesIn
 		m.pump()
 	}
 }
@@ -193,14 +203,18 @@
 	return m.connections()
 }
 
-// Complete is how many front ends here see so many as alive, themselves too.
-func (h *Hollow) Complete(total int) (complete int) {
+// Complete is how many front ends here see so many as alive, themselves too, and the least that any sees.
+func (h *Hollow) Complete(total int) (complete, least int) {
+	least = total
+	counted := map[uint64]int{} // views by their digest: most are the same
 	for _, m := range h.members {
-		if m.alive() == total {
+		alive := m.alive(total, counted)
+		if alive == total {
 			complete++
 		}
+		least = min(least, alive)
 	}
-	return complete
+	return complete, least
 }
 
 // Close ends all front ends here.
@@ -228,7 +242,9 @@
 
 // each gives all of a front end's open descriptors with what is awaited of them and their owners.
 func (p *peers) each(do func(fd int, want uint32, owner handler)) {
-	do(p.listener.fd, unix.EPOLLIN, p.listener)
+	if p.listener != nil {
+		do(p.listener.fd, unix.EPOLLIN, p.listener)
+	}
 	for _, l := range p.out {
 		if !l.closed {
 			do(l.fd, l.want, l)
@@ -249,8 +265,30 @@
 	return open
 }
 
-// alive is how many front ends this one sees as alive, itself too.
-func (p *peers) alive() int {
+// alive is how many front ends this one sees as alive, itself too; of a view with fewer than total entries, these. What counting a
+// view comes to is kept in counted.
+func (p *peers) alive(total int, counted map[uint64]int) int {
+	view := p.part.View()
+	switch {
+	case view == nil:
+		return p.aliveMembers()
+	case view.Len() < total:
+		return view.Len()
+	}
+	alive, known := counted[view.Digest()]
+	if known {
+		return alive
+	}
+	for _, e := range view.List() {
+		if e.State == attach.Alive {
+			alive++
+		}
+	}
+	counted[view.Digest()] = alive
+	return alive
+}
+
+func (p *peers) aliveMembers() int {
 	alive := 1
 	for _, m := range p.node.Members().List() {
 		if m.State == member.Alive {
--- a/internal/epoll/hollow_change.go
+++ b/internal/epoll/hollow_change.go
@@ -1,6 +1,9 @@
 package epoll
 
-import "chutechute/member"
+import (
+	"chutechute/attach"
+	"chutechute/member"
+)
 
 // Change is something about one front end that all others are to learn: that a process is there, or that it is gone.
 type Change struct {
@@ -17,8 +20,8 @@
 	done    func(seen Micros)
 }
 
-// Await has done called, on the loop, once every front end that runs here now and that is not the change's own has seen a change, or has
-// ended; seen is when the last of them did, as of its tick. With none to wait for it is called at once, with 0 where there is none at all.
+// Await has done called, on the loop, once every front end that runs here now and that is not the change's own has seen a change, or
+// has ended. Seen is when the last of them did, as of its tick; 0 where none has seen it, since there is none.
 func (h *Hollow) Await(change Change, done func(seen Micros)) {
 	a := &awaited{change: change, pending: map[*hollowMember]struct{}{}, done: done}
 	for _, m := range h.members {
@@ -37,6 +40,19 @@
 	h.awaited = append(h.awaited, a)
 }
 
+// Waiting is the names of the front ends here that have not seen a change that is awaited, by that change.
+func (h *Hollow) Waiting() map[Change][]string {
+	waiting := map[Change][]string{}
+	for _, a := range h.awaited {
+		for _, m := range h.members {
+			if _, waits := a.pending[m]; waits {
+				waiting[a.change] = append(waiting[a.change], m.cfg.Name)
+			}
+		}
+	}
+	return waiting
+}
+
 // look notes which changes a front end has seen.
 func (h *Hollow) look(m *hollowMember) {
 	for _, a := range h.awaited {
@@ -73,11 +89,21 @@
 	}
 }
 
-// sees says whether a front end's view shows a change.
+// sees says whether a front end's view shows a change. A process that it never heard of is gone for it.
 func (p *peers) sees(change Change) bool {
-	if change.Gone {
-		return p.node.Gone(change.Incarnation)
+	if view := p.part.View(); view != nil {
+		if change.Gone {
+			e, known := view.Of(change.Name)
+			return !known || e.Incarnation != change.Incarnation || e.State == attach.Dead || e.State == attach.Left
+		}
+		return view.Alive(change.Incarnation)
 	}
 	m := p.node.Members().Of(change.Name)
-	return m != nil && m.Incarnation == change.Incarnation && m.State == member.Alive
+	if m == nil || m.Incarnation != change.Incarnation {
+		return change.Gone
+	}
+	if change.Gone {
+		return m.State == member.Dead || m.State == member.Left
+	}
+	return m.State == member.Alive
 }
--- a/internal/scale/sockets/change.go
+++ b/internal/scale/sockets/change.go
@@ -1,6 +1,9 @@
 package sockets
 
 import (
+	"cmp"
+	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -9,10 +12,11 @@
 
 // watch collects how long changes take to reach the last hollow front end alive.
 type watch struct {
-	mu     sync.Mutex
-	open   int
-	starts []time.Duration // of processes that have started
-	ends   []time.Duration // of processes that are gone
+	mu         sync.Mutex
+	openStarts int // that have not reached all yet
+	openEnds   int
+	starts     []time.Duration // of processes that have started
+	ends       []time.Duration // of processes that are gone
 }
 
 // started is a process of a front end that has just started.
@@ -27,23 +31,88 @@
 // wall is the time that workers' clocks count by too.
 func wall() epoll.Micros { return time.Now().UnixMicro() }
 
-// start starts a front end; at is when its process was there.
-func (r *run) start(f *front) (s started, err error) {
-	r.starts++
+// start starts a front end; its time is when its process was there.
+func (r *run) start(f *front) error {
 	if p := r.processOf(f); p != nil {
-		s.at = wall()
-		if s.incarnation, err = p.start(); err == nil {
-			r.running[f] = s
+		at := wall()
+		incarnation, err := p.start()
+		if err == nil {
+			r.running[f] = started{incarnation, at}
 		}
-		return s, err
+		return err
 	}
-	reply, err := r.hollowsOf(f).ask(request{Op: opStart, Member: f.name, Seed: r.o.Shape.Seed*seedStep + r.starts})
-	if err != nil {
-		return s, err
+	reply, err := r.hollowsOf(f).ask(r.startOf(f))
+	if err == nil {
+		r.running[f] = started{reply.Incarnation, reply.At}
+	}
+	return err
+}
+
+// startOf is the request to start a hollow front end.
+func (r *run) startOf(f *front) request {
+	r.starts++
+	q := request{Op: opStart, Member: f.name, Seed: r.o.Shape.Seed*seedStep + r.starts}
+	if f.attached {
+		q.Zone = f.zone
+	}
+	return q
+}
+
+// startAll starts all hollow front ends without waiting for one before the next.
+func (r *run) startAll() error {
+	type outcome struct {
+		f     *front
+		reply reply
+	}
+	order := r.startOrder()
+	outcomes := make(chan outcome, len(order))
+	began := time.Now()
+	for i, f := range order {
+		time.Sleep(time.Until(began.Add(r.o.Over * time.Duration(i) / time.Duration(len(order)))))
+		if err := r.hollowsOf(f).send(r.startOf(f), func(reply reply) { outcomes <- outcome{f, reply} }); err != nil {
+			return err
+		}
+	}
+	late := time.After(replyWait)
+	for range order {
+		select {
+		case o := <-outcomes:
+			if o.reply.Error != "" {
+				return fmt.Errorf("start %s: %s", o.f.name, o.reply.Error)
+			}
+			r.running[o.f] = started{o.reply.Incarnation, o.reply.At}
+		case <-late:
+			return errWorkerSilent
+		}
+	}
+	return nil
+}
+
+// startOrder is all hollow front ends, one of each process after the other: control members first where all start over a span.
+func (r *run) startOrder() (order []*front) {
+	for n := 0; ; n++ {
+		before := len(order)
+		for _, h := range r.hollows {
+			if n < len(h.fronts) {
+				order = append(order, h.fronts[n])
+			}
+		}
+		if len(order) == before {
+			break
+		}
 	}
-	s = started{reply.Incarnation, reply.At}
-	r.running[f] = s
-	return s, nil
+	if r.o.Over > 0 {
+		slices.SortStableFunc(order, func(a, b *front) int { return cmp.Compare(role(a), role(b)) })
+	}
+	return order
+}
+
+// role orders control members before those that attach to them.
+func role(f *front) int {
+	if f.attached {
+		return 1
+	}
+	return 0
 }
 
 // kill ends a front end without a word; it gives when.
@@ -71,9 +140,7 @@
 func (r *run) follow(change epoll.Change, at epoll.Micros) error {
 	left, last := len(r.hollows), at
 	var mu sync.Mutex
-	r.watch.mu.Lock()
-	r.watch.open++
-	r.watch.mu.Unlock()
+	r.watch.begun(change.Gone)
 	for _, h := range r.hollows {
 		err := h.send(request{Op: opAwait, Change: &change}, func(reply reply) {
 			mu.Lock()
@@ -91,13 +158,24 @@
 	return nil
 }
 
+func (w *watch) begun(gone bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if gone {
+		w.openEnds++
+	} else {
+		w.openStarts++
+	}
+}
+
 func (w *watch) reached(gone bool, took time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.open--
 	if gone {
+		w.openEnds--
 		w.ends = append(w.ends, took)
 	} else {
+		w.openStarts--
 		w.starts = append(w.starts, took)
 	}
 }
@@ -106,7 +184,7 @@
 func (w *watch) settle() (unreached int) {
 	for until := time.Now().Add(changeWait); time.Now().Before(until); time.Sleep(pollEvery) {
 		w.mu.Lock()
-		unreached = w.open
+		unreached = w.openStarts + w.openEnds
 		w.mu.Unlock()
 		if unreached == 0 {
 			break
@@ -115,6 +193,20 @@
 	return unreached
 }
 
+// unseen says who has not seen which change, in words.
+func (r *run) unseen() (list []string) {
+	for _, h := range r.hollows {
+		reply, err := h.ask(request{Op: opWaiting})
+		if err != nil {
+			continue // a note is all that is lost
+		}
+		for _, one := range reply.Waiting {
+			list = append(list, "not seen: "+one)
+		}
+	}
+	return list
+}
+
 // lose kills a front end and follows its end.
 func (r *run) lose(f *front) error {
 	process, runs := r.running[f]
@@ -133,10 +225,10 @@
 	if _, runs := r.running[f]; runs {
 		return nil
 	}
-	s, err := r.start(f)
-	if err != nil {
+	if err := r.start(f); err != nil {
 		return err
 	}
+	s := r.running[f]
 	return r.follow(epoll.Change{Name: f.name, Incarnation: s.incarnation}, s.at)
 }
 
--- a/internal/scale/sockets/measure.go
+++ b/internal/scale/sockets/measure.go
@@ -42,10 +42,7 @@
 
 // measure counts while the script goes on, and then sees how long changes take.
 func (r *run) measure() (*scale.Result, error) {
-	steps, err := r.steps()
-	if err != nil {
-		return nil, err
-	}
+	steps := r.steps()
 	before, err := r.read()
 	if err != nil {
 		return nil, err
@@ -85,20 +82,43 @@
 			result.Roles = append(result.Roles, f)
 		}
 	}
+	perMessage(result)
 	r.heartbeats(result, before, after)
+	r.startFigures(result)
+	longest := int64(0)
+	for _, f := range after.hollows {
+		longest = max(longest, f.LongestTurn)
+	}
+	result.Notes = append(result.Notes, fmt.Sprintf("the longest turn of a loop that carries hollow front ends took %d ms while measured",
+		longest/1000))
+	result.Notes = append(result.Notes, r.unseen()...)
 	r.spread(result)
 	r.realFigures(result, before, after)
 	result.Notes = append(result.Notes,
 		fmt.Sprintf("%d control members, the first by name and so the record's copies where there are three, are processes of the program; "+
 			"roles are of the hollow front ends, in %d processes", len(r.processes), len(r.hollows)),
 		fmt.Sprintf("the machine's load average was %s after the measured part: above its cores, other work ran beside", scale.Busy()),
-		"processor is the time of the processes of hollow front ends by the system's count, less what they took before any started")
+		"processor is the time of the processes of hollow front ends by the system's count, less what they took before any started; "+
+			"the share of a loop that carries many is in it")
 	if r.o.Worker == nil {
-		result.Notes = append(result.Notes, "all hollow front ends were in the measuring process: its processor time and memory are not divided by role")
+		result.Notes = append(result.Notes,
+			"all hollow front ends were in the measuring process: its processor time and memory are not divided by role")
 	}
 	return result
 }
 
+// perMessage adds the processor time for each message that came, which says more than that a second where a busy machine lets
+// messages come late.
+func perMessage(result *scale.Result) {
+	figures := map[string]float64{}
+	for i := range result.Roles {
+		if f := &result.Roles[i]; f.MessagesIn > 0 {
+			figures[f.Role+", processor for a message taken in and one sent us"] = f.CPUMicros / f.MessagesIn
+		}
+	}
+	result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(result.FrontEnds), Figures: figures})
+}
+
 // roleFigures are the means of one role's hollow front ends.
 func (r *run) roleFigures(role string, before, after reading, heaps []int64) scale.RoleFigures {
 	f := scale.RoleFigures{Role: role}
@@ -131,6 +151,10 @@
 	return f
 }
 
+// heartbeatsASecond is what a control member sends to each other where the section's beat_ms is not set. Ticks of 25 ms and a busy
+// machine leave somewhat fewer.
+const heartbeatsASecond = 10
+
 // heartbeats tells those among control members from all else that comes.
 func (r *run) heartbeats(result *scale.Result, before, after reading) {
 	var count, size, members float64
@@ -146,23 +170,59 @@
 		return
 	}
 	seconds := after.at.Sub(before.at).Seconds()
+	due := float64(r.o.Shape.Controls-1) * heartbeatsASecond
+	result.Notes = append(result.Notes, fmt.Sprintf("hollow control members took in %.0f%% of %g heartbeats a second from each other",
+		100*count/seconds/members/due, float64(heartbeatsASecond)))
 	result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: map[string]float64{
 		"a control member, heartbeats in /s": count / seconds / members, "a control member, a heartbeat's payload bytes": size / count}})
 }
 
+// startFigures are what the start of all hollow front ends at once cost each, by role.
+func (r *run) startFigures(result *scale.Result) {
+	if r.started == 0 {
+		return
+	}
+	figures := map[string]float64{}
+	for _, role := range []string{scale.RoleControl, scale.RoleFrontEnd} {
+		var in, out, cpu, members float64
+		for i, h := range r.hollows {
+			if h.role() == role {
+				f := r.atStart.hollows[i]
+				in += float64(f.Traffic.BytesIn)
+				out += float64(f.Traffic.BytesOut)
+				cpu += float64(f.CPU-h.idle.CPU) - h.rate*r.started.Seconds()
+				members += float64(len(h.fronts))
+			}
+		}
+		if members > 0 {
+			each := members * r.started.Seconds()
+			figures[role+", all started at once, in with framing B/s"] = in / each
+			figures[role+", all started at once, out with framing B/s"] = out / each
+			figures[role+", all started at once, processor us/s"] = cpu / each
+		}
+	}
+	result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: figures})
+	result.Notes = append(result.Notes,
+		fmt.Sprintf("figures of all started at once are means over the first %.1f s", r.started.Seconds()))
+}
+
 // spread tells how long starts took to be seen by all, and ends, which have to wait until silence is taken for an end.
 func (r *run) spread(result *scale.Result) {
 	w := &r.watch
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	result.Spread = scale.SpreadOf(w.starts, w.open)
-	if ends := scale.SpreadOf(w.ends, 0); ends != nil {
-		result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: map[string]float64{
-			"an end is seen by the last, count": float64(ends.Count), "an end is seen by the last, median ms": ends.MedianMS,
-			"an end is seen by the last, most ms": ends.MostMS}})
+	result.Spread = scale.SpreadOf(w.starts, w.openStarts)
+	if ends := scale.SpreadOf(w.ends, w.openEnds); ends != nil {
+		figures := map[string]float64{"ends seen by all, count": float64(ends.Count), "ends not seen by all, count": float64(ends.Unreached)}
+		if ends.Count > 0 {
+			figures["an end is seen by the last, median ms"] = ends.MedianMS
+			figures["an end is seen by the last, most ms"] = ends.MostMS
+		}
+		result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: figures})
 	}
 	if result.Spread != nil {
-		result.Notes = append(result.Notes, "spread is of starts, as hollow front ends saw them, within a tick of 25 ms; ends stand under points")
+		result.Notes = append(result.Notes,
+			"spread is of starts, as hollow front ends saw them, within a tick of 25 ms; ends stand under points")
 	}
 }
 
@@ -179,6 +239,7 @@
 	}
 	if count > 0 {
 		result.Points = append(result.Points, scale.Point{Axis: "front ends", X: float64(r.o.Shape.Total()), Figures: map[string]float64{
-			"a control member's whole process, processor us/s": cpu / count, "a control member's whole process, resident bytes": resident / count}})
+			"a control member's whole process, processor us/s": cpu / count,
+			"a control member's whole process, resident bytes": resident / count}})
 	}
 }
--- a/internal/scale/sockets/plan.go
+++ b/internal/scale/sockets/plan.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"chutechute/internal/scale"
 	"chutechute/internal/standin/site"
@@ -14,8 +15,12 @@
 	Real    int    // control members that are processes of the program
 	Program string // the built program; needed with Real above 0
 	Changes int    // front ends that are killed and started again, one by one, after the measured part
-	Faults  []scale.Fault
-	Script  string // that Faults was read from
+	// Start is how long the traffic of a fleet with attached front ends is counted from its start at once on; 0: it is not.
+	Start time.Duration
+	// Over is the span over which the front ends start evenly; 0: all at once, as far as this machine's cores let them.
+	Over   time.Duration
+	Faults []scale.Fault
+	Script string // that Faults was read from
 	// Worker is the command line of a process of hollow front ends; without one they run within this process.
 	Worker []string
 	// Progress is told of each step.
@@ -36,7 +41,7 @@
 // core.
 const (
 	mostControlsAProcess = 10
-	mostAttachedAProcess = 400
+	mostAttachedAProcess = 200
 )
 
 // plan is who runs where.
@@ -46,8 +51,8 @@
 	groups [][]*front // each a process of hollow front ends of one role
 }
 
-// newPlan names all front ends. Zones follow one another, so that each has its share of both roles. The processes of the program are the
-// first by name, so that the record's copies are theirs and hollow control members have the membership alone.
+// newPlan names all front ends. Zones follow one another, so that each has its share of both roles. The processes of the program are
+// the first by name, so that the record's copies are theirs and hollow control members have the membership alone.
 func newPlan(o *Options) *plan {
 	p := &plan{}
 	var controls, attached []*front
@@ -88,16 +93,22 @@
 const (
 	spareDescriptors  = 64
 	processBytes      = 40 << 20
-	connectionBytes   = 128 << 10
+	connectionBytes   = 32 << 10
 	attachedBytes     = 2 << 20
 	linksOfAttached   = 2
 	descriptorsOfLink = 2 // one for each direction
+	unevenness        = 2 // times the mean
 )
 
+// linksOfControl is how many connections a control member may have: attached ones spread unevenly.
+func (o *Options) linksOfControl() int {
+	return descriptorsOfLink*(o.Shape.Controls-1) + unevenness*linksOfAttached*o.Shape.Attached()/o.Shape.Controls
+}
+
 // needs is what the run takes of the machine.
 func (p *plan) needs(o *Options) scale.Needs {
 	controls, attached := o.Shape.Controls, o.Shape.Attached()
-	links := descriptorsOfLink*(controls-1) + 2*linksOfAttached*attached/controls // of one control member; attached ones spread unevenly
+	links := o.linksOfControl()
 	n := scale.Needs{Flag: "control", Processes: len(p.real) + len(p.groups)}
 	if attached > 0 {
 		n.Flag = "front-ends"
@@ -143,12 +154,16 @@
 }
 
 // section is the installation's on the fleet.
-func (p *plan) section() map[string]any {
+func (p *plan) section(shape scale.Shape) map[string]any {
 	var members []site.Member
 	for _, f := range p.fronts {
 		if !f.attached {
 			members = append(members, site.Member{Name: f.name, Address: f.address.String(), Zone: f.zone})
 		}
 	}
-	return map[string]any{"enabled": true, "site": "scale", "members": members}
+	section := map[string]any{"enabled": true, "site": "scale", "members": members}
+	if shape.Attached() > 0 {
+		section["attached"] = map[string]any{"enabled": true}
+	}
+	return section
 }
--- a/internal/scale/sockets/protocol.go
+++ b/internal/scale/sockets/protocol.go
@@ -1,6 +1,6 @@
 // Package sockets runs a fleet over loopback sockets and measures its control traffic: processes of the built program as control
-// members, and beside them hollow front ends (epoll.Hollow), many a process, so that a role's processor time and memory can be told from
-// the other's. The processes of hollow front ends are the tool itself, which is told what to do over a pipe.
+// members, and beside them hollow front ends (epoll.Hollow), many a process, so that a role's processor time and memory can be told
+// from the other's. The processes of hollow front ends are the tool itself, which is told what to do over a pipe.
 package sockets
 
 import (
@@ -20,6 +20,7 @@
 	opSeen    op = "seen"    // how many see all others
 	opFigures op = "figures" // what was counted so far
 	opAwait   op = "await"   // replies once all have seen a change
+	opWaiting op = "waiting" // who has not seen which change
 	opEnd     op = "end"     // ends all and the process
 )
 
@@ -29,6 +30,7 @@
 	Op      op              `json:"op"`
 	Section json.RawMessage `json:"section,omitempty"` // of opSetup: the installation's
 	Member  string          `json:"member,omitempty"`
+	Zone    string          `json:"zone,omitempty"` // of opStart: of one that is attached
 	Seed    uint64          `json:"seed,omitempty"`
 	Span    epoll.Micros    `json:"span,omitempty"`    // of opPause
 	Total   int             `json:"total,omitempty"`   // of opSeen: how many there are
@@ -42,8 +44,10 @@
 	Error       string       `json:"error,omitempty"`
 	At          epoll.Micros `json:"at"` // the loop's time when it was done
 	Incarnation uint64       `json:"incarnation,omitempty"`
-	Seen        int          `json:"seen,omitempty"`    // of opSeen
+	Seen        int          `json:"seen,omitempty"`    // of opSeen: how many see all
+	Least       int          `json:"least,omitempty"`   // of opSeen: the least that any sees
 	SeenAt      epoll.Micros `json:"seen_at,omitempty"` // of opAwait; 0: none was here to see it
+	Waiting     []string     `json:"waiting,omitempty"` // of opWaiting, in words
 	Figures     *figures     `json:"figures,omitempty"`
 }
 
@@ -55,4 +59,5 @@
 	Traffic     epoll.Traffic `json:"traffic"`  // of all front ends here together, those ended too
 	Members     int           `json:"members"`
 	Connections int           `json:"connections"`
+	LongestTurn epoll.Micros  `json:"longest_turn"` // of the loop, since the last figures
 }
--- a/internal/scale/sockets/run_test.go
+++ b/internal/scale/sockets/run_test.go
@@ -45,7 +45,26 @@
 	size := points["a control member, a heartbeat's payload bytes"]
 	assert.Greater(t, size, 5*15.0, "five reports of a name, a number and an age")
 	assert.Less(t, size, 200.0)
-	assert.Equal(t, 1.0, points["an end is seen by the last, count"])
+	assert.Equal(t, 1.0, points["ends seen by all, count"])
+}
+
+// Attached front ends keep two links each, whatever their number, and at rest send little over them. One that is killed and started
+// is seen by all of both roles.
+func TestAttachedFrontEnds(t *testing.T) {
+	o := options(t, scale.Shape{FrontEnds: 20, Controls: 4, Zones: 2, Seconds: 3, Seed: 9}, "")
+	o.Changes, o.Start = 1, time.Second
+	r, err := Run(o)
+	require.NoError(t, err)
+	require.Len(t, r.Roles, 2)
+	control, attached := r.Roles[0], r.Roles[1]
+	assert.Equal(t, scale.RoleFrontEnd, attached.Role)
+	assert.Equal(t, 16, attached.Members)
+	assert.Equal(t, 2.0, attached.Connections)
+	assert.Equal(t, 4, control.Members)
+	assert.Equal(t, 2*3+2*16/4.0, control.Connections)
+	assert.Positive(t, attached.BytesIn)
+	assert.Less(t, attached.BytesIn+attached.FramingIn+attached.BytesOut+attached.FramingOut, 1000.0)
+	assert.Equal(t, 1, r.Spread.Count)
 }
 
 // A script's faults befall whom it names, and the fleet is whole again after them.
@@ -62,10 +81,13 @@
 func TestRefusedBeforeAnythingStarts(t *testing.T) {
 	good := scale.Shape{Controls: 5, Zones: 2, Seconds: 2, Seed: 8}
 	for flag, change := range map[string]func(*Options){
-		"--control:":  func(o *Options) { o.Shape.Controls = 0 },
-		"--real:":     func(o *Options) { o.Real = 5 },
-		"--program:":  func(o *Options) { o.Real, o.Program = 1, "/nowhere/chutechute" },
-		"--changes:":  func(o *Options) { o.Changes = -1 },
+		"--control:": func(o *Options) { o.Shape.Controls = 0 },
+		"--real:":    func(o *Options) { o.Real = 5 },
+		"--program:": func(o *Options) { o.Real, o.Program = 1, "/nowhere/chutechute" },
+		"--changes:": func(o *Options) { o.Changes = -1 },
+		`"cut"`: func(o *Options) {
+			o.Faults = []scale.Fault{{Kind: scale.Cut, Target: scale.Target{Kind: scale.TargetAll}}}
+		},
 		"--faults:":   func(o *Options) { o.Faults = []scale.Fault{{At: time.Hour, Kind: scale.Heal}} },
 		"--seconds: ": func(o *Options) { o.Shape.Seconds = 0 },
 	} {
@@ -108,7 +130,7 @@
 	}
 	assert.Len(t, seen, 2697)
 	assert.Len(t, p.real, 3)
-	assert.Len(t, p.section()["members"], 53)
+	assert.Len(t, p.section(o.Shape)["members"], 53)
 }
 
 // A worker refuses what it can't do, and ends with its input.
--- a/internal/scale/sockets/worker.go
+++ b/internal/scale/sockets/worker.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
+	"strings"
 	"time"
 
 	"chutechute/internal/config"
@@ -13,9 +15,6 @@
 	"chutechute/internal/standin/site"
 )
 
-// memoryMB is what each front end is told it may use; the record's share of it is part of what all have to agree on.
-const memoryMB = 192
-
 // worker is a process of hollow front ends, or one within a test.
 type worker struct {
 	hollow  *epoll.Hollow
@@ -82,12 +81,14 @@
 	case opPause:
 		err = w.hollow.Pause(q.Member, w.hollow.Now()+q.Span)
 	case opSeen:
-		r.Seen = w.hollow.Complete(q.Total)
+		r.Seen, r.Least = w.hollow.Complete(q.Total)
 	case opFigures:
 		r.Figures, err = w.figures(q.Collect)
 	case opAwait:
 		w.hollow.Await(*q.Change, func(seen epoll.Micros) { w.reply(reply{ID: q.ID, SeenAt: seen}) })
 		return
+	case opWaiting:
+		r.Waiting = w.waiting()
 	case opEnd:
 		w.hollow.Stop()
 	default:
@@ -114,7 +115,9 @@
 	if w.section == nil {
 		return 0, errNoSetup
 	}
-	peers, err := w.section.Options(q.Member, w.site, memoryMB)
+	section := *w.section
+	section.Zone = q.Zone
+	peers, err := section.Options(q.Member, w.site, site.MemoryMB)
 	if err != nil {
 		return 0, err
 	}
@@ -139,14 +142,28 @@
 	return nil
 }
 
+// figures reads memory first: what a collection of garbage takes is not to count as idle.
 func (w *worker) figures(collect bool) (*figures, error) {
-	f := &figures{CPU: ownCPU(), Traffic: w.ended, Members: len(w.names)}
+	resident, heap, err := ownMemory(collect)
+	f := &figures{CPU: ownCPU(), Resident: resident, Heap: heap, Traffic: w.ended, Members: len(w.names),
+		LongestTurn: w.hollow.LongestTurn()}
 	for _, name := range w.names {
 		traffic, _ := w.hollow.Traffic(name)
 		f.Traffic = f.Traffic.Plus(traffic)
 		f.Connections += w.hollow.Connections(name)
 	}
-	var err error
-	f.Resident, f.Heap, err = ownMemory(collect)
 	return f, err
 }
+
+// waiting is who has not seen which change, in words.
+func (w *worker) waiting() (list []string) {
+	for change, names := range w.hollow.Waiting() {
+		what := "start"
+		if change.Gone {
+			what = "end"
+		}
+		list = append(list, fmt.Sprintf("the %s of %s: %s", what, change.Name, strings.Join(names, " ")))
+	}
+	slices.Sort(list)
+	return list
+}
