--- a/internal/epoll/attached.go
+++ b/internal/epoll/attached.go
@@ -56,6 +56,7 @@
 // receive hands an attached front end's part what a control member has sent.
 func (l *outLink) receive() error {
 	for _, m := range l.shake.Messages() {
+		l.p.traffic.took(m)
 		from := fleet.Link{From: l.name, Incarnation: l.shake.Other.Incarnation}
 		if err := l.p.attached.Receive(l.p.host.now, from, m.Kind, m.Body); err != nil {
 			l.p.host.count.PeerRejected++
--- a/internal/epoll/attachlinks.go
+++ b/internal/epoll/attachlinks.go
@@ -129,6 +129,7 @@
 			l.end()
 			return
 		}
+		l.p.traffic.sent(frame)
 	}
 	if before == 0 {
 		l.taken = l.p.host.now
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"chutechute/internal/history"
+	"chutechute/internal/standin/site"
 )
 
 // Fleet is several front ends as processes, each on a loopback address of its own, with a relay for every way from one to
@@ -32,7 +33,7 @@
 	Section map[string]any // what the fleet's section sets besides
 	tap     func(frame []byte)
 	relays  map[[2]int]*Relay
-	journal net.Listener
+	journal *site.Journal
 	calls   atomic.Int64
 	script  *strings.Builder
 	began   time.Time
@@ -63,10 +64,9 @@
 		Section: map[string]any{}, script: &strings.Builder{}, began: time.Now()}
 	f.Record = &history.Record{Now: func() int64 { return time.Since(f.began).Microseconds() }}
 	var err error
-	f.journal, err = net.Listen("tcp4", "127.0.0.1:0")
+	f.journal, err = site.NewJournal()
 	require.NoError(t, err)
-	t.Cleanup(func() { f.journal.Close() })
-	go f.tell()
+	t.Cleanup(func() { _ = f.journal.Close() })
 	for i := range fronts {
 		ip := address(int(nets.Add(1))%250 + 1)
 		name := fmt.Sprintf("n%d", i+1)
@@ -124,25 +124,6 @@
 	}
 }
 
-// tell is the journal service: it has nothing to tell.
-func (f *Fleet) tell() {
-	for {
-		conn, err := f.journal.Accept()
-		if err != nil {
-			return
-		}
-		go func() {
-			defer conn.Close()
-			for {
-				if _, err := conn.Write([]byte{0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0}); err != nil {
-					return
-				}
-				time.Sleep(time.Second)
-			}
-		}()
-	}
-}
-
 // Did adds a line to the script of faults, which a failing test prints.
 func (f *Fleet) Did(format string, args ...any) {
 	fmt.Fprintf(f.script, "%8.3f s  %s\n", time.Since(f.began).Seconds(), fmt.Sprintf(format, args...))
--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -1,7 +1,6 @@
 package standin
 
 import (
-	"encoding/json"
 	"fmt"
 	"maps"
 	"os"
@@ -14,6 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 	"golang.org/x/sys/unix"
+
+	"chutechute/internal/standin/site"
 )
 
 // Front is one front end of a fleet.
@@ -37,21 +38,25 @@
 
 // write writes the front end's files, and gives their paths.
 func (n *Front) write() (config, installation string) {
-	t := n.F.T
-	settings := map[string]any{}
-	require.NoError(t, json.Unmarshal([]byte(Settings), &settings))
-	settings["balancers"] = len(n.F.Fronts)
-	var targets, members []any
+	files := site.Front{Name: n.Name, Listen: n.Listen, Seed: fmt.Sprintf("%x", 100*n.N+n.Starts), Journal: n.F.journal.Address(),
+		FrontEnds: len(n.F.Fronts), Fleet: n.section()}
 	for _, w := range n.F.Workers {
-		targets = append(targets, map[string]any{"uid": w.Name, "endpoint": w.Addr.String(), "az": "a", "model": "k",
-			"pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0})
+		files.Engines = append(files.Engines, site.Engine{Name: w.Name, Address: w.Addr.String()})
 	}
+	config, installation, err := files.Write(n.F.Dir)
+	require.NoError(n.F.T, err)
+	return config, installation
+}
+
+// section is the fleet's section for this front end.
+func (n *Front) section() map[string]any {
+	var members []site.Member
 	for _, o := range n.F.Controls() {
 		addr := n.Peer
 		if o != n {
 			addr = n.F.relays[[2]int{n.N, o.N}].Addr
 		}
-		members = append(members, map[string]any{"name": o.Name, "address": addr, "zone": o.Zone})
+		members = append(members, site.Member{Name: o.Name, Address: addr, Zone: o.Zone})
 	}
 	section := map[string]any{"enabled": true, "site": n.F.Site, "members": members, "admin": n.Admin}
 	if n.F.Lasting && !n.Attached {
@@ -62,18 +67,7 @@
 	}
 	maps.Copy(section, n.F.Section)
 	maps.Copy(section, n.Section)
-	file := func(name string, v any) string {
-		path := filepath.Join(n.F.Dir, n.Name+"-"+name+".json")
-		text, err := json.Marshal(v)
-		require.NoError(t, err)
-		require.NoError(t, os.WriteFile(path+".new", text, 0o600))
-		require.NoError(t, os.Rename(path+".new", path))
-		return path
-	}
-	return file("config", map[string]any{"name": n.Name, "listen": n.Listen, "seed": fmt.Sprintf("%x", 100*n.N+n.Starts),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "journal": n.F.journal.Addr().String(),
-		"settings": settings, "known": map[string]any{"pos": 41, "entries": []any{map[string]any{"pos": 41,
-			"hosts": map[string]any{"rev": 1, "all": true, "targets": targets}}}}}), file("installation", map[string]any{"fleet": section})
+	return section
 }
 
 // Start starts the front end's process, under its name and addresses.
