--- a/internal/standin/front.go
+++ b/internal/standin/front.go
@@ -39,10 +39,17 @@
 // write writes the front end's files, and gives their paths.
 func (n *Front) write() (config, installation string) {
 	files := site.Front{Name: n.Name, Listen: n.Listen, Seed: fmt.Sprintf("%x", 100*n.N+n.Starts), Journal: n.F.journal.Address(),
-		FrontEnds: len(n.F.Fronts)}
+		FrontEnds: len(n.F.Fronts), Fleet: n.section()}
 	for _, w := range n.F.Workers {
 		files.Engines = append(files.Engines, site.Engine{Name: w.Name, Address: w.Addr.String()})
 	}
+	config, installation, err := files.Write(n.F.Dir)
+	require.NoError(n.F.T, err)
+	return config, installation
+}
+
+// section is the fleet's section for this front end.
+func (n *Front) section() map[string]any {
 	var members []site.Member
 	for _, o := range n.F.Controls() {
 		addr := n.Peer
@@ -51,18 +58,16 @@
 		}
 		members = append(members, site.Member{Name: o.Name, Address: addr, Zone: o.Zone})
 	}
-	files.Fleet = map[string]any{"enabled": true, "site": n.F.Site, "members": members, "admin": n.Admin}
+	section := map[string]any{"enabled": true, "site": n.F.Site, "members": members, "admin": n.Admin}
 	if n.F.Lasting && !n.Attached {
-		files.Fleet["folder"] = n.Folder
+		section["folder"] = n.Folder
 	}
 	if n.Attached {
-		files.Fleet["zone"] = n.Zone
+		section["zone"] = n.Zone
 	}
-	maps.Copy(files.Fleet, n.F.Section)
-	maps.Copy(files.Fleet, n.Section)
-	config, installation, err := files.Write(n.F.Dir)
-	require.NoError(n.F.T, err)
-	return config, installation
+	maps.Copy(section, n.F.Section)
+	maps.Copy(section, n.Section)
+	return section
 }
 
 // Start starts the front end's process, under its name and addresses.
