attach: twenty changes of a name at once before the slow rate, so that crashes in a row are told in time

A front end that crashes and starts takes up to five changes, so a second crash within a minute was told up to 12 s late, once six were used up. The burst is twenty now; the rate after it stays one in ten seconds, at the home and in the merged view (the latter holds what homes tell without a bound, so that it stays too).

--- a/attach/damping.go
+++ b/attach/damping.go
@@ -9,8 +9,9 @@
 
 // The bounded rates.
 var (
-	// changeRate is of changes published about one name: six at once, then six a minute.
-	changeRate = rate{10_000_000, 6}
+	// changeRate is of changes published about one name: twenty at once, then six a minute. A crash and the start after it are up to
+	// five changes: suspect, dead, alive at one home, at the other, and served by it. So four of them in a row are told without delay.
+	changeRate = rate{10_000_000, 20}
 	// repairRate is of snapshots and repairs to one link.
 	repairRate = rate{3_000_000, 4}
 	// catchUpRate is of changes from the log to one link.
--- a/attach/fault_test.go
+++ b/attach/fault_test.go
@@ -44,6 +44,33 @@
 	}
 }
 
+// A front end that crashes and starts again a few times a minute is told in time each time: its death in 5 s, its start in 3 s.
+func TestCrashesInARow(t *testing.T) {
+	r := fleet(t, 2, 12)
+	r.run(8 * second)
+	c := r.client("f003")
+	everyone := func(check func(v *View) bool, what string) {
+		t.Helper()
+		for _, s := range r.servers {
+			require.True(t, check(s.View()), "%s at %s", what, s.cfg.Name)
+		}
+		for _, o := range r.clients {
+			require.True(t, o == c || check(o.View()), "%s at %s", what, o.cfg.Name)
+		}
+	}
+	for i := range 3 {
+		before := c.cfg.Incarnation
+		r.halt(c)
+		r.run(5 * second)
+		everyone(func(v *View) bool { return v.Gone(before) }, fmt.Sprint("death ", i))
+		r.restart(c)
+		r.run(3 * second)
+		everyone(func(v *View) bool { return v.Alive(c.cfg.Incarnation) }, fmt.Sprint("start ", i))
+		r.run(2 * second)
+	}
+	r.agreed()
+}
+
 // Front ends whose home dies are seen alive all the time, as they hold another lease; their view goes on from the second slot
 // without a snapshot; and they spread over all control members instead of all going to one.
 func TestHomeDead(t *testing.T) {
