--- a/internal/scale/fit.go
+++ b/internal/scale/fit.go
@@ -122,13 +122,15 @@
 }
 
 // At is the figure at a size, by the power law where there is one and it misses less than the straight line, as a share of the
-// values. Beyond is how many times the largest measured size that is; above 1 the value is extrapolated.
+// values, or where the line would fall to nothing, as no figure does. Beyond is how many times the largest measured size that is;
+// above 1 the value is extrapolated.
 func (f *Fit) At(x float64) (value float64, law string, beyond float64) {
 	beyond = x / f.To
-	if f.Power != nil && f.Power.Residual <= f.linearShare() {
+	value = f.Linear.Intercept + f.Linear.Slope*x
+	if f.Power != nil && (f.Power.Residual <= f.linearShare() || value <= 0) {
 		return f.Power.Intercept * math.Pow(x, f.Power.Slope), "power", beyond
 	}
-	return f.Linear.Intercept + f.Linear.Slope*x, "linear", beyond
+	return value, "linear", beyond
 }
 
 // linearShare is the straight line's residual as a share of its value in the middle of the range.
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -184,6 +184,16 @@
 	})
 }
 
+// A line that falls is not followed below nothing.
+func TestFitStaysAboveNothing(t *testing.T) {
+	f, ok := FitOf("f", "u", []Sample{{30, 280}, {100, 265}, {300, 250}, {1000, 120}})
+	require.True(t, ok)
+	require.Negative(t, f.Linear.Intercept+f.Linear.Slope*TargetFrontEnds)
+	value, law, _ := f.At(TargetFrontEnds)
+	assert.Equal(t, "power", law)
+	assert.Positive(t, value)
+}
+
 func TestFitsOfResults(t *testing.T) {
 	var results []*Result
 	for _, n := range []int{5, 10, 20, 10} {
--- a/internal/scale/sockets/run.go
+++ b/internal/scale/sockets/run.go
@@ -15,7 +15,7 @@
 const (
 	idleSpan     = time.Second
 	assembleWait = 60 * time.Second // from the start until all see all
-	settleSpan   = 2 * time.Second  // until what the start has caused is over
+	settleSpan   = 4 * time.Second  // after that, until what the start has caused is over
 	changeWait   = 30 * time.Second // for a change to reach all, also on a busy machine
 	pollEvery    = 50 * time.Millisecond
 	// assembleEvery is longer, since counting a large view takes the loops' time.
@@ -128,11 +128,14 @@
 	if err := r.assemble(); err != nil {
 		return err
 	}
-	r.o.Progress("%d front ends see one another after %.1f s", r.o.Shape.Total(), time.Since(began).Seconds())
+	assembled := time.Now()
+	r.o.Progress("%d front ends see one another after %.1f s", r.o.Shape.Total(), assembled.Sub(began).Seconds())
 	if r.o.Shape.Attached() > 0 && r.o.Start > 0 && r.o.Over == 0 {
-		return r.first(began)
+		if err := r.first(began); err != nil {
+			return err
+		}
 	}
-	time.Sleep(settleSpan)
+	time.Sleep(time.Until(assembled.Add(settleSpan)))
 	return nil
 }
 
--- a/internal/scale/sockets/run_test.go
+++ b/internal/scale/sockets/run_test.go
@@ -156,3 +156,23 @@
 		t.Fatal("the worker goes on")
 	}
 }
+
+// Over a span control members start first, since the others attach to them; at once the processes take turns. All start once.
+func TestStartOrder(t *testing.T) {
+	o := options(t, scale.Shape{Controls: 25, FrontEnds: 700, Zones: 3}, "")
+	p := newPlan(o)
+	r := &run{o: o, plan: p}
+	for _, group := range p.groups {
+		r.hollows = append(r.hollows, &hollows{fronts: group})
+	}
+	turns := r.startOrder()
+	assert.Len(t, turns, 700)
+	assert.False(t, turns[0].attached)
+	assert.True(t, turns[len(p.groups)-1].attached)
+	o.Over = time.Second
+	order := r.startOrder()
+	assert.ElementsMatch(t, turns, order)
+	for i, f := range order {
+		assert.Equal(t, i >= 25, f.attached)
+	}
+}
