--- a/internal/standin/attached.go
+++ b/internal/standin/attached.go
@@ -228,7 +228,8 @@
 func (f *Fleet) Twin(n *Front) *Front {
 	ip := address(int(nets.Add(1))%250 + 1)
 	twin := &Front{F: f, N: len(f.Fronts), Name: n.Name, Zone: n.Zone, Attached: n.Attached, Section: n.Section,
-		Listen: port(f.T, ip), Folder: n.Folder, Admin: n.Admin + "-twin", Log: &LockedBuffer{}}
+		Listen: port(f.T, ip), Folder: n.Folder, Log: &LockedBuffer{}}
+	twin.Admin = filepath.Join(f.Dir, fmt.Sprintf("%s-%d.sock", twin.Name, twin.N))
 	f.Fronts = append(f.Fronts, twin)
 	for _, c := range f.Controls() {
 		r, err := NewRelay(c.Peer, f.Random)
