attach: a present home's Dead counts more than the lapsing row of a home that was lost before

A zone lost together with its control members: the second homes, which are there, said Dead after 4 s, but the rows of the lost homes stayed Suspect for 10 s more and outweighed them, so that the deaths were told after 13 s. Now a lost home's row no longer counts beside a present home's Dead where that lease ended after the lost home was last Alive in the member view, once the lost home was not heard for as long as ends a lease. A lease that ended before says nothing: that process may have moved to the lost home.

TestZoneLost fails without it; TestEndedBefore fails without the comparison of times; TestEndedJustAfter fails without the span. go test ./attach ./exercise/membership: ok.

--- a/attach/fault_test.go
+++ b/attach/fault_test.go
@@ -218,6 +218,71 @@
 	require.Equal(t, Dead, e.State)
 }
 
+// A zone that is lost with its control members: the other homes' word that its front ends are dead counts more than that nobody
+// tells of them where they were.
+func TestZoneLost(t *testing.T) {
+	r := newRig(t, 11, "za", "za", "zb", "zc")
+	for i := range 6 { // too few for doubt
+		r.attach(fmt.Sprintf("f%03d", i), []string{"za", "zb"}[i%2])
+	}
+	r.run(8 * second)
+	r.agreed()
+	r.stop(r.servers[0])
+	r.stop(r.servers[1])
+	for _, c := range r.clients {
+		if c.cfg.Zone == "za" {
+			r.halt(c)
+		}
+	}
+	r.run(5 * second)
+	for _, s := range r.servers[2:] {
+		for _, c := range r.clients {
+			require.Equal(t, c.cfg.Zone == "za", s.View().Gone(c.cfg.Incarnation), "%s at %s", c.cfg.Name, s.cfg.Name)
+		}
+	}
+}
+
+// That a lease ended before the homes since were lost says nothing: that front end may be moving.
+func TestEndedBefore(t *testing.T) {
+	r := newRig(t, 12, "za", "zb", "zc")
+	c := r.attach("f000", "za")
+	r.run(8 * second)
+	first := r.names[c.Targets(r.now)[1]]
+	r.cut = func(from, to string) bool { return from == "f000" && to == first.cfg.Name }
+	r.run(20 * second)
+	require.Equal(t, Dead, first.lessees["f000"].state)
+	require.True(t, first.View().Alive(c.cfg.Incarnation))
+	r.cut = func(from, to string) bool { return from == "f000" || to == "f000" }
+	for _, s := range r.servers {
+		if s != first {
+			r.stop(s)
+		}
+	}
+	r.run(7 * second)
+	e, _ := first.View().Of("f000")
+	require.Equal(t, Suspect, e.State)
+	r.run(lapseSpan)
+	require.True(t, first.View().Gone(c.cfg.Incarnation))
+}
+
+// One that was not heard at its other home for long has, since its home was lost, as much time as any before it is dead.
+func TestEndedJustAfter(t *testing.T) {
+	r := newRig(t, 13, "za", "zb", "zc")
+	c := r.attach("f000", "za")
+	r.run(8 * second)
+	home, other := r.names[c.Targets(r.now)[0]], r.names[c.Targets(r.now)[1]]
+	r.cut = func(from, to string) bool { return from == "f000" && to == other.cfg.Name }
+	r.run(2 * second)
+	r.cut = func(from, to string) bool { return from == "f000" || to == "f000" }
+	r.stop(home)
+	r.run(3 * second)
+	require.Equal(t, Dead, other.lessees["f000"].state)
+	e, _ := other.View().Of("f000")
+	require.Equal(t, Suspect, e.State)
+	r.run(1200 * ms)
+	require.True(t, other.View().Gone(c.cfg.Incarnation))
+}
+
 // Who says that it leaves is alive while it is heard, and has left once it is silent, without being suspected first.
 func TestLeaving(t *testing.T) {
 	r := fleet(t, 7, 6)
--- a/attach/merge.go
+++ b/attach/merge.go
@@ -96,6 +96,14 @@
 	return false
 }
 
+// outweighed says whether a home that is there tells of the end of a lease after this row's home, which is gone, was last heard. A
+// lease that ended before says nothing: that process may have moved to this row's home, and may be moving now.
+func (r *row) outweighed(rows []*row) bool {
+	return r.evidence() == Suspect && r.table.silent && slices.ContainsFunc(rows, func(o *row) bool {
+		return o.incarnation == r.incarnation && o.table.present && o.state == Dead && o.ended > r.table.heard
+	})
+}
+
 // processes are those of a name that its rows tell of. Rows are by home, so that the first of equals stays.
 func (s *Server) processes(p *person) (list []process) {
 	for _, r := range p.rows {
@@ -106,7 +114,7 @@
 		}
 		o := &list[at]
 		o.challenged = max(o.challenged, r.answered())
-		if r.weighs(o.best) {
+		if o.best.outweighed(p.rows) || r.weighs(o.best) && !r.outweighed(p.rows) {
 			o.best = r
 		}
 	}
--- a/attach/replication.go
+++ b/attach/replication.go
@@ -74,6 +74,12 @@
 func (s *Server) apply(t *table, rows []row) {
 	for _, r := range rows {
 		old, kept := t.put(r)
+		if kept != nil && kept.state == Dead {
+			kept.ended = s.now
+			if old != nil && old.state == Dead && old.incarnation == kept.incarnation {
+				kept.ended = old.ended
+			}
+		}
 		if old != nil && kept != nil && old.digest() == kept.digest() && old.challenged == kept.challenged {
 			s.person(r.name).swap(old, kept)
 			continue
@@ -177,7 +183,7 @@
 		return t
 	}
 	t := newTable(home.Name, home.Incarnation)
-	t.present, t.absent = home.State == Alive || home.State == Suspect, s.now
+	t.present, t.absent, t.heard = home.State == Alive || home.State == Suspect, s.now, home.heard
 	home.tables = append(home.tables, t)
 	return t
 }
--- a/attach/server.go
+++ b/attach/server.go
@@ -22,6 +22,7 @@
 // controlState is a control member of the settings.
 type controlState struct {
 	ControlMember
+	heard      Micros   // when its process was last Alive
 	tables     []*table // of its processes, the newest last
 	pastEpochs pastSet
 	clock      *offset            // of its process
@@ -122,6 +123,7 @@
 		for _, c := range s.controls {
 			for _, t := range c.tables {
 				t.absent += gap
+				t.heard += gap
 			}
 		}
 	}
@@ -154,6 +156,7 @@
 	}
 	if c.Incarnation == seen.Incarnation && c.State == seen.State {
 		c.Cut = seen.Cut
+		c.noteHeard(s.now)
 		return
 	}
 	if c.Incarnation != seen.Incarnation {
@@ -166,6 +169,14 @@
 	for _, t := range c.tables {
 		s.setPresent(t, t.epoch == c.Incarnation && (c.State == Alive || c.State == Suspect))
 	}
+	c.noteHeard(s.now)
+}
+
+// noteHeard notes that a control member is Alive now, if it is.
+func (c *controlState) noteHeard(now Micros) {
+	if c.State == Alive {
+		c.heard = now
+	}
 }
 
 // setPresent notes whether a table's home is there, on which the evidence of its rows rests.
@@ -173,7 +184,8 @@
 	if t.present == present {
 		return
 	}
-	t.present, t.lapsed, t.absent = present, false, s.now
+	t.present, t.silent, t.lapsed = present, false, false
+	t.heard, t.absent = s.byName[t.home].heard, s.now
 	s.touchedAll(t)
 }
 
@@ -189,14 +201,21 @@
 			c.tables = c.tables[1:]
 		}
 		for _, t := range c.tables {
-			if !t.present && !t.lapsed && s.now-t.absent >= lapseSpan {
-				t.lapsed = true
-				s.touchedAll(t)
-			}
+			s.expireTable(t)
 		}
 	}
 }
 
+// expireTable lets the evidence of a home that is gone count less with time.
+func (s *Server) expireTable(t *table) {
+	silent := !t.present && s.now-t.heard >= s.cfg.Dead
+	lapsed := !t.present && s.now-t.absent >= lapseSpan
+	if silent != t.silent || lapsed != t.lapsed {
+		t.silent, t.lapsed = silent, lapsed
+		s.touchedAll(t)
+	}
+}
+
 // Leave says that this control member ends as planned: its attached front ends are told so and go elsewhere.
 func (s *Server) Leave() {
 	if s.leaving {
--- a/attach/table.go
+++ b/attach/table.go
@@ -20,6 +20,7 @@
 	removed    bool     // in messages: the row is no more
 
 	table *table
+	ended Micros // when it was first Dead here
 }
 
 // answered is when it answered its challenge, by this side's clock.
@@ -35,7 +36,9 @@
 	log      changeLog
 
 	present bool   // the home's process is there, as package member sees it
+	heard   Micros // when it was last Alive, as package member sees it, where it is not present
 	absent  Micros // since when it is not
+	silent  bool   // and was not heard for so long that another home's Dead of later counts more
 	lapsed  bool   // and for so long that its rows' evidence is over
 
 	pulled    Micros // states of bounded rates
