attach: a front end tries another control member beside a silent one, before its lease there ends

A silent control member was given up after Dead (4 s), just when its leases end: a front end that lost both at once, as behind a cut, was declared dead for about a second before it had tried another. Now another is dialled beside one that is silent for Suspect (2.5 s); whichever is heard first keeps the slot. Without any live link a lost control member is replaced within 0.1 s instead of 0.2 to 1.5 s. Two slots that hold each other's preferred control member, which is more likely so, are uncrossed: neither could return.

--- a/attach/targets.go
+++ b/attach/targets.go
@@ -7,6 +7,8 @@
 	redialLow, redialHigh Micros = 100_000, 500_000
 	// replaceLow and replaceHigh are after what pause a lost control member is replaced: all its front ends do so at once.
 	replaceLow, replaceHigh Micros = 200_000, 1_500_000
+	// rescueHigh is after what pause at most a front end without any live link dials: its leases end soon.
+	rescueHigh Micros = 100_000
 	// shunLow and shunHigh are for how long one that could not be reached is not dialled, doubled with each time in a row.
 	shunLow, shunHigh Micros = 1_000_000, 2_000_000
 	// mostDoubled bounds the doubling: 1 to 2 minutes.
@@ -46,6 +48,7 @@
 type slot struct {
 	preferred *control
 	current   *control // nil during the pause after a loss
+	beside    *control // tried beside the current, which is silent; nil while it isn't
 	due       Micros   // when it is to be filled again
 	settled   Micros   // since when the preferred one is back; 0 while it isn't
 	back      Micros   // when to return to it; 0 while that isn't decided
@@ -83,8 +86,8 @@
 	return best
 }
 
-// Targets is the control members to keep links with now; links to others are to be closed. They are two, for a while three
-// where this front end returns to its zone's, and fewer where there are no more or during the pause after a loss.
+// Targets is the control members to keep links with now; links to others are to be closed. They are two, for a while more
+// where this front end returns to its zone's or tries another beside a silent one, and fewer where there are no more or during the pause after a loss.
 func (c *Client) Targets(now Micros) []string {
 	c.Tick(now)
 	var list []string
@@ -103,6 +106,9 @@
 	for i := range c.slots {
 		add(c.slots[i].current)
 	}
+	for i := range c.slots {
+		add(c.slots[i].beside)
+	}
 	for i := range c.slots {
 		if c.slots[i].returning {
 			add(c.slots[i].preferred)
@@ -121,13 +127,49 @@
 		if s.current == nil && s.preferred != nil && c.now >= s.due {
 			c.fill(s)
 		}
+		c.tryBeside(s)
 		c.comeBack(s)
 	}
+	c.uncross()
+}
+
+// uncross lets each slot have its preferred control member where each holds the other's: neither could return.
+func (c *Client) uncross() {
+	a, b := &c.slots[0], &c.slots[1]
+	if a.current != nil && b.current != nil && a.current == b.preferred && b.current == a.preferred {
+		a.current, b.current = b.current, a.current
+		a.beside, b.beside = nil, nil
+		c.chooseHome()
+	}
 }
 
-// silent says whether a control member that is dialled or linked is to be given up.
-func (c *Client) silent(o *control) bool {
-	return o.leaving || c.now-max(o.heard, o.asked) >= c.cfg.Dead
+// tryBeside wants a link to another control member once a slot's is silent, before the leases end there. The one that is heard
+// first keeps the slot.
+func (c *Client) tryBeside(s *slot) {
+	if s.beside != nil && c.silent(s.beside) {
+		c.lose(s.beside, true)
+	}
+	switch o := s.beside; {
+	case s.current == nil || c.silence(s.current) < c.cfg.Suspect:
+		s.beside = nil
+	case o == nil && !s.returning:
+		if s.beside = c.replacement(s); s.beside != nil {
+			c.want(s.beside)
+		}
+	case o != nil && o.linked && o.heard > o.asked:
+		c.lose(s.current, true)
+	}
+}
+
+// silence is for how long a control member that is dialled or linked was not heard.
+func (c *Client) silence(o *control) Micros { return c.now - max(o.heard, o.asked) }
+
+// silent says whether such a one is to be given up.
+func (c *Client) silent(o *control) bool { return o.leaving || c.silence(o) >= c.cfg.Dead }
+
+// alone says whether no control member of a slot was heard of late.
+func (c *Client) alone() bool {
+	return !slices.ContainsFunc(c.slots[:], func(s slot) bool { return c.fresh(s.current) || c.fresh(s.beside) })
 }
 
 // lose empties the slots of a control member. One that can't be reached is shunned for a while; one whose link broke is dialled
@@ -143,19 +185,30 @@
 		if s.returning && s.preferred == o {
 			s.returning, s.settled, s.back = false, 0, 0
 		}
+		if s.beside == o {
+			s.beside = nil
+		}
 		if s.current != o {
 			continue
 		}
 		c.Counters.Losses++
-		s.current = nil
-		s.due = c.now + c.random.span(replaceLow, replaceHigh)
-		if !unreachable {
-			s.due = c.now + c.random.span(redialLow, redialHigh)
-		}
+		s.current, s.beside = s.beside, nil
+		s.due = c.now + c.pause(unreachable)
 	}
 	c.chooseHome()
 }
 
+// pause is after what pause a lost control member is replaced, or dialled again.
+func (c *Client) pause(unreachable bool) Micros {
+	switch {
+	case c.alone():
+		return c.random.span(0, rescueHigh)
+	case unreachable:
+		return c.random.span(replaceLow, replaceHigh)
+	}
+	return c.random.span(redialLow, redialHigh)
+}
+
 // fill gives an empty slot a control member.
 func (c *Client) fill(s *slot) {
 	next := c.replacement(s)
@@ -181,7 +234,7 @@
 	free := func(o *control) bool {
 		for i := range c.slots {
 			other := &c.slots[i]
-			if other.current == o || other != s && other.current == nil && other.preferred == o {
+			if other.current == o || other.beside == o || other != s && (other.current == nil || other.returning) && other.preferred == o {
 				return false
 			}
 		}
@@ -216,7 +269,7 @@
 		return
 	}
 	e, ok := c.view.Of(s.preferred.name)
-	taken := slices.ContainsFunc(c.slots[:], func(other slot) bool { return other.current == s.preferred })
+	taken := slices.ContainsFunc(c.slots[:], func(other slot) bool { return other.current == s.preferred || other.beside == s.preferred })
 	switch {
 	case !ok || e.State != Alive || c.now < s.preferred.shunned || taken:
 		s.settled, s.back = 0, 0
--- a/attach/targets_test.go
+++ b/attach/targets_test.go
@@ -177,6 +177,82 @@
 	assert.InDelta(t, 4*second, replaced, float64(100*ms))
 }
 
+// A front end that hears none of its control members any more tries others before its leases with them end, and holds links to
+// those from then on.
+func TestBothSilent(t *testing.T) {
+	clients, now := linked(6, 2, manyControls(6, 2))
+	for _, c := range clients {
+		list := c.Targets(now)
+		var dialled, held Micros
+		for at := now; at < now+4*second; at += 50 * ms {
+			others := slices.DeleteFunc(c.Targets(at), func(name string) bool { return slices.Contains(list, name) })
+			for _, name := range others {
+				if dialled == 0 {
+					dialled = at - now
+				}
+				if !c.byName[name].linked {
+					c.Linked(at+ms, name, 1)
+				}
+			}
+			answerTo(c, at+2*ms, others)
+			if held == 0 && slices.Contains(others, c.Home()) {
+				held = at - now
+			}
+		}
+		require.InDelta(t, 2*second, dialled, float64(600*ms), "2.5 s after the last sign")
+		require.InDelta(t, 2*second, held, float64(600*ms), "as soon as the home is silent too")
+		require.Len(t, c.Targets(now+4*second), 2)
+	}
+}
+
+// answerTo answers the heartbeats to some.
+func answerTo(c *Client, now Micros, names []string) {
+	for _, m := range c.Actions() {
+		if o := c.byName[m.To]; slices.Contains(names, m.To) && o.linked {
+			h, _ := decodeHeartbeat(m.Body)
+			answer := viewMessage{epoch: o.incarnation, answers: true, echo: h.sent}
+			_ = c.Receive(now, m.To, o.incarnation, ViewPart, answer.encode())
+		}
+	}
+}
+
+// A silent control member that is heard again keeps its slot; what was tried beside it is let go.
+func TestHeardAgain(t *testing.T) {
+	clients, now := linked(6, 1, manyControls(6, 2))
+	for _, c := range clients {
+		list := c.Targets(now)
+		at := now
+		for ; at < now+2600*ms; at += 50 * ms {
+			c.Tick(at)
+		}
+		require.Len(t, c.Targets(at), 4)
+		for _, name := range list {
+			o := c.byName[name]
+			answer := viewMessage{epoch: o.incarnation, answers: true, echo: now}
+			require.NoError(t, c.Receive(at, name, o.incarnation, ViewPart, answer.encode()))
+		}
+		require.Equal(t, list, c.Targets(at+50*ms))
+	}
+}
+
+// A front end that loses its only link dials at once, and one that has another after a longer pause, as many may do so.
+func TestNoLiveLink(t *testing.T) {
+	clients, now := linked(6, 20, manyControls(6, 2))
+	var slow int
+	for _, c := range clients {
+		list := c.Targets(now)
+		c.Unlinked(now, list[0])
+		c.Unlinked(now, list[1])
+		c.Tick(now + rescueHigh)
+		require.NotNil(t, c.slots[1].current, c.cfg.Name)
+		require.LessOrEqual(t, c.slots[1].due, now+rescueHigh)
+		if c.slots[0].due > now+rescueHigh {
+			slow++
+		}
+	}
+	require.Greater(t, slow, len(clients)*3/4, "the first was lost beside another")
+}
+
 // Where nobody can be reached dials become rare, and go on for ever.
 func TestNobodyThere(t *testing.T) {
 	c := NewClient(Config{Name: "f", Zone: "z00", Incarnation: 7, Controls: manyControls(3, 2)})
