--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure fleet budgets histories rotate fuzz
+.PHONY: build test lint run measure fleet budgets histories rotate scale scale-full fuzz
 
 # Linked dynamically by the C tool chain, as the platform's bench for large fleets asks.
 export CGO_ENABLED = 1
@@ -8,12 +8,13 @@
 	mkdir -p bin
 	go build $(LINK) -o bin/ ./cmd/...
 
-test: lint build ## format, vet, build and all tests
+test: lint build ## format, vet, staticcheck, build and all tests
 	go test -count=1 -p 1 ./... # one package at a time: some compare times, and others take all cores
 
-lint:
+lint: ## gofmt, go vet and staticcheck, at the version that go.mod names
 	@unformatted=$$(gofmt -l .); if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted" >&2; exit 1; fi
 	go vet ./...
+	go tool staticcheck ./...
 
 run: build ## needs NODE_CONFIG, see README.md
 	exec bin/chutechute
@@ -39,5 +40,24 @@
 rotate: ## a minute each of keys and certificates that rotate under load
 	CHUTECHUTE_LONG=1 go test -count=1 -v -run 'RotationUnderLoad|RotateUnderLoad' ./cmd/chutechute
 
+SCALE = bin/chutechute-scale run --note "$(or $(NOTE),nothing is known of what else ran)"
+
+scale: build ## control traffic of a small fleet through some faults, about a minute: docs/capacity/short.json
+	$(SCALE) --front-ends 100 --control 6 --seconds 20 --changes 2 --json docs/capacity/short.json \
+		--faults "3s restart 10% over 2s; 8s kill attached 3 for 4s; 10s stop attached 5 for 2s; 14s restart control 6"
+
+scale-full: build ## control traffic by the fleet's size, two runs each, and the fits, some 15 minutes: docs/capacity; NOTE says what else runs
+	set -e; for n in 5 10 20 40 80; do for run in 1 2; do \
+		$(SCALE) --control $$n --changes 5 --seed $$run --json docs/capacity/baseline-$$n$$([ $$run = 1 ] || echo -second).json; \
+	done; done
+	set -e; for n in 30 100 300 1000; do for run in 1 2; do \
+		$(SCALE) --front-ends $$n --control 10 --zones 5 --changes 5 --seed $$run --json docs/capacity/attached-$$n$$([ $$run = 1 ] || echo -second).json; \
+	done; done
+	bin/chutechute-scale fit docs/capacity/baseline-*.json
+	bin/chutechute-scale fit docs/capacity/attached-*.json
+	CHUTECHUTE_LONG=1 CHUTECHUTE_RESULTS=$(CURDIR)/docs/capacity go test -count=1 -v -p 1 -timeout 30m -run '^TestCapacityOf' \
+		./decide ./gateway ./budget ./cmd/chutechute
+	bin/chutechute-scale fit $(addprefix docs/capacity/,$(addsuffix .json,decisions lists budgets loads connections connections-tls dials reloads primary-changes))
+
 fuzz: ## ten minutes of texts nobody has thought of
 	go test -run XXX -fuzz FuzzRead -fuzztime 10m ./statement
--- a/internal/epoll/host.go
+++ b/internal/epoll/host.go
@@ -6,7 +6,7 @@
 	"chutechute/gateway"
 	"chutechute/internal/counters"
 	"chutechute/internal/settings"
-	"chutechute/vouch"
+	"chutechute/recordclient"
 )
 
 // host is the loop of a program with its time and counters.
@@ -32,10 +32,11 @@
 	core     *gateway.Core      // nil in a hollow front end
 	settings *settings.Settings // nil without a core
 	draining func() bool        // a planned end has begun
+	sockets  int                // descriptors that the program may have; 0: no bound
 }
 
 // successor is what takes over loads of other front ends.
-func (p *program) successor() vouch.Core {
+func (p *program) successor() recordclient.Core {
 	if p.core == nil {
 		return noSuccessor{}
 	}
--- a/internal/epoll/server.go
+++ b/internal/epoll/server.go
@@ -22,6 +22,8 @@
 	// that steps for every packet runs out of its core under load.
 	leastTurn = 1 * ms
 	spare     = 24 // descriptors for the loop, the journal, the log and what the runtime holds
+	// overdraft is how many of the spare ones clients may take for a moment, where nothing else can be closed for them.
+	overdraft = 8
 )
 
 // Server is the front end on its sockets.
@@ -73,7 +75,8 @@
 		return nil, fmt.Errorf("installation: %w", err)
 	}
 	if cfg.Peers != nil {
-		of := program{host: &s.host, seed: cfg.Seed, post: s.post, core: s.core, settings: cfg.Settings, draining: s.draining}
+		of := program{host: &s.host, seed: cfg.Seed, post: s.post, core: s.core, settings: cfg.Settings, draining: s.draining,
+			sockets: cfg.Sockets}
 		if s.peers, err = newPeers(of, cfg.Peers); err != nil {
 			return nil, err
 		}
@@ -93,7 +96,7 @@
 
 // unused is how many descriptors are left.
 func (s *Server) unused() int {
-	return s.cfg.Sockets - spare - len(s.pool.conns) - len(s.listener.clients)
+	return s.cfg.Sockets - spare - len(s.pool.conns) - len(s.listener.clients) - s.peers.descriptors()
 }
 
 // Run serves until a planned end is over.
@@ -244,7 +247,8 @@
 		s.count.OverCeiling = i.Over + i.Busy
 	}
 	if p := s.peers; p != nil {
-		s.count.Noted, s.count.Adopted, s.count.Shared, s.count.Conflicts = p.node.Asked(), p.desk.Adopted, p.desk.Waited, p.desk.Conflicts
+		s.count.Noted, s.count.Adopted, s.count.Shared, s.count.Conflicts = p.part.Asked(), p.records.Adopted, p.records.Waited, p.records.Conflicts
+		p.counted(&s.count)
 	}
 	s.count.Print(s.log)
 }
@@ -289,7 +293,7 @@
 		w.s.print()
 	}
 	if told >= wakePosted {
-		w.s.takePosts()
+		w.s.posts.run()
 	}
 	if told%wakePosted >= wakeDrain {
 		w.s.life.Drain(w.s.now)
--- a/internal/scale/machine.go
+++ b/internal/scale/machine.go
@@ -126,6 +126,16 @@
 	return total, free, lines.Err()
 }
 
+// Busy says how many tasks of the whole machine ran or waited for a core, as a mean over the last minute.
+func Busy() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	mean, _, _ := strings.Cut(string(text), " ")
+	return mean
+}
+
 // Address is a loopback address by its number from 0; all processes of a run share one network of 127.0.0.0/8, which seed
 // chooses, so that two runs at a time don't meet.
 func Address(seed uint64, number int) netip.Addr {
@@ -134,7 +144,8 @@
 	return netip.AddrFrom4([4]byte{127, network, byte(number / hosts), byte(number%hosts + 1)})
 }
 
-// FreePorts finds a free port on each of the addresses. Errors name the flag that asks for so many.
+// FreePorts finds a free port on each of the addresses, another one for an address that stands twice. Errors name the flag that asks
+// for so many.
 func FreePorts(flag string, addresses []netip.Addr) ([]netip.AddrPort, error) {
 	list := make([]netip.AddrPort, 0, len(addresses))
 	for _, address := range addresses {
@@ -142,8 +153,8 @@
 		if err != nil {
 			return nil, fmt.Errorf("--%s: this machine can't hold it: listening addresses: %w", flag, err)
 		}
+		defer listener.Close() // once all are found
 		list = append(list, listener.Addr().(*net.TCPAddr).AddrPort())
-		listener.Close()
 	}
 	return list, nil
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -63,7 +63,9 @@
 
 func TestFaultsOfTheFleet(t *testing.T) {
 	shape := Shape{FrontEnds: 9, Controls: 3, Zones: 2, Seconds: 10}
-	for script, word := range map[string]string{"10s heal": "10s", "1s kill control 4": "4", "1s kill attached 7": "7", "1s cut zone c": "c"} {
+	for script, word := range map[string]string{
+		"10s heal": "10s", "1s kill control 4": "4", "1s kill attached 7": "7", "1s cut zone c": "c",
+	} {
 		list, err := ParseFaults(script)
 		require.NoError(t, err)
 		var fault *ScriptError
@@ -121,8 +123,9 @@
 	assert.Positive(t, limits.Ports)
 	assert.Positive(t, limits.MemoryBytes)
 	assert.Contains(t, Machine(), "cores")
-	ports, err := FreePorts("control", []netip.Addr{Address(1, 0), Address(1, 1)})
+	ports, err := FreePorts("control", []netip.Addr{Address(1, 0), Address(1, 1), Address(1, 1)})
 	require.NoError(t, err)
+	assert.NotEqual(t, ports[1].Port(), ports[2].Port())
 	assert.NotEqual(t, ports[0].Addr(), ports[1].Addr())
 	_, err = FreePorts("control", []netip.Addr{netip.MustParseAddr("192.0.2.1")}) // of no machine
 	assert.ErrorContains(t, err, "--control:")
@@ -184,8 +187,9 @@
 func TestFitsOfResults(t *testing.T) {
 	var results []*Result
 	for _, n := range []int{5, 10, 20, 10} {
-		results = append(results, &Result{Controls: n, Roles: []RoleFigures{{Role: RoleControl, Members: n, MessagesIn: float64(10 * (n - 1))}},
-			Points: []Point{{"entries", float64(n), map[string]float64{"one look-up us": float64(n)}}}})
+		results = append(results, &Result{Controls: n,
+			Roles:  []RoleFigures{{Role: RoleControl, Members: n, MessagesIn: float64(10 * (n - 1))}},
+			Points: []Point{{"entries", float64(n), map[string]float64{"one look-up us": float64(n), "look-ups count": 9}}}})
 	}
 	results[3].Roles[0].MessagesIn = 110
 	byName := map[string]Fit{}
@@ -197,6 +201,7 @@
 	assert.InDelta(t, 0.2, messages.RepeatDiffers, 1e-9)
 	assert.Nil(t, byName["control member: memory over front ends"].Power) // zeros have no logarithm
 	assert.Equal(t, "us", byName["one look-up over entries"].Unit)
+	assert.NotContains(t, byName, "look-ups over entries")
 	_, ok := FitOf("f", "u", []Sample{{1, 1}, {2, 2}, {2, 3}})
 	assert.False(t, ok, "two sizes are no slope")
 }
