--- a/exercise/membership/scenario.go
+++ b/exercise/membership/scenario.go
@@ -32,7 +32,7 @@
 	deafFor     = 60 * second
 	downFor     = second // from a restarted process's end to the next one's start
 	flapEvery   = 3 * second
-	flapFor     = 2 * minute
+	flapFor     = 4 * minute
 	cutChange   = 30 * second // between two changes on each side of a cut
 	stoppedFor  = 10 * second
 	lossyShare  = 0.01
@@ -53,7 +53,7 @@
 		About: "a zone and its control members lost in one instant, and back together"},
 	{Name: "restarts", Seconds: 60, steady: true, play: restartTenth,
 		About: "a tenth of the attached front ends restarted within 10 s"},
-	{Name: "flap", Seconds: 180, steady: true, play: flap, About: "one attached front end that restarts every 3 s for 2 minutes"},
+	{Name: "flap", Seconds: 300, steady: true, play: flap, About: "one attached front end that restarts every 3 s for 4 minutes"},
 	{Name: "deaths", Seconds: 60, steady: true, play: deaths,
 		About: "one attached front end in a hundred dies within 30 s, for good"},
 	{Name: "regions", Seconds: 3600, steady: true, play: loseRegions,
--- a/exercise/membership/scenarios_test.go
+++ b/exercise/membership/scenarios_test.go
@@ -26,7 +26,7 @@
 	noticeMost   = 5_000_000
 	burstRatio   = 3
 	few          = 4  // accepts or snapshots in the mean, below which the most at one control member is a matter of chance
-	mostTurns    = 38 // changes of one that flaps for two minutes: twenty, then one each 10 s, and those of after
+	mostTurns    = 50 // changes of one that flaps 80 times in four minutes: twenty, then one each 10 s, and those of after
 	growth       = 1.2
 	mostMetered  = 180 // seconds of a scenario whose processor time is measured
 	fullAttached = 2700
