attach: no death is told before the tables of all control members that are there have come

A control member that had just started showed front ends as Dead that were alive, for 0.3 to 0.5 s: it had the table of an earlier home of theirs and not yet that of the home which holds them. Now its merged view says Suspect until the tables of all control members that are Alive were here once in their told version, for at most 3 s after each was first seen, so that one that never tells its table does not hold up deaths. Who is shown as Dead already stays so while another control member starts.

--- a/attach/merge.go
+++ b/attach/merge.go
@@ -12,6 +12,10 @@
 // member's clock gets better with each message.
 const settling Micros = 5_000_000
 
+// awaitSpan is for how long the table of a control member that has come back is awaited before others' word that a front end is dead
+// counts without it: longer than it takes, and so short that one which never tells does not hold up deaths for long.
+const awaitSpan Micros = 3_000_000
+
 // person is all that is known of one name: the rows of all homes' tables.
 type person struct {
 	name    string
@@ -19,6 +23,7 @@
 	touched bool   // is in Server.merge
 	watched bool   // is in Server.watch
 	doubted Micros // since when the later process is dead and another alive; 0 where that is not so
+	held    bool   // it is Dead by the tables that are here, and another is awaited
 	rivals  bool   // there are two processes that may each be the later
 	settles Micros // until when they are compared again
 	waits   bool   // a change is put off by the bounded rate
@@ -173,11 +178,33 @@
 	r := chosen.best
 	e.Entry = Entry{Name: r.name, Zone: r.zone, Role: Attached, Incarnation: r.incarnation, State: r.evidence(), Home: r.table.home}
 	e.challenged = cmp.Or(chosen.challenged, -1)
+	p.held = e.State == Dead && !s.complete && !s.shownDead(&e.Entry)
+	if p.held {
+		e.State = Suspect
+	}
 	return e, true
 }
 
+// shownDead says whether the view already shows that process as Dead.
+func (s *Server) shownDead(e *Entry) bool {
+	old := s.view.byName[e.Name]
+	return old != nil && old.Incarnation == e.Incarnation && old.State == Dead
+}
+
+// tablesHere says whether the tables of all control members that are there have come, as far as they were told of.
+func (s *Server) tablesHere() bool {
+	return !slices.ContainsFunc(s.controls, func(c *controlState) bool {
+		if c == s.self || c.State != Alive || s.now-c.since >= awaitSpan {
+			return false
+		}
+		t := c.table(c.Incarnation)
+		return t == nil || !t.here
+	})
+}
+
 // mergeAll gives the changes of the view, by name, as far as the bounded rate of each name allows.
 func (s *Server) mergeAll() (changes []change) {
+	s.complete = s.tablesHere()
 	s.watch = slices.DeleteFunc(s.watch, func(p *person) bool {
 		s.touched(p)
 		p.watched = s.watches(p)
@@ -219,7 +246,9 @@
 }
 
 // watches says whether a person is to be merged again without a change of its rows.
-func (s *Server) watches(p *person) bool { return p.doubted != 0 || p.rivals && s.now < p.settles }
+func (s *Server) watches(p *person) bool {
+	return p.doubted != 0 || p.held || p.rivals && s.now < p.settles
+}
 
 // difference is what the view lacks of a person, where it has room for so many more.
 func (s *Server) difference(p *person, room int) (c change, differs bool) {
--- a/attach/replication.go
+++ b/attach/replication.go
@@ -169,6 +169,8 @@
 		return
 	}
 	t := s.replica(home)
+	t.told = max(t.told, v.sequence)
+	t.here = t.here || t.sequence >= t.told
 	switch {
 	case v.sequence > t.sequence:
 		s.pull(t, sender, false)
@@ -321,6 +323,7 @@
 	}
 	s.apply(t, rows)
 	t.sequence = m.sequence
+	t.here = t.here || t.sequence >= t.told
 	// A replica keeps no log: who asks it gets the whole table.
 	t.log = changeLog{first: t.sequence, start: t.sum}
 	return nil
--- a/attach/server.go
+++ b/attach/server.go
@@ -22,6 +22,7 @@
 // controlState is a control member of the settings.
 type controlState struct {
 	ControlMember
+	since      Micros   // when its process was first seen, or seen again
 	heard      Micros   // when its process was last Alive
 	tables     []*table // of its processes, the newest last
 	pastEpochs pastSet
@@ -66,6 +67,8 @@
 	forgotten []string // whose row is to go
 	doubted   Micros   // until when the last doubt lasts
 
+	complete bool // no table is awaited that may show alive who is dead by the others
+
 	people map[string]*person
 	merge  []*person // to be merged with the next batch
 	watch  []*person // to be merged again with each batch
@@ -164,6 +167,9 @@
 		c.pastEpochs.remove(seen.Incarnation)
 		c.clock = &offset{}
 	}
+	if c.Incarnation != seen.Incarnation || c.State != Alive && c.State != Suspect {
+		c.since = s.now
+	}
 	c.Incarnation, c.State, c.Cut = seen.Incarnation, seen.State, seen.Cut
 	s.touched(s.person(c.Name))
 	for _, t := range c.tables {
--- /dev/null
+++ b/attach/start_test.go
@@ -0,0 +1,53 @@
+package attach
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// A control member that has just started does not show a front end as Dead, by the table of an earlier home of it, before the table
+// of the home that holds it has come.
+func TestStartAmongTables(t *testing.T) {
+	for _, never := range []bool{false, true} {
+		r := newTrio(t)
+		r.servers["m0"].Linked(r.now, r.link("f", 7))
+		for range 50 {
+			held := r.link("f", 7)
+			r.servers["m1"].Linked(r.now, held)
+			r.run(100 * ms)
+		}
+		r.shows("f", 7, Alive)
+		r.begin("m2", 2000)
+		r.lose = func(from, to string, kind Kind) bool { return from == "m1" && to == "m2" && (never || kind == Table) }
+		r.run(second)
+		s := r.servers["m2"]
+		e, ok := s.View().Of("f")
+		require.True(t, ok)
+		require.Equal(t, Suspect, e.State, "by m0 it is Dead")
+		if never { // death is told in the end where that table does not come
+			r.run(awaitSpan)
+			require.True(t, s.View().Gone(7))
+			continue
+		}
+		r.lose = func(string, string, Kind) bool { return false }
+		r.run(500 * ms)
+		r.shows("f", 7, Alive)
+	}
+}
+
+// What is Dead already stays so while another control member starts.
+func TestDeadWhileOneStarts(t *testing.T) {
+	r := newTrio(t)
+	r.servers["m0"].Linked(r.now, r.link("f", 7))
+	r.run(5 * second)
+	r.shows("f", 7, Dead)
+	r.begin("m2", 2000)
+	r.lose = func(from, _ string, _ Kind) bool { return from == "m2" }
+	for range 20 {
+		r.servers["m1"].touched(r.servers["m1"].person("f")) // as when its rows change
+		r.run(50 * ms)
+		e, _ := r.servers["m1"].View().Of("f")
+		require.Equal(t, Dead, e.State)
+	}
+}
--- a/attach/table.go
+++ b/attach/table.go
@@ -35,6 +35,8 @@
 	rows     map[string]*row
 	log      changeLog
 
+	told    uint64 // the latest sequence that was told of it
+	here    bool   // that was reached once
 	present bool   // the home's process is there, as package member sees it
 	heard   Micros // when it was last Alive, as package member sees it, where it is not present
 	absent  Micros // since when it is not
