attach: a link closed before anything came over it counts as unreachable

A control member that closes a link right after its hello, since the name has a later process or there is no room, was dialled again 0.1 to 0.5 s later for ever: some three hellos a second of a forgotten old process, and a front end at a full control member never went elsewhere. Such a link is now as good as not reached: the slot goes to another, and the next dial waits, doubled each time.

--- a/attach/client.go
+++ b/attach/client.go
@@ -139,7 +139,7 @@
 	if o.incarnation != incarnation {
 		o.clock, o.told = offset{}, told{}
 	}
-	o.linked, o.incarnation, o.leaving, o.behind = true, incarnation, false, false
+	o.linked, o.served, o.incarnation, o.leaving, o.behind = true, false, incarnation, false, false
 	o.heard, o.steady, o.beat = c.now, c.now, c.now
 	c.chooseHome()
 	c.beat()
@@ -147,7 +147,8 @@
 	o.beat = c.now + c.cfg.Heartbeat/2 + c.random.span(0, c.cfg.Heartbeat/2)
 }
 
-// Unlinked says that the link to a control member is closed, or could not be opened.
+// Unlinked says that the link to a control member is closed, or could not be opened. One that closes the link before it has sent
+// anything doesn't take this front end, and is as good as not reached.
 func (c *Client) Unlinked(now Micros, control string) {
 	c.pass(now)
 	defer c.planned()
@@ -156,7 +157,7 @@
 		return
 	}
 	if slices.Contains(c.wanted(), o) {
-		c.lose(o, !o.linked)
+		c.lose(o, !o.linked || !o.served)
 	}
 	o.linked = false
 	c.chooseHome()
@@ -299,7 +300,7 @@
 	if c.now-o.heard >= c.cfg.Suspect {
 		o.steady = c.now
 	}
-	o.heard, o.failures = c.now, 0
+	o.served, o.heard, o.failures = true, c.now, 0
 	o.clock.observe(c.now, m.sent)
 	if m.leaving && !o.leaving {
 		o.leaving = true
--- a/attach/targets.go
+++ b/attach/targets.go
@@ -22,6 +22,7 @@
 type control struct {
 	name, zone  string
 	linked      bool
+	served      bool // something came over the link
 	incarnation uint64
 	asked       Micros // since when a link to it is wanted
 	heard       Micros // the last sign of life over the link
--- a/attach/targets_test.go
+++ b/attach/targets_test.go
@@ -253,6 +253,37 @@
 	require.Greater(t, slow, len(clients)*3/4, "the first was lost beside another")
 }
 
+// Control members that close each link after its hello, as those do that know of a later process of the name, are dialled rarely; one
+// that does so alone is replaced.
+func TestClosedAfterHello(t *testing.T) {
+	for _, refusing := range []int{1, 6} {
+		controls := manyControls(3, 2)
+		c := NewClient(Config{Name: "f", Zone: "z00", Incarnation: 7, Controls: controls})
+		c.Tick(second)
+		first := c.slots[0].preferred.name
+		hellos := 0
+		for now := second; now < 120*second; now += 50 * ms {
+			for _, name := range c.Targets(now) {
+				if o := c.byName[name]; refusing == 6 || name == first {
+					hellos++
+					c.Linked(now, name, 1)
+					c.Unlinked(now, name)
+				} else if !o.linked {
+					c.Linked(now, name, 1)
+				}
+			}
+			answerTo(c, now, c.Targets(now))
+		}
+		require.Less(t, hellos, 10*refusing)
+		require.NotZero(t, hellos)
+		if refusing == 1 {
+			require.NotEmpty(t, c.Home())
+			require.NotContains(t, c.Targets(120*second), first)
+			require.Len(t, c.Targets(120*second), 2)
+		}
+	}
+}
+
 // Where nobody can be reached dials become rare, and go on for ever.
 func TestNobodyThere(t *testing.T) {
 	c := NewClient(Config{Name: "f", Zone: "z00", Incarnation: 7, Controls: manyControls(3, 2)})
