--- a/exercise/membership/scenario.go
+++ b/exercise/membership/scenario.go
@@ -28,6 +28,9 @@
 const (
 	zoneAway    = 30 * second // until a lost zone is back
 	controlAway = 60 * second // until a lost control member is back
+	rollAway    = 20 * second // until the first of a rolling restart is back
+	rollFrom    = 40 * second // when its front ends have returned, in part
+	rollEvery   = 2500 * ms   // between two restarts
 	secondLoss  = 10 * second // until a zone's next control member is lost
 	deafFor     = 60 * second
 	downFor     = second // from a restarted process's end to the next one's start
@@ -62,6 +65,8 @@
 	{Name: "control", Seconds: 120, steady: true, play: loseControl, About: "a control member lost, and back after a minute"},
 	{Name: "controls", Seconds: 120, steady: true, play: loseControls,
 		About: "a control member lost, its zone's others 10 s later, and back after a minute"},
+	{Name: "rolling", Seconds: 180, steady: true, play: rollControls,
+		About: "a control member lost for 20 s, and then all others restarted one by one"},
 	{Name: "deaf", Seconds: 120, steady: true, play: deafen,
 		About: "a control member cut off from all attached front ends, and not from the rest, for a minute"},
 	{Name: "lossy", Seconds: 3600, steady: true, play: lose,
@@ -218,6 +223,15 @@
 	}
 }
 
+func rollControls(s *Sim) {
+	lost := s.controls[0]
+	s.after(second, func() { lost.end(false) })
+	s.after(second+rollAway, lost.start)
+	for i, p := range s.controls[1:] {
+		s.after(rollFrom+Micros(i)*rollEvery, p.restart)
+	}
+}
+
 func deafen(s *Sim) {
 	p := s.controls[0]
 	s.after(second, func() {
