--- a/exercise/membership/scenario.go
+++ b/exercise/membership/scenario.go
@@ -69,6 +69,8 @@
 		About: "a control member lost for 20 s, and then all others restarted one by one"},
 	{Name: "deaf", Seconds: 120, steady: true, play: deafen,
 		About: "a control member cut off from all attached front ends, and not from the rest, for a minute"},
+	{Name: "both", Seconds: 120, steady: true, play: deafenBoth,
+		About: "both control members of an attached front end cut off from all attached ones at once, for a minute"},
 	{Name: "lossy", Seconds: 3600, steady: true, play: lose,
 		About: "an hour with a hundredth of the messages lost and all up to 300 ms late"},
 	{Name: "disorder", Seconds: 60, steady: true, play: disorder,
@@ -232,16 +234,30 @@
 	}
 }
 
-func deafen(s *Sim) {
-	p := s.controls[0]
+func deafen(s *Sim) { s.deafen(func() []*place { return s.controls[:1] }) }
+
+// deafen cuts control members off from all attached front ends for a while.
+func (s *Sim) deafen(which func() []*place) {
 	s.after(second, func() {
-		s.mark("control member deaf")
-		p.deaf = true
+		list := which()
+		s.mark("deaf")
+		for _, p := range list {
+			p.deaf = true
+		}
 		s.network.severedNow()
+		s.after(deafFor, func() {
+			s.mark("hears again")
+			for _, p := range list {
+				p.deaf = false
+			}
+		})
 	})
-	s.after(second+deafFor, func() {
-		s.mark("control member hears again")
-		p.deaf = false
+}
+
+func deafenBoth(s *Sim) {
+	s.deafen(func() (list []*place) {
+		s.attached[0].proc.eachLink(func(l *link) { list = append(list, l.to) })
+		return list
 	})
 }
 
