--- a/exercise/membership/network.go
+++ b/exercise/membership/network.go
@@ -19,6 +19,7 @@
 	delay   Micros            // the most by which each is late
 	reorder bool              // messages of one connection may overtake each other
 	apart   map[[2]int]bool   // regions that can't reach one another, the lower first
+	ways    map[[2]int]bool   // members that can't reach one another, by place, the lower first
 	halves  func(*place) bool // nil, or which of two sides that can't reach one another
 	cuts    int               // how often something was cut, for those who keep what follows from it
 }
@@ -62,6 +63,9 @@
 	case n.halves != nil && n.halves(from) != n.halves(to):
 		return true
 	}
+	if len(n.ways) > 0 && n.ways[[2]int{min(from.index, to.index), max(from.index, to.index)}] {
+		return true
+	}
 	return len(n.apart) > 0 && n.apart[[2]int{min(from.region, to.region), max(from.region, to.region)}]
 }
 
@@ -92,6 +96,7 @@
 // heal ends all cuts.
 func (n *network) heal() {
 	clear(n.apart)
+	clear(n.ways)
 	n.halves = nil
 	for _, p := range n.s.places {
 		p.away, p.deaf = false, false
--- a/exercise/membership/parts_test.go
+++ b/exercise/membership/parts_test.go
@@ -252,6 +252,8 @@
 	n.halves = func(p *place) bool { return p.region < 2 }
 	assert.True(t, n.severed(inRegion(1), inRegion(5)))
 	assert.False(t, n.sameSide(inRegion(1), inRegion(5)))
+	n.ways[[2]int{s.controls[5].index, s.attached[7].index}] = true
+	assert.True(t, n.severed(s.attached[7], s.controls[5]))
 	n.heal()
 	for _, p := range s.places {
 		for _, o := range s.places {
--- a/exercise/membership/sim.go
+++ b/exercise/membership/sim.go
@@ -56,7 +56,7 @@
 		s.attached = append(s.attached, s.newPlace(fmt.Sprintf("front-%04d", i+1), i%shape.Zones, attach.Attached))
 	}
 	s.sorted = slices.SortedFunc(slices.Values(s.places), func(a, b *place) int { return strings.Compare(a.name, b.name) })
-	s.network = network{s: s, apart: map[[2]int]bool{}}
+	s.network = network{s: s, apart: map[[2]int]bool{}, ways: map[[2]int]bool{}}
 	s.truth = newTruth(s)
 	return s
 }
