--- a/exercise/engine.go
+++ b/exercise/engine.go
@@ -127,7 +127,7 @@
 		}
 		return
 	}
-	if s.now-j.begun >= unasked+poll || s.o.Variant.HastyHeir {
+	if s.now-j.begun >= unasked+poll || s.o.Variant.HastySuccessor {
 		j.dropped = true
 		j.deletes()
 		return
--- a/exercise/mutants_test.go
+++ b/exercise/mutants_test.go
@@ -96,7 +96,7 @@
 			}
 		})), ""},
 		{"takes no care of how old the record's word is", &exercise.Variant{NoUntil: true}, ""},
-		{"fails at once what its engine does not know of a lost owner's", &exercise.Variant{HastyHeir: true}, ""},
+		{"fails at once what its engine does not know of a lost owner's", &exercise.Variant{HastySuccessor: true}, ""},
 		{"lets the first of a line go too early", &exercise.Variant{Kind: func(k ledger.Kind) ledger.Kind { return hasty{k} }}, ""},
 		{"votes under the name of a lost disk", &exercise.Variant{SameNumber: true}, ""},
 		{"tells of a write before it is there", &exercise.Variant{EarlyWord: true}, ""},
--- a/exercise/sim.go
+++ b/exercise/sim.go
@@ -47,13 +47,13 @@
 
 // Variant is a fleet that breaks a rule on purpose, by which the checks are shown to see it.
 type Variant struct {
-	Record     func(gateway.Record) gateway.Record
-	Kind       func(ledger.Kind) ledger.Kind
-	SameNumber bool // an emptied disk keeps its number: the copy votes under the name that it had
-	EarlyWord  bool // a write is told before it is there
-	NoUntil    bool // the last moment to begin is not looked at
-	NoWindow   bool // engines do not drop repeats of a key, which hides much of what breaks
-	HastyHeir  bool // who takes over does not wait for a start that may still be on its way
+	Record         func(gateway.Record) gateway.Record
+	Kind           func(ledger.Kind) ledger.Kind
+	SameNumber     bool // an emptied disk keeps its number: the copy votes under the name that it had
+	EarlyWord      bool // a write is told before it is there
+	NoUntil        bool // the last moment to begin is not looked at
+	NoWindow       bool // engines do not drop repeats of a key, which hides much of what breaks
+	HastySuccessor bool // who takes over does not wait for a start that may still be on its way
 }
 
 // Sim is one fleet.
@@ -183,7 +183,7 @@
 	if point == "granted" && s.chance(2) { // between the record's word and the write
 		f.Pause()
 		span := s.between(700*ms, 6*second)
-		if s.o.Variant.HastyHeir { // what shows it is a span shorter than that word is good for
+		if s.o.Variant.HastySuccessor { // what shows it is a span shorter than that word is good for
 			span = s.between(800*ms, 2*second)
 		}
 		s.after(span, f.Resume)
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -311,7 +311,7 @@
 	}
 }
 
-// begin founds a record where there surely is none, and says the word again to those who have not taken it in.
+// begin founds a record where there surely is none, and sends the founding again to those who have not taken it in.
 func (n *Node) begin(present []ledger.Member) {
 	if n.founded != nil {
 		if n.replica.Leader() != 0 {
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -83,7 +83,7 @@
 	return s, err
 }
 
-// founding is the word with which a record begins.
+// founding is the message with which a record begins.
 type founding struct {
 	Group   uint64
 	Members []byte // ledger.EncodeMembers
--- a/member/member.go
+++ b/member/member.go
@@ -56,11 +56,11 @@
 	Incarnation uint64 // the last that was heard; 0: none was
 	State       State
 
-	heard   Micros // here
-	greeted Micros // when the newest link of this incarnation was challenged
-	told    Micros // elsewhere, by what others say
-	leaving bool
-	past    []uint64 // earlier incarnations: they never come again
+	lastHeard     Micros // here
+	challenged    Micros // when the newest link of this incarnation was challenged
+	lastElsewhere Micros // when it was last heard elsewhere, by what others say
+	leaving       bool
+	past          []uint64 // earlier incarnations: they never come again
 }
 
 // mostPast bounds the earlier incarnations that are remembered of one name.
@@ -95,10 +95,10 @@
 // incarnation that is gone, which must not count.
 func (s *Set) Heard(now Micros, name string, incarnation uint64, greeted Micros, leaving bool, reports []Report) bool {
 	m := s.byName[name]
-	if m == nil || slices.Contains(m.past, incarnation) || m.Incarnation != incarnation && m.Incarnation != 0 && greeted <= m.greeted {
+	if m == nil || slices.Contains(m.past, incarnation) || m.Incarnation != incarnation && m.Incarnation != 0 && greeted <= m.challenged {
 		return false
 	}
-	m.greeted = max(m.greeted, greeted)
+	m.challenged = max(m.challenged, greeted)
 	if m.Incarnation != incarnation {
 		if m.Incarnation != 0 {
 			m.past = append(m.past, m.Incarnation)
@@ -106,12 +106,12 @@
 				m.past = m.past[1:]
 			}
 		}
-		m.Incarnation, m.told = incarnation, 0
+		m.Incarnation, m.lastElsewhere = incarnation, 0
 	}
-	m.heard, m.leaving = now, leaving
+	m.lastHeard, m.leaving = now, leaving
 	for _, r := range reports {
 		if o := s.byName[r.Name]; o != nil && o != m && o.Incarnation == r.Incarnation && r.Age >= 0 {
-			o.told = max(o.told, now-r.Age)
+			o.lastElsewhere = max(o.lastElsewhere, now-r.Age)
 		}
 	}
 	return true
@@ -122,7 +122,7 @@
 	if gap := now - s.now; s.now != 0 && gap > s.cfg.Pause {
 		for _, m := range s.list {
 			if m.Incarnation != 0 {
-				m.heard, m.told = m.heard+gap, m.told+gap
+				m.lastHeard, m.lastElsewhere = m.lastHeard+gap, m.lastElsewhere+gap
 			}
 		}
 	}
@@ -137,7 +137,7 @@
 }
 
 func (s *Set) state(m *Member) State {
-	here, anywhere := s.now-m.heard, s.now-max(m.heard, m.told)
+	here, anywhere := s.now-m.lastHeard, s.now-max(m.lastHeard, m.lastElsewhere)
 	switch {
 	case m.Incarnation == 0:
 		return Unseen
@@ -157,7 +157,7 @@
 func (s *Set) Reports() (list []Report) {
 	for _, m := range s.list {
 		if m.Incarnation != 0 {
-			list = append(list, Report{m.Name, m.Incarnation, s.now - m.heard})
+			list = append(list, Report{m.Name, m.Incarnation, s.now - m.lastHeard})
 		}
 	}
 	return list
