--- a/attach/targets.go
+++ b/attach/targets.go
@@ -88,7 +88,8 @@
 }
 
 // Targets is the control members to keep links with now; links to others are to be closed. They are two, for a while more
-// where this front end returns to its zone's or tries another beside a silent one, and fewer where there are no more or during the pause after a loss.
+// where this front end returns to its zone's or tries another beside a silent one, and fewer where there are no more or during the
+// pause after a loss.
 func (c *Client) Targets(now Micros) []string {
 	c.Tick(now)
 	var list []string
