--- a/exercise/membership/scenario.go
+++ b/exercise/membership/scenario.go
@@ -28,6 +28,9 @@
 const (
 	zoneAway    = 30 * second // until a lost zone is back
 	controlAway = 60 * second // until a lost control member is back
+	rollAway    = 20 * second // until the first of a rolling restart is back
+	rollFrom    = 40 * second // when its front ends have returned, in part
+	rollEvery   = 2500 * ms   // between two restarts
 	secondLoss  = 10 * second // until a zone's next control member is lost
 	deafFor     = 60 * second
 	downFor     = second // from a restarted process's end to the next one's start
@@ -62,8 +65,12 @@
 	{Name: "control", Seconds: 120, steady: true, play: loseControl, About: "a control member lost, and back after a minute"},
 	{Name: "controls", Seconds: 120, steady: true, play: loseControls,
 		About: "a control member lost, its zone's others 10 s later, and back after a minute"},
+	{Name: "rolling", Seconds: 180, steady: true, play: rollControls,
+		About: "a control member lost for 20 s, and then all others restarted one by one"},
 	{Name: "deaf", Seconds: 120, steady: true, play: deafen,
 		About: "a control member cut off from all attached front ends, and not from the rest, for a minute"},
+	{Name: "both", Seconds: 120, steady: true, play: cutBoth,
+		About: "an attached front end cut off from both its control members at once, and from no other, for a minute"},
 	{Name: "lossy", Seconds: 3600, steady: true, play: lose,
 		About: "an hour with a hundredth of the messages lost and all up to 300 ms late"},
 	{Name: "disorder", Seconds: 60, steady: true, play: disorder,
@@ -218,6 +225,15 @@
 	}
 }
 
+func rollControls(s *Sim) {
+	lost := s.controls[0]
+	s.after(second, func() { lost.end(false) })
+	s.after(second+rollAway, lost.start)
+	for i, p := range s.controls[1:] {
+		s.after(rollFrom+Micros(i)*rollEvery, p.restart)
+	}
+}
+
 func deafen(s *Sim) {
 	p := s.controls[0]
 	s.after(second, func() {
@@ -231,6 +247,15 @@
 	})
 }
 
+func cutBoth(s *Sim) {
+	p := s.attached[0]
+	s.after(second, func() {
+		p.proc.eachLink(func(l *link) { s.network.ways[[2]int{l.to.index, p.index}] = true })
+		s.network.severedNow()
+	})
+	s.after(second+deafFor, func() { clear(s.network.ways) })
+}
+
 func disorder(s *Sim) {
 	lose(s)
 	s.network.reorder = true
