--- a/exercise/membership/scenarios_test.go
+++ b/exercise/membership/scenarios_test.go
@@ -142,7 +142,8 @@
 	return membership.Options{FrontEnds: attached + fullControls, Controls: fullControls, Zones: fullZones, Seed: 1, Faults: faults}
 }
 
-// TestScenariosFull plays full size, and says of each aim whether it is met. CHUTECHUTE_RESULTS names a folder for the results.
+// TestScenariosFull plays full size, and says of each aim whether it is met. CHUTECHUTE_RESULTS names a folder for the results,
+// CHUTECHUTE_SECONDS sets another span of the measured part, and CHUTECHUTE_SEED the seed.
 func TestScenariosFull(t *testing.T) {
 	long(t)
 	for _, scenario := range membership.Scenarios() {
@@ -150,6 +151,8 @@
 			began := time.Now()
 			options := full(fullAttached, scenario.Name)
 			options.Processor = scenario.Seconds <= mostMetered
+			options.Seconds = float64(numbered("CHUTECHUTE_SECONDS", 0))
+			options.Seed = numbered("CHUTECHUTE_SEED", options.Seed)
 			options.Progress = func(word string) { t.Logf("%6.1f s: %s", time.Since(began).Seconds(), word) }
 			o, err := membership.Play(options)
 			require.NoError(t, err)
