member: one codec of reports for heartbeats in service and in virtual time

Found on reading the change again: exercise/membership wrote and read the reports of a heartbeat once more beside package fleet. Report.Encode and DecodeReport serve both; the bytes are the same, TestHeartbeatIsAsBefore holds them.

--- a/exercise/membership/heartbeat.go
+++ b/exercise/membership/heartbeat.go
@@ -19,10 +19,7 @@
 	b = proto.Uint(b, 1, h.incarnation)
 	b = proto.Bool(b, 8, h.leaving)
 	for _, r := range h.reports {
-		m := proto.String(nil, 1, r.Name)
-		m = proto.Uint(m, 2, r.Incarnation)
-		m = proto.Uint(m, 3, uint64(max(0, r.Age)))
-		b = proto.Message(b, 10, m)
+		b = proto.Message(b, 10, r.Encode())
 	}
 	return proto.Bytes(b, 11, h.versions)
 }
@@ -35,7 +32,7 @@
 		case 8:
 			h.leaving = f.Uint != 0
 		case 10:
-			r, err := decodeReport(f.Data)
+			r, err := member.DecodeReport(f.Data)
 			h.reports = append(h.reports, r)
 			return err
 		case 11:
@@ -45,18 +42,3 @@
 	})
 	return h, err
 }
-
-func decodeReport(b []byte) (r member.Report, err error) {
-	err = proto.Each(b, func(f proto.Field) error {
-		switch f.Number {
-		case 1:
-			r.Name = f.Text()
-		case 2:
-			r.Incarnation = f.Uint
-		case 3:
-			r.Age = Micros(min(f.Uint, 1<<62))
-		}
-		return nil
-	})
-	return r, err
-}
--- a/fleet/status.go
+++ b/fleet/status.go
@@ -31,10 +31,7 @@
 	b = proto.Bool(b, 8, s.Leaving)
 	b = proto.Bool(b, 9, s.Voter)
 	for _, r := range s.Reports {
-		m := proto.String(nil, 1, r.Name)
-		m = proto.Uint(m, 2, r.Incarnation)
-		m = proto.Uint(m, 3, uint64(max(0, r.Age)))
-		b = proto.Message(b, 10, m)
+		b = proto.Message(b, 10, r.Encode())
 	}
 	return proto.Bytes(b, 11, s.Versions)
 }
@@ -61,18 +58,7 @@
 		case 9:
 			s.Voter = f.Uint != 0
 		case 10:
-			var r member.Report
-			err := proto.Each(f.Data, func(f proto.Field) error {
-				switch f.Number {
-				case 1:
-					r.Name = f.Text()
-				case 2:
-					r.Incarnation = f.Uint
-				case 3:
-					r.Age = Micros(min(f.Uint, 1<<62))
-				}
-				return nil
-			})
+			r, err := member.DecodeReport(f.Data)
 			s.Reports = append(s.Reports, r)
 			return err
 		case 11:
