attach: entries of control members carry when their process was challenged

Change: member.Member tells when the first link of its incarnation was challenged; it goes into ControlMember, the merged entry and the field that attached front ends' entries already have. No kind of message and no digest changes.

--- a/attach/attach.go
+++ b/attach/attach.go
@@ -81,6 +81,7 @@
 	Incarnation uint64 // 0: never seen
 	State       State  // Alive also for one that is heard only by others
 	Cut         bool   // Alive, but not heard here
+	Challenged  Micros // when its process answered its first challenge here; 0 where that is not known
 }
 
 // Link is a proven link of an attached front end to this control member.
--- /dev/null
+++ b/attach/control_replaced_test.go
@@ -0,0 +1,112 @@
+package attach
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// replacedControl is a front end with links to two control members, m0 and m1, of which the test says how each sees a third, m2.
+type replacedControl struct {
+	t       *testing.T
+	now     Micros
+	servers map[string]*Server
+	sees    map[string]ControlMember // how each sees m2
+	client  *Client
+	link    Link
+}
+
+// The processes of m2, and when each answered its first challenge.
+var (
+	earlierProcess = ControlMember{Name: "m2", Zone: "zc", Incarnation: 21, State: Alive, Challenged: 90 * second}
+	laterProcess   = ControlMember{Name: "m2", Zone: "zc", Incarnation: 20, State: Alive, Challenged: 101 * second}
+)
+
+// newReplacedControl has both control members see such a process of m2 first, and the front end follow m0.
+func newReplacedControl(t *testing.T, atM0, atM1 ControlMember) *replacedControl {
+	controls := []ControlMember{{Name: "m0", Zone: "za"}, {Name: "m1", Zone: "zb"}, {Name: "m2", Zone: "zc"}}
+	r := &replacedControl{t: t, now: 100 * second, servers: map[string]*Server{}, sees: map[string]ControlMember{"m0": atM0, "m1": atM1}}
+	for i, name := range []string{"m0", "m1"} {
+		r.servers[name] = NewServer(Config{Name: name, Zone: controls[i].Zone, Incarnation: uint64(i + 1), Controls: controls})
+	}
+	for i := range 100 {
+		r.client = NewClient(Config{Name: fmt.Sprintf("f%d", i), Zone: "za", Incarnation: 9, Controls: controls})
+		if r.client.Targets(r.now); r.client.slots[1].preferred.name == "m1" {
+			break
+		}
+	}
+	r.link = Link{From: r.client.cfg.Name, Zone: "za", Incarnation: 9, Greeted: r.now}
+	r.run(second)
+	for name, server := range r.servers {
+		server.Linked(r.now, r.link)
+		r.client.Linked(r.now, name, server.cfg.Incarnation)
+	}
+	r.run(2 * second)
+	require.Equal(t, "m0", r.client.Home())
+	return r
+}
+
+func (r *replacedControl) run(span Micros) {
+	for end := r.now + span; r.now < end; {
+		r.now += 50 * ms
+		for name, server := range r.servers {
+			server.Tick(r.now, []ControlMember{r.sees[name]})
+		}
+		r.client.Tick(r.now)
+		r.carry()
+	}
+}
+
+func (r *replacedControl) carry() {
+	for _, m := range r.client.Actions() {
+		require.NoError(r.t, r.servers[m.To].Receive(r.now, r.link, m.Kind, m.Body))
+	}
+	for name, server := range r.servers {
+		for _, m := range server.Actions() {
+			if m.To == r.client.cfg.Name {
+				require.NoError(r.t, r.client.Receive(r.now, name, server.cfg.Incarnation, m.Kind, m.Body))
+			}
+		}
+	}
+}
+
+func (r *replacedControl) shows(incarnation uint64, state State) {
+	r.t.Helper()
+	e, ok := r.client.View().Of("m2")
+	require.True(r.t, ok)
+	assert.Equal(r.t, Entry{Name: "m2", Zone: "zc", Role: Control, Incarnation: incarnation, State: state, Home: "m2"}, e)
+}
+
+// A home that has not heard of the later process of a control member does not bring the earlier one back at a front end that has
+// seen the later, and the later one is shown alive as soon as that home tells of it.
+func TestHomeBehindAboutAControlMember(t *testing.T) {
+	r := newReplacedControl(t, earlierProcess, earlierProcess)
+	r.shows(earlierProcess.Incarnation, Alive)
+	r.sees["m0"] = laterProcess
+	r.run(second)
+	r.shows(laterProcess.Incarnation, Alive)
+
+	r.client.Unlinked(r.now, "m0")
+	require.Equal(t, "m1", r.client.Home())
+	r.run(second)
+	r.shows(earlierProcess.Incarnation, Dead)
+	assert.False(t, r.client.View().Alive(earlierProcess.Incarnation))
+
+	r.sees["m1"] = laterProcess
+	r.run(200 * ms)
+	r.shows(laterProcess.Incarnation, Alive)
+	assert.True(t, r.client.View().Alive(laterProcess.Incarnation))
+}
+
+// The same where the front end has only ever seen the later process.
+func TestHomeBehindShowsAnUnknownEarlierProcess(t *testing.T) {
+	r := newReplacedControl(t, laterProcess, earlierProcess)
+	r.shows(laterProcess.Incarnation, Alive)
+	r.client.Unlinked(r.now, "m0")
+	r.run(second)
+	r.shows(earlierProcess.Incarnation, Dead)
+	assert.False(t, r.client.View().Alive(earlierProcess.Incarnation))
+	assert.False(t, r.client.View().Replaced(laterProcess.Incarnation))
+}
--- a/attach/merge.go
+++ b/attach/merge.go
@@ -169,6 +169,7 @@
 func (s *Server) entry(p *person) (e change, ok bool) {
 	if c := s.byName[p.name]; c != nil {
 		e.Entry = Entry{Name: c.Name, Zone: c.Zone, Role: Control, Incarnation: c.Incarnation, State: c.State, Home: c.Name}
+		e.challenged = c.Challenged
 		return e, c.Incarnation != 0
 	}
 	if len(p.rows) == 0 {
--- a/attach/rig_test.go
+++ b/attach/rig_test.go
@@ -45,6 +45,7 @@
 }
 
 type rigServer struct {
+	began Micros // when its process answered its first challenge
 	*Server
 	cfg     Config
 	up      bool
@@ -140,7 +141,7 @@
 // start begins a server's next process.
 func (r *rig) start(s *rigServer) {
 	s.cfg.Incarnation = r.incarnation()
-	s.Server, s.up = NewServer(s.cfg), true
+	s.Server, s.up, s.began = NewServer(s.cfg), true, r.now+r.slowest
 }
 
 func (r *rig) stop(s *rigServer) {
@@ -158,7 +159,7 @@
 		if o == s {
 			continue
 		}
-		m := ControlMember{Name: o.cfg.Name, Zone: o.cfg.Zone, Incarnation: o.cfg.Incarnation, State: Alive}
+		m := ControlMember{Name: o.cfg.Name, Zone: o.cfg.Zone, Incarnation: o.cfg.Incarnation, State: Alive, Challenged: o.began}
 		switch cut := r.cut(o.cfg.Name, s.cfg.Name); {
 		case !o.up || o.paused:
 			m.State = Dead
--- a/attach/server.go
+++ b/attach/server.go
@@ -1,6 +1,7 @@
 package attach
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 )
@@ -130,6 +131,9 @@
 			}
 		}
 	}
+	if !s.started {
+		s.self.Challenged = cmp.Or(now, -1) // it began before any other challenges it
+	}
 	s.started = true
 	s.now = max(s.now, now)
 }
@@ -157,6 +161,7 @@
 	if c == nil || c == s.self || seen.Incarnation == 0 {
 		return
 	}
+	c.Challenged = seen.Challenged
 	if c.Incarnation == seen.Incarnation && c.State == seen.State {
 		c.Cut = seen.Cut
 		c.noteHeard(s.now)
--- a/exercise/membership/control.go
+++ b/exercise/membership/control.go
@@ -66,7 +66,7 @@
 // others is the other control members as package attach takes them.
 func (c *control) others() (list []attach.ControlMember) {
 	for _, m := range c.set.List() {
-		o := attach.ControlMember{Name: m.Name, Zone: m.Zone, Incarnation: m.Incarnation}
+		o := attach.ControlMember{Name: m.Name, Zone: m.Zone, Incarnation: m.Incarnation, Challenged: m.Greeted}
 		switch m.State {
 		case member.Alive:
 			o.State = attach.Alive
--- a/fleet/control.go
+++ b/fleet/control.go
@@ -126,7 +126,7 @@
 
 // controlMember is a control member as package attach sees it.
 func controlMember(m *member.Member) attach.ControlMember {
-	c := attach.ControlMember{Name: m.Name, Zone: m.Zone, Incarnation: m.Incarnation, Cut: m.State == member.Cut}
+	c := attach.ControlMember{Name: m.Name, Zone: m.Zone, Incarnation: m.Incarnation, Cut: m.State == member.Cut, Challenged: m.Greeted}
 	switch m.State {
 	case member.Alive, member.Cut:
 		c.State = attach.Alive
--- a/member/member.go
+++ b/member/member.go
@@ -55,6 +55,7 @@
 	Zone        string
 	Incarnation uint64 // the last that was heard; 0: none was
 	State       State
+	Greeted     Micros // when the first link of this incarnation was challenged here
 
 	lastHeard     Micros // here
 	challenged    Micros // when the newest link of this incarnation was challenged
@@ -106,8 +107,9 @@
 				m.past = m.past[1:]
 			}
 		}
-		m.Incarnation, m.lastElsewhere = incarnation, 0
+		m.Incarnation, m.lastElsewhere, m.Greeted = incarnation, 0, greeted
 	}
+	m.Greeted = min(m.Greeted, greeted)
 	m.lastHeard, m.leaving = now, leaving
 	for _, r := range reports {
 		if o := s.byName[r.Name]; o != nil && o != m && o.Incarnation == r.Incarnation && r.Age >= 0 {
