epoll: a newcomer at the last descriptor is not closed for want of another

Cause: after the accept that takes the process's last descriptor the loop accepts again; without a descriptor the system answers EMFILE whether anybody waits or not, and listener.ready took that for somebody who waits and hung up the newcomer, whose first bytes had not come yet.

Change: only a turn's first accept makes room; epoll tells of whoever waits again in the next turn.

TestLastDescriptorServesWhoTookIt forces it (connected, accepted, and only then written to) and fails without the change.

--- a/cmd/chutechute/places_test.go
+++ b/cmd/chutechute/places_test.go
@@ -13,7 +13,6 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-	"golang.org/x/sys/unix"
 
 	"chutechute/internal/standin"
 )
@@ -24,8 +23,7 @@
 	r := start(t, 0, nil) // requests are held, as there is no engine: their clients can't be done without
 	journal, _ := r.Accept()
 	defer journal.Close()
-	limit := unix.Rlimit{Cur: uint64(r.Descriptors() + 2), Max: uint64(r.Descriptors() + 2)}
-	require.NoError(t, unix.Prlimit(r.Cmd.Process.Pid, unix.RLIMIT_NOFILE, &limit, nil))
+	r.HoldDescriptors(2)
 	var all []*standin.Client
 	for waits := false; !waits; {
 		n := len(all) + 1
@@ -48,6 +46,20 @@
 	require.Eventually(t, func() bool { return r.Counter("requests taken") == taken+1 }, standin.Patience, time.Millisecond)
 }
 
+// A client that takes the last descriptor and says nothing yet keeps its place: nobody waits behind it. It was closed unread where
+// its first bytes came after its connection had been accepted.
+func TestLastDescriptorServesWhoTookIt(t *testing.T) {
+	r := start(t, 1, standin.Store(0, standin.Row))
+	journal, _ := r.Accept()
+	defer journal.Close()
+	r.HoldDescriptors(1)
+	c := r.Client()
+	require.Eventually(t, func() bool { return r.Counter("connections from clients") == 1 }, standin.Patience, time.Millisecond)
+	c.Ask("SELECT * FROM s_1.t", "call", standin.ID(1), "op", "lookup", "ttl", "5000", "work", "1.0")
+	require.Eventually(t, func() bool { return r.Counter("requests taken") == 1 }, standin.Patience, time.Millisecond)
+	assert.Zero(t, r.Counter("connections ended by their clients"))
+}
+
 // Clients that rest, say half of something or nothing fill their share while discovery is down; the watch is made again, engines
 // get their connections and new clients their turn all the same.
 func TestPlacesWhileDiscoveryIsDown(t *testing.T) {
--- a/internal/epoll/listener.go
+++ b/internal/epoll/listener.go
@@ -63,14 +63,17 @@
 
 // ready accepts all who wait, and reads at once what they have already sent: the order of requests is
 // that of their last bytes, and a connection read only in the next turn could lose its place.
+//
+// Without a descriptor the system does not say whether anybody waits. Who does is told of again in the next turn, so that only a
+// turn's first accept makes room: after others it may be that nobody waits, and a newcomer that has said nothing yet would go.
 func (l *listener) ready(uint32) {
-	for {
+	for accepted := 0; ; accepted++ {
 		fd, from, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		if err == unix.EINTR || err == unix.ECONNABORTED {
 			continue
 		}
 		if err != nil {
-			if err != unix.EAGAIN {
+			if err != unix.EAGAIN && accepted == 0 {
 				slog.Warn("accept", "error", err)
 				if !l.evict() && !l.s.pool.makeRoom() {
 					l.rest(true)
--- a/internal/standin/rig.go
+++ b/internal/standin/rig.go
@@ -17,6 +17,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -25,11 +26,15 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
 )
 
 // Patience bounds each wait; nothing is timed by it.
 const Patience = 20 * time.Second
 
+// restOfStart is for how long a program that has started has to hold as many descriptors.
+const restOfStart = 50 * time.Millisecond
+
 // Rig is a front end that runs, with its journal service and engines.
 type Rig struct {
 	T        *testing.T
@@ -222,10 +227,35 @@
 }
 
 // Descriptors is how many the program holds.
-func (r *Rig) Descriptors() int {
-	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.Cmd.Process.Pid))
+func (r *Rig) Descriptors() int { return len(r.descriptors()) }
+
+// descriptors is the numbers of those that the program holds.
+func (r *Rig) descriptors() (numbers []string) {
+	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", r.Cmd.Process.Pid))
 	require.NoError(r.T, err)
-	return len(fds)
+	for _, entry := range entries {
+		numbers = append(numbers, entry.Name())
+	}
+	return numbers
+}
+
+// HoldDescriptors leaves the program so many descriptors besides those that it holds. What it opened only to start is closed first:
+// they have to stay the same for a while. The system's limit is on the numbers of descriptors, of which some may be unused.
+func (r *Rig) HoldDescriptors(free int) {
+	held, since := r.descriptors(), time.Now()
+	for time.Since(since) < restOfStart {
+		time.Sleep(time.Millisecond)
+		if now := r.descriptors(); !slices.Equal(now, held) {
+			held, since = now, time.Now()
+		}
+	}
+	most := uint64(0)
+	for ; free > 0; most++ {
+		if !slices.Contains(held, strconv.FormatUint(most, 10)) {
+			free--
+		}
+	}
+	require.NoError(r.T, unix.Prlimit(r.Cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: most, Max: most}, nil))
 }
 
 // State is the program's state as the system tells it: T where it is stopped.
