--- a/internal/standin/door.go
+++ b/internal/standin/door.go
@@ -11,12 +11,18 @@
 )
 
 // Door is an engine's listener behind which those who connect can be left waiting: their connections come up once it is opened
-// again, or never.
+// again, or never. It accepts by itself, so that it can be shut before the engine serves.
 type Door struct {
 	net.Listener
-	mu      sync.Mutex
-	shut    chan struct{} // closed when it opens; nil while it is open
-	waiting []net.Conn    // that fill its line
+	accepted chan net.Conn // let in, for the engine
+	closed   chan struct{} // closed with the listener
+	close    sync.Once     // of that
+	ended    chan struct{} // closed when nothing is accepted any more, which err says why
+	err      error
+	mu       sync.Mutex
+	shut     chan struct{} // closed when it opens; nil while it is open
+	held     chan struct{} // closed when a connection was accepted that waits for that
+	waiting  []net.Conn    // that fill its line
 }
 
 // Shuttable has an engine listen behind a door.
@@ -30,30 +36,64 @@
 	require.NoError(r.T, err)
 	require.NoError(r.T, f.Close())
 	e.Server.Listener.Close()
-	d := &Door{Listener: l}
+	d := &Door{Listener: l, accepted: make(chan net.Conn), closed: make(chan struct{}), ended: make(chan struct{})}
+	go d.run()
 	e.Server.Listener, e.Addr = d, l.Addr().(*net.TCPAddr)
 	return d
 }
 
-// Accept takes the next connection, once the door is open.
-func (d *Door) Accept() (net.Conn, error) {
-	c, err := d.Listener.Accept()
+// run accepts one connection after the other, and lets each in once the door is open.
+func (d *Door) run() {
+	defer close(d.ended)
 	for {
-		d.mu.Lock()
-		shut := d.shut
-		d.mu.Unlock()
-		if shut == nil || err != nil {
-			return c, err
+		var c net.Conn
+		if c, d.err = d.Listener.Accept(); d.err != nil {
+			return
 		}
+		d.awaitOpen()
+		select {
+		case d.accepted <- c:
+		case <-d.closed:
+			c.Close()
+		}
+	}
+}
+
+func (d *Door) awaitOpen() {
+	d.mu.Lock()
+	shut, held := d.shut, d.held
+	d.mu.Unlock()
+	if shut != nil {
+		close(held)
 		<-shut
 	}
 }
 
-// Shut lets nobody in any more: it fills the line of those who wait.
+// Accept takes the next connection that is let in.
+func (d *Door) Accept() (net.Conn, error) {
+	select {
+	case c := <-d.accepted:
+		return c, nil
+	case <-d.ended:
+		return nil, d.err
+	}
+}
+
+// Shut lets nobody in any more: it fills the line of those who wait. Whom the listener accepts leaves the line, so that it is full
+// for good only once the first was accepted and is held.
 func (d *Door) Shut() {
+	held := make(chan struct{})
+	d.mu.Lock()
+	d.shut, d.held = make(chan struct{}), held
+	d.mu.Unlock()
+	first, err := net.Dial("tcp4", d.Addr().String())
+	if err != nil {
+		panic(err) // nothing is in the line yet
+	}
+	<-held
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.shut = make(chan struct{})
+	d.waiting = append(d.waiting, first)
 	for {
 		c, err := net.DialTimeout("tcp4", d.Addr().String(), 100*time.Millisecond)
 		if err != nil {
@@ -80,5 +120,6 @@
 // Close opens the door for good.
 func (d *Door) Close() error {
 	d.Open()
+	d.close.Do(func() { close(d.closed) })
 	return d.Listener.Close()
 }
