attach: a new control member awaits tables of members it has not heard yet

Cause: a control member's new process held deaths back only until the tables of those it knew to be alive had come. Ruled out: the order of processes, as all were of one incarnation.

Change: one that was not heard yet is awaited too, for as long after the start as a table is (tablesHere).

--- a/attach/merge.go
+++ b/attach/merge.go
@@ -192,10 +192,16 @@
 	return old != nil && old.Incarnation == e.Incarnation && old.State == Dead
 }
 
-// tablesHere says whether the tables of all control members that are there have come, as far as they were told of.
+// tablesHere says whether the tables of all control members that are there have come, as far as they were told of. One that was
+// not heard yet may be there as long as this process has only just begun.
 func (s *Server) tablesHere() bool {
 	return !slices.ContainsFunc(s.controls, func(c *controlState) bool {
-		if c == s.self || c.State != Alive || s.now-c.since >= awaitSpan {
+		switch {
+		case c == s.self:
+			return false
+		case c.Incarnation == 0:
+			return s.now-s.self.since < awaitSpan
+		case c.State != Alive || s.now-c.since >= awaitSpan:
 			return false
 		}
 		t := c.table(c.Incarnation)
--- a/attach/server.go
+++ b/attach/server.go
@@ -132,6 +132,7 @@
 		}
 	}
 	if !s.started {
+		s.self.since = now
 		s.self.Challenged = cmp.Or(now, -1) // it began before any other challenges it
 	}
 	s.started = true
--- a/attach/start_test.go
+++ b/attach/start_test.go
@@ -7,9 +7,9 @@
 )
 
 // A control member that has just started does not show a front end as Dead, by the table of an earlier home of it, before the table
-// of the home that holds it has come.
+// of the home that holds it has come, also where that home was not heard yet.
 func TestStartAmongTables(t *testing.T) {
-	for _, never := range []bool{false, true} {
+	for _, from := range []struct{ never, unheard bool }{{}, {never: true}, {unheard: true}, {never: true, unheard: true}} {
 		r := newTrio(t)
 		r.servers["m0"].Linked(r.now, r.link("f", 7))
 		for range 50 {
@@ -19,18 +19,22 @@
 		}
 		r.shows("f", 7, Alive)
 		r.begin("m2", 2000)
-		r.lose = func(from, to string, kind Kind) bool { return from == "m1" && to == "m2" && (never || kind == Table) }
+		r.lose = func(sender, to string, kind Kind) bool {
+			return sender == "m1" && to == "m2" && (from.never || kind == Table)
+		}
+		r.unheard = func(name, by string) bool { return from.unheard && name == "m1" && by == "m2" }
 		r.run(second)
 		s := r.servers["m2"]
 		e, ok := s.View().Of("f")
 		require.True(t, ok)
 		require.Equal(t, Suspect, e.State, "by m0 it is Dead")
-		if never { // death is told in the end where that table does not come
+		if from.never { // death is told in the end where that table does not come
 			r.run(awaitSpan)
 			require.True(t, s.View().Gone(7))
 			continue
 		}
 		r.lose = func(string, string, Kind) bool { return false }
+		r.unheard = func(string, string) bool { return false }
 		r.run(500 * ms)
 		r.shows("f", 7, Alive)
 	}
--- a/attach/table_test.go
+++ b/attach/table_test.go
@@ -15,6 +15,7 @@
 	servers map[string]*Server
 	epochs  map[string]uint64
 	lose    func(from, to string, kind Kind) bool
+	unheard func(name, by string) bool // that control member was never heard by the other
 	carried map[Kind]int
 	errors  []error
 }
@@ -23,7 +24,7 @@
 
 func newTrio(t *testing.T) *trio {
 	r := &trio{t: t, now: 100 * second, servers: map[string]*Server{}, epochs: map[string]uint64{}, carried: map[Kind]int{},
-		lose: func(string, string, Kind) bool { return false }}
+		lose: func(string, string, Kind) bool { return false }, unheard: func(string, string) bool { return false }}
 	for i, c := range trioControls {
 		r.begin(c.Name, uint64(1000+i))
 	}
@@ -38,7 +39,11 @@
 
 func (r *trio) seen(by string) (list []ControlMember) {
 	for _, c := range trioControls {
-		if c.Name != by {
+		switch {
+		case c.Name == by:
+		case r.unheard(c.Name, by):
+			list = append(list, ControlMember{Name: c.Name, Zone: c.Zone, State: Dead})
+		default:
 			list = append(list, ControlMember{Name: c.Name, Zone: c.Zone, Incarnation: r.epochs[c.Name], State: Alive})
 		}
 	}
