--- a/attach/bound_test.go
+++ b/attach/bound_test.go
@@ -61,6 +61,28 @@
 	require.Len(t, s.Actions(), 1, "another is not held up")
 }
 
+// One name gets a bounded number of snapshots, however many processes it has, and the last of them gets one in the end.
+func TestSnapshotsOfANameAreBounded(t *testing.T) {
+	p := newPair(t, 200)
+	before := p.server.Counters.Snapshots
+	subscribe := func(incarnation uint64) {
+		l := Link{From: "odd", Zone: "za", Incarnation: incarnation, Greeted: p.now}
+		h := heartbeat{name: "odd", sent: p.now, subscribe: true, resume: true}
+		require.NoError(t, p.server.Receive(p.now, l, Heartbeat, h.encode()))
+	}
+	for i := range uint64(20) {
+		subscribe(5000 + i)
+		p.run(second)
+	}
+	require.LessOrEqual(t, p.server.Counters.Snapshots-before, 2+20/10)
+	before = p.server.Counters.Snapshots
+	for range 10 {
+		subscribe(5019)
+		p.run(second)
+	}
+	require.Equal(t, 1, p.server.Counters.Snapshots-before)
+}
+
 // What the log has is sent at a bounded rate too.
 func TestCatchUpsAreBounded(t *testing.T) {
 	p := newPair(t, 3)
--- a/attach/damping.go
+++ b/attach/damping.go
@@ -14,6 +14,9 @@
 	changeRate = rate{10_000_000, 20}
 	// repairRate is of snapshots and repairs to one link.
 	repairRate = rate{3_000_000, 4}
+	// snapshotRate is of snapshots to one name, whichever its process: a front end that ends again and again does not have its home
+	// send the whole view each time, and waits for its own that long.
+	snapshotRate = rate{10_000_000, 2}
 	// catchUpRate is of changes from the log to one link.
 	catchUpRate = rate{500_000, 8}
 	// pullRate is of pulls of one table: an answer takes less than its gap, where none is lost.
--- a/attach/lease.go
+++ b/attach/lease.go
@@ -24,7 +24,9 @@
 	touched bool   // is in Server.dirty
 	waits   bool   // a change is put off by the bounded rate
 	changes Micros // state of the bounded rate of its changes
-	reader  reader
+
+	snapshots Micros // state of the bounded rate of snapshots to its name
+	reader    reader
 }
 
 // mostLinks bounds the links of one process; more are closed, the oldest first.
--- a/attach/serve.go
+++ b/attach/serve.go
@@ -155,7 +155,9 @@
 
 // repairView sends the parts of the view whose sums differ, at a bounded rate.
 func (s *Server) repairView(l *lease, h *heartbeat) (body []byte, unknown bool, err error) {
-	if !repairRate.allow(s.now, &l.reader.repaired) {
+	mask := s.differing(h)
+	whole := bits.OnesCount64(mask) >= manyBuckets
+	if whole && !snapshotRate.allow(s.now, &l.snapshots) || !repairRate.allow(s.now, &l.reader.repaired) {
 		s.Counters.Limited++
 		return nil, false, nil
 	}
@@ -164,8 +166,7 @@
 		return nil, false, fmt.Errorf("%w: after %d repairs of %q", ErrDisagree, mostRepairs, l.name)
 	}
 	l.reader.live = true
-	mask := s.differing(h)
-	if bits.OnesCount64(mask) >= manyBuckets {
+	if whole {
 		body = s.wholeView()
 		s.Counters.Snapshots++
 		s.Counters.SnapshotBytes += len(body)
