--- a/exercise/membership/control.go
+++ b/exercise/membership/control.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"errors"
 	"slices"
 
 	"chutechute/attach"
@@ -161,7 +162,9 @@
 // receive takes a message of an attached front end.
 func (c *control) receive(l *link, m attach.Message) {
 	if err := c.server.Receive(c.q.local(), l.attached(), m.Kind, m.Body); err != nil {
-		c.q.s.account.fault(err)
+		if !errors.Is(err, attach.ErrReplaced) || l.front.runs() { // what a process that has ended sent last is refused as it ought to be
+			c.q.s.account.fault(err)
+		}
 		l.close(controlSide)
 	}
 	c.pump()
--- a/exercise/membership/run.go
+++ b/exercise/membership/run.go
@@ -42,7 +42,7 @@
 	BusiestWho    string
 	Turns         int // the most changes of the flapping front end that any control member saw
 	Refused       int // queues that were full
-	Rejected      map[string]int
+	Rejected      map[string]int // messages of running processes that were refused, by the error
 }
 
 // Spans of a run.
