--- a/exercise/membership/run.go
+++ b/exercise/membership/run.go
@@ -40,8 +40,8 @@
 	// Rest is the mean bytes a second in and out of an attached front end; Busiest the mean over the busiest ten seconds of any.
 	Rest, Busiest float64
 	BusiestWho    string
-	Turns         int // the most changes of the flapping front end that any control member saw
-	Refused       int // queues that were full
+	Turns         int            // the most changes of the flapping front end that any control member saw
+	Refused       int            // queues that were full
 	Rejected      map[string]int // messages of running processes that were refused, by the error
 }
 
