attach: names that say what a newcomer needs: nameState, conflicts, avoided members

Renames only: person and people, stubborn, settling, weighs and outweighed, rivals, ghosts, believe, shunned, uncross, patience, and three fields called told.

--- a/attach/bound_test.go
+++ b/attach/bound_test.go
@@ -20,7 +20,7 @@
 		_, ok := s.View().Of("f")
 		require.False(t, ok, c.Name)
 		require.True(t, s.View().Gone(7), c.Name)
-		require.Len(t, s.people, 3, c.Name)
+		require.Len(t, s.names, 3, c.Name)
 	}
 	require.Empty(t, r.servers["m0"].leases)
 	require.Empty(t, r.servers["m0"].lessees)
@@ -171,7 +171,7 @@
 		c.Tick(0)
 		second := c.slots[1].preferred
 		first := c.slots[0].preferred
-		first.shunned = 1 << 60
+		first.avoidedUntil = 1 << 60
 		c.slots[0].due, c.slots[1].due = 1, 2
 		c.Tick(1)
 		assert.NotEqual(t, second, c.slots[0].current)
--- a/attach/client.go
+++ b/attach/client.go
@@ -7,15 +7,15 @@
 )
 
 const (
-	// patience is how long a client at its start waits for the first slot before it takes the view from the second.
-	patience Micros = 2_000_000
+	// firstSlotWait is how long a client at its start waits for the first slot before it takes the view from the second.
+	firstSlotWait Micros = 2_000_000
 	// steadySpan is how long the first slot has to be heard before the view is taken from it again.
 	steadySpan Micros = 3_000_000
 	// resumeGap is between two requests of what is missing, beside the heartbeats.
 	resumeGap Micros = 300_000
-	// believeSpan is for how long a home has to show a process alive before that counts more than what was seen of it elsewhere.
+	// conflictSpan is for how long a home has to show a process alive before that counts more than what was seen of it elsewhere.
 	// It is longer than the evidence of any home that is not there.
-	believeSpan Micros = 30_000_000
+	conflictSpan Micros = 30_000_000
 	// mostFailures is how many times in a row what a control member sends may not agree before its link is closed.
 	mostFailures = 6
 )
@@ -137,7 +137,7 @@
 		return
 	}
 	if o.incarnation != incarnation {
-		o.clock, o.told = offset{}, told{}
+		o.clock, o.lastAnswer = offset{}, lastAnswer{}
 	}
 	o.linked, o.served, o.incarnation, o.leaving, o.behind = true, false, incarnation, false, false
 	o.heard, o.steady, o.beat = c.now, c.now, c.now
@@ -195,7 +195,7 @@
 // starts says whether the first slot may yet get its first link.
 func (c *Client) starts() bool {
 	preferred := c.slots[0].preferred
-	return c.now-c.first < patience && preferred != nil && preferred.failures == 0 && c.epoch == 0
+	return c.now-c.first < firstSlotWait && preferred != nil && preferred.failures == 0 && c.epoch == 0
 }
 
 func (c *Client) setHome(o *control) {
@@ -336,7 +336,7 @@
 // compare takes the answer to a heartbeat: the view is confirmed, or behind, which the next heartbeat tells.
 func (c *Client) compare(o *control, m *viewMessage) {
 	if m.echo <= c.now {
-		o.told = told{true, m.sequence, m.echo}
+		o.lastAnswer = lastAnswer{true, m.sequence, m.echo}
 	}
 	if c.epoch != o.incarnation || m.sequence < c.sequence {
 		return
@@ -357,14 +357,14 @@
 
 // confirm notes that the view is as far as an answer said.
 func (c *Client) confirm(o *control) {
-	if o.told.answered && c.sequence >= o.told.sequence {
-		c.view.confirm(o.told.asked)
+	if o.lastAnswer.answered && c.sequence >= o.lastAnswer.sequence {
+		c.view.confirm(o.lastAnswer.asked)
 	}
 }
 
-// settle believes a home in the end that goes on showing a process alive which this view has had replaced.
+// settle takes a home's word in the end where it goes on showing a process alive which this view has had replaced.
 func (c *Client) settle() {
-	if c.view.conflict && !c.view.believe(c.conflict != 0 && c.now-c.conflict >= believeSpan) {
+	if c.view.conflict && !c.view.endConflicts(c.conflict != 0 && c.now-c.conflict >= conflictSpan) {
 		c.conflict = 0
 	}
 	if c.view.conflict && c.conflict == 0 {
--- a/attach/merge.go
+++ b/attach/merge.go
@@ -5,64 +5,64 @@
 	"slices"
 )
 
-// stubborn is for how long a process must be alive beside a later one of its name that is dead before it is shown instead.
-const stubborn Micros = 10_000_000
+// reinstateSpan is for how long a process must be alive beside a later one of its name that is dead before it is shown instead.
+const reinstateSpan Micros = 10_000_000
 
-// settling is for how long after a change two processes of one name are compared again with each batch: the estimate of another
+// recompareSpan is for how long after a change two processes of one name are compared again with each batch: the estimate of another
 // member's clock gets better with each message.
-const settling Micros = 5_000_000
+const recompareSpan Micros = 5_000_000
 
 // awaitSpan is for how long the table of a control member that has come back is awaited before others' word that a front end is dead
 // counts without it: longer than it takes, and so short that one which never tells does not hold up deaths for long.
 const awaitSpan Micros = 3_000_000
 
-// person is all that is known of one name: the rows of all homes' tables.
-type person struct {
-	name    string
-	rows    []*row // by home and epoch
-	touched bool   // is in Server.merge
-	watched bool   // is in Server.watch
-	doubted Micros // since when the later process is dead and another alive; 0 where that is not so
-	held    bool   // it is Dead by the tables that are here, and another is awaited
-	rivals  bool   // there are two processes that may each be the later
-	settles Micros // until when they are compared again
-	waits   bool   // a change is put off by the bounded rate
-	changes Micros // state of the bounded rate of its changes
+// nameState is all that is known of one name: the rows of all homes' tables.
+type nameState struct {
+	name           string
+	rows           []*row // by home and epoch
+	touched        bool   // is in Server.merge
+	watched        bool   // is in Server.watch
+	doubted        Micros // since when the later process is dead and another alive; 0 where that is not so
+	held           bool   // it is Dead by the tables that are here, and another is awaited
+	contested      bool   // there are two processes that may each be the later
+	recompareUntil Micros // until when they are compared again
+	waits          bool   // a change is put off by the bounded rate
+	changes        Micros // state of the bounded rate of its changes
 }
 
-func (s *Server) person(name string) *person {
-	p := s.people[name]
-	if p == nil {
-		p = &person{name: name}
-		s.people[name] = p
+func (s *Server) nameState(name string) *nameState {
+	n := s.names[name]
+	if n == nil {
+		n = &nameState{name: name}
+		s.names[name] = n
 	}
-	return p
+	return n
 }
 
 // swap takes one row for another; either may be nil.
-func (p *person) swap(old, kept *row) {
+func (n *nameState) swap(old, kept *row) {
 	if old != nil {
-		p.rows = slices.DeleteFunc(p.rows, func(r *row) bool { return r == old })
+		n.rows = slices.DeleteFunc(n.rows, func(r *row) bool { return r == old })
 	}
 	if kept == nil {
 		return
 	}
-	at, _ := slices.BinarySearchFunc(p.rows, kept, func(a, b *row) int {
+	at, _ := slices.BinarySearchFunc(n.rows, kept, func(a, b *row) int {
 		return cmp.Or(cmp.Compare(a.table.home, b.table.home), cmp.Compare(a.table.epoch, b.table.epoch))
 	})
-	p.rows = slices.Insert(p.rows, at, kept)
+	n.rows = slices.Insert(n.rows, at, kept)
 }
 
-func (s *Server) touched(p *person) {
-	if !p.touched {
-		p.touched = true
-		s.merge = append(s.merge, p)
+func (s *Server) touched(n *nameState) {
+	if !n.touched {
+		n.touched = true
+		s.merge = append(s.merge, n)
 	}
 }
 
 func (s *Server) touchedAll(t *table) {
 	for _, name := range t.names() {
-		s.touched(s.person(name))
+		s.touched(s.nameState(name))
 	}
 }
 
@@ -88,8 +88,8 @@
 	past        bool
 }
 
-// weighs says whether a row speaks more for its process than another: by evidence, then whether its home serves it, then by name.
-func (r *row) weighs(other *row) bool {
+// outranks says whether a row speaks more for its process than another: by evidence, then whether its home serves it, then by name.
+func (r *row) outranks(other *row) bool {
 	switch a, b := r.evidence().strength(), other.evidence().strength(); {
 	case a != b:
 		return a > b
@@ -101,17 +101,17 @@
 	return false
 }
 
-// outweighed says whether a home that is there tells of the end of a lease after this row's home, which is gone, was last heard. A
+// superseded says whether a home that is there tells of the end of a lease after this row's home, which is gone, was last heard. A
 // lease that ended before says nothing: that process may have moved to this row's home, and may be moving now.
-func (r *row) outweighed(rows []*row) bool {
+func (r *row) superseded(rows []*row) bool {
 	return r.evidence() == Suspect && r.table.silent && slices.ContainsFunc(rows, func(o *row) bool {
 		return o.incarnation == r.incarnation && o.table.present && o.state == Dead && o.ended > r.table.heard
 	})
 }
 
 // processes are those of a name that its rows tell of. Rows are by home, so that the first of equals stays.
-func (s *Server) processes(p *person) (list []process) {
-	for _, r := range p.rows {
+func (s *Server) processes(n *nameState) (list []process) {
+	for _, r := range n.rows {
 		at := slices.IndexFunc(list, func(o process) bool { return o.incarnation == r.incarnation })
 		if at < 0 {
 			list = append(list, process{r.incarnation, r.answered(), r, s.past.contains(r.incarnation)})
@@ -119,7 +119,7 @@
 		}
 		o := &list[at]
 		o.challenged = max(o.challenged, r.answered())
-		if o.best.outweighed(p.rows) || r.weighs(o.best) && !r.outweighed(p.rows) {
+		if o.best.superseded(n.rows) || r.outranks(o.best) && !r.superseded(n.rows) {
 			o.best = r
 		}
 	}
@@ -136,8 +136,8 @@
 
 // choose is the process to be shown. The order is an estimate where no home has seen both, so that one which stays alive beside a
 // dead later one wins in the end.
-func (s *Server) choose(p *person) process {
-	list := s.processes(p)
+func (s *Server) choose(n *nameState) process {
+	list := s.processes(n)
 	newest := 0
 	for i := range list {
 		if list[i].later(&list[newest]) {
@@ -150,37 +150,37 @@
 			alive = i
 		}
 	}
-	p.rivals = slices.ContainsFunc(list, func(o process) bool { return o != list[newest] && !o.past })
+	n.contested = slices.ContainsFunc(list, func(o process) bool { return o != list[newest] && !o.past })
 	state := list[newest].best.evidence()
 	if alive < 0 || alive == newest || state != Dead && state != Left {
-		p.doubted = 0
+		n.doubted = 0
 		return list[newest]
 	}
-	if p.doubted == 0 {
-		p.doubted = s.now
+	if n.doubted == 0 {
+		n.doubted = s.now
 	}
-	if s.now-p.doubted >= stubborn {
+	if s.now-n.doubted >= reinstateSpan {
 		return list[alive]
 	}
 	return list[newest]
 }
 
-// entry is how a person is to be shown; ok is false for one that is not.
-func (s *Server) entry(p *person) (e change, ok bool) {
-	if c := s.byName[p.name]; c != nil {
+// entry is how a name is to be shown; ok is false for one that is not.
+func (s *Server) entry(n *nameState) (e change, ok bool) {
+	if c := s.byName[n.name]; c != nil {
 		e.Entry = Entry{Name: c.Name, Zone: c.Zone, Role: Control, Incarnation: c.Incarnation, State: c.State, Home: c.Name}
 		e.challenged = c.Challenged
 		return e, c.Incarnation != 0
 	}
-	if len(p.rows) == 0 {
+	if len(n.rows) == 0 {
 		return e, false
 	}
-	chosen := s.choose(p)
+	chosen := s.choose(n)
 	r := chosen.best
 	e.Entry = Entry{Name: r.name, Zone: r.zone, Role: Attached, Incarnation: r.incarnation, State: r.evidence(), Home: r.table.home}
 	e.challenged = cmp.Or(chosen.challenged, -1)
-	p.held = e.State == Dead && !s.complete && !s.shownDead(&e.Entry)
-	if p.held {
+	n.held = e.State == Dead && !s.complete && !s.shownDead(&e.Entry)
+	if n.held {
 		e.State = Suspect
 	}
 	return e, true
@@ -212,39 +212,39 @@
 // mergeAll gives the changes of the view, by name, as far as the bounded rate of each name allows.
 func (s *Server) mergeAll() (changes []change) {
 	s.complete = s.tablesHere()
-	s.watch = slices.DeleteFunc(s.watch, func(p *person) bool {
-		s.touched(p)
-		p.watched = s.watches(p)
-		return !p.watched
+	s.watch = slices.DeleteFunc(s.watch, func(n *nameState) bool {
+		s.touched(n)
+		n.watched = s.watches(n)
+		return !n.watched
 	})
-	slices.SortFunc(s.merge, func(a, b *person) int { return cmp.Compare(a.name, b.name) })
-	var later []*person
+	slices.SortFunc(s.merge, func(a, b *nameState) int { return cmp.Compare(a.name, b.name) })
+	var later []*nameState
 	room := s.mostAttached - s.attached
-	for _, p := range s.merge {
-		p.touched = false
-		c, differs := s.difference(p, room)
-		if !p.watched && s.watches(p) {
-			p.watched = true
-			s.watch = append(s.watch, p)
+	for _, n := range s.merge {
+		n.touched = false
+		c, differs := s.difference(n, room)
+		if !n.watched && s.watches(n) {
+			n.watched = true
+			s.watch = append(s.watch, n)
 		}
 		switch {
 		case !differs:
-			p.waits = false
-			s.forget(p)
-		case !changeRate.allow(s.now, &p.changes):
-			if !p.waits {
-				p.waits = true
+			n.waits = false
+			s.forget(n)
+		case !changeRate.allow(s.now, &n.changes):
+			if !n.waits {
+				n.waits = true
 				s.Counters.Damped++
 			}
-			p.touched = true
-			later = append(later, p)
+			n.touched = true
+			later = append(later, n)
 		default:
-			p.waits = false
+			n.waits = false
 			changes = append(changes, c)
-			if s.byName[p.name] == nil {
+			if s.byName[n.name] == nil {
 				room -= s.view.lenAfter(changes[len(changes)-1:]) - s.view.Len()
 			}
-			s.forget(p)
+			s.forget(n)
 		}
 	}
 	s.merge = later
@@ -252,20 +252,20 @@
 	return changes
 }
 
-// watches says whether a person is to be merged again without a change of its rows.
-func (s *Server) watches(p *person) bool {
-	return p.doubted != 0 || p.held || p.rivals && s.now < p.settles
+// watches says whether a name is to be merged again without a change of its rows.
+func (s *Server) watches(n *nameState) bool {
+	return n.doubted != 0 || n.held || n.contested && s.now < n.recompareUntil
 }
 
-// difference is what the view lacks of a person, where it has room for so many more.
-func (s *Server) difference(p *person, room int) (c change, differs bool) {
-	e, shown := s.entry(p)
-	old := s.view.byName[p.name]
+// difference is what the view lacks of a name, where it has room for so many more.
+func (s *Server) difference(n *nameState, room int) (c change, differs bool) {
+	e, shown := s.entry(n)
+	old := s.view.byName[n.name]
 	switch {
 	case !shown && old == nil:
 		return c, false
 	case !shown:
-		return change{Entry: Entry{Name: p.name}, removed: true}, true
+		return change{Entry: Entry{Name: n.name}, removed: true}, true
 	case old != nil:
 		return e, old.Entry != e.Entry
 	case room <= 0 && e.Role == Attached:
@@ -275,9 +275,9 @@
 	return e, true
 }
 
-// forget drops a person that no table has.
-func (s *Server) forget(p *person) {
-	if len(p.rows) == 0 && s.byName[p.name] == nil {
-		delete(s.people, p.name)
+// forget drops a name that no table has.
+func (s *Server) forget(n *nameState) {
+	if len(n.rows) == 0 && s.byName[n.name] == nil {
+		delete(s.names, n.name)
 	}
 }
--- a/attach/replication.go
+++ b/attach/replication.go
@@ -81,12 +81,12 @@
 			}
 		}
 		if old != nil && kept != nil && old.digest() == kept.digest() && old.challenged == kept.challenged {
-			s.person(r.name).swap(old, kept)
+			s.nameState(r.name).swap(old, kept)
 			continue
 		}
-		p := s.person(r.name)
+		p := s.nameState(r.name)
 		p.swap(old, kept)
-		p.settles = s.now + settling
+		p.recompareUntil = s.now + recompareSpan
 		if kept != nil {
 			for _, past := range kept.past {
 				s.past.add(past)
@@ -101,10 +101,10 @@
 func (s *Server) Versions(now Micros) []byte {
 	s.pass(now)
 	list := []version{s.own.version()}
-	if s.now-s.told < allVersions {
+	if s.now-s.versionsTold < allVersions {
 		return encodeVersions(s.now, list)
 	}
-	s.told = s.now
+	s.versionsTold = s.now
 	for _, c := range s.controls {
 		if c == s.self {
 			continue
@@ -169,8 +169,8 @@
 		return
 	}
 	t := s.replica(home)
-	t.told = max(t.told, v.sequence)
-	t.here = t.here || t.sequence >= t.told
+	t.announced = max(t.announced, v.sequence)
+	t.here = t.here || t.sequence >= t.announced
 	switch {
 	case v.sequence > t.sequence:
 		s.pull(t, sender, false)
@@ -323,7 +323,7 @@
 	}
 	s.apply(t, rows)
 	t.sequence = m.sequence
-	t.here = t.here || t.sequence >= t.told
+	t.here = t.here || t.sequence >= t.announced
 	// A replica keeps no log: who asks it gets the whole table.
 	t.log = changeLog{first: t.sequence, start: t.sum}
 	return nil
--- a/attach/server.go
+++ b/attach/server.go
@@ -55,7 +55,7 @@
 	mostAttached int    // entries of attached front ends that the view may have
 	attached     int    // that it has
 	batched      Micros // when the last batch was made
-	told         Micros // when the versions of all tables were told
+	versionsTold Micros // when the versions of all tables were told
 
 	controls []*controlState // by name, this one too
 	byName   map[string]*controlState
@@ -70,10 +70,10 @@
 
 	complete bool // no table is awaited that may show alive who is dead by the others
 
-	people map[string]*person
-	merge  []*person // to be merged with the next batch
-	watch  []*person // to be merged again with each batch
-	past   pastSet   // processes that are no more for certain
+	names map[string]*nameState
+	merge []*nameState // to be merged with the next batch
+	watch []*nameState // to be merged again with each batch
+	past  pastSet      // processes that are no more for certain
 
 	view     *View
 	sequence uint64 // of the view's batches
@@ -88,7 +88,7 @@
 // NewServer begins with no attached front ends.
 func NewServer(cfg Config) *Server {
 	cfg = cfg.withDefaults()
-	s := &Server{cfg: cfg, byName: map[string]*controlState{}, lessees: map[string]*lease{}, people: map[string]*person{}}
+	s := &Server{cfg: cfg, byName: map[string]*controlState{}, lessees: map[string]*lease{}, names: map[string]*nameState{}}
 	s.view = newView()
 	s.view.authority = true
 	for _, c := range cfg.Controls {
@@ -103,7 +103,7 @@
 	s.own.present = true
 	s.self.tables = []*table{s.own}
 	slices.SortFunc(s.controls, func(a, b *controlState) int { return strings.Compare(a.Name, b.Name) })
-	s.touched(s.person(cfg.Name))
+	s.touched(s.nameState(cfg.Name))
 	return s
 }
 
@@ -177,7 +177,7 @@
 		c.since = s.now
 	}
 	c.Incarnation, c.State, c.Cut = seen.Incarnation, seen.State, seen.Cut
-	s.touched(s.person(c.Name))
+	s.touched(s.nameState(c.Name))
 	for _, t := range c.tables {
 		s.setPresent(t, t.epoch == c.Incarnation && (c.State == Alive || c.State == Suspect))
 	}
@@ -279,7 +279,7 @@
 	if l := s.lessees[e.Name]; l != nil && l.incarnation == incarnation && len(l.links) > 0 {
 		return s.cfg.Name, true
 	}
-	p := s.people[e.Name]
+	p := s.names[e.Name]
 	if p == nil {
 		return "", false
 	}
--- a/attach/start_test.go
+++ b/attach/start_test.go
@@ -49,7 +49,7 @@
 	r.begin("m2", 2000)
 	r.lose = func(from, _ string, _ Kind) bool { return from == "m2" }
 	for range 20 {
-		r.servers["m1"].touched(r.servers["m1"].person("f")) // as when its rows change
+		r.servers["m1"].touched(r.servers["m1"].nameState("f")) // as when its rows change
 		r.run(50 * ms)
 		e, _ := r.servers["m1"].View().Of("f")
 		require.Equal(t, Dead, e.State)
--- a/attach/table.go
+++ b/attach/table.go
@@ -35,13 +35,13 @@
 	rows     map[string]*row
 	log      changeLog
 
-	told    uint64 // the latest sequence that was told of it
-	here    bool   // that was reached once
-	present bool   // the home's process is there, as package member sees it
-	heard   Micros // when it was last Alive, as package member sees it, where it is not present
-	absent  Micros // since when it is not
-	silent  bool   // and was not heard for so long that another home's Dead of later counts more
-	lapsed  bool   // and for so long that its rows' evidence is over
+	announced uint64 // the latest sequence that was told of it
+	here      bool   // that was reached once
+	present   bool   // the home's process is there, as package member sees it
+	heard     Micros // when it was last Alive, as package member sees it, where it is not present
+	absent    Micros // since when it is not
+	silent    bool   // and was not heard for so long that another home's Dead of later counts more
+	lapsed    bool   // and for so long that its rows' evidence is over
 
 	pulled    Micros // states of bounded rates
 	sumPulled Micros
--- a/attach/table_test.go
+++ b/attach/table_test.go
@@ -348,7 +348,7 @@
 	_, ok = s.View().Of("f")
 	require.False(t, ok)
 	require.True(t, s.View().Gone(7))
-	require.Len(t, s.people, 3, "nothing is kept of it")
+	require.Len(t, s.names, 3, "nothing is kept of it")
 }
 
 // Names that a message may not hold are errors that are counted, and change nothing.
--- a/attach/targets.go
+++ b/attach/targets.go
@@ -9,8 +9,8 @@
 	replaceLow, replaceHigh Micros = 200_000, 1_500_000
 	// rescueHigh is after what pause at most a front end without any live link dials: its leases end soon.
 	rescueHigh Micros = 100_000
-	// shunLow and shunHigh are for how long one that could not be reached is not dialled, doubled with each time in a row.
-	shunLow, shunHigh Micros = 1_000_000, 2_000_000
+	// avoidLow and avoidHigh are for how long one that could not be reached is not dialled, doubled with each time in a row.
+	avoidLow, avoidHigh Micros = 1_000_000, 2_000_000
 	// mostDoubled bounds the doubling: 1 to 2 minutes.
 	mostDoubled = 6
 	// settleSpan is how long a control member has to be back before its front ends return to it, and returnSpan within how much
@@ -20,26 +20,26 @@
 
 // control is a control member as a client sees it.
 type control struct {
-	name, zone  string
-	linked      bool
-	served      bool // something came over the link
-	incarnation uint64
-	asked       Micros // since when a link to it is wanted
-	heard       Micros // the last sign of life over the link
-	steady      Micros // since when it is linked and heard without a gap
-	leaving     bool
-	beat        Micros // when the next heartbeat is due
-	shunned     Micros // until when it is not dialled
-	failures    int    // in a row
-	wantsSums   bool   // it can't follow up on what this view is without the sums
-	behind      bool   // it told of a later view than was received by then
-	lastResume  Micros
-	clock       offset
-	told        told
+	name, zone   string
+	linked       bool
+	served       bool // something came over the link
+	incarnation  uint64
+	asked        Micros // since when a link to it is wanted
+	heard        Micros // the last sign of life over the link
+	steady       Micros // since when it is linked and heard without a gap
+	leaving      bool
+	beat         Micros // when the next heartbeat is due
+	avoidedUntil Micros // until when it is not dialled
+	failures     int    // in a row
+	wantsSums    bool   // it can't follow up on what this view is without the sums
+	behind       bool   // it told of a later view than was received by then
+	lastResume   Micros
+	clock        offset
+	lastAnswer   lastAnswer
 }
 
-// told is what the last answer to a heartbeat said: how far the view was when it was asked.
-type told struct {
+// lastAnswer is what the last answer to a heartbeat said: how far the view was when it was asked.
+type lastAnswer struct {
 	answered bool
 	sequence uint64
 	asked    Micros
@@ -132,11 +132,11 @@
 		c.tryBeside(s)
 		c.comeBack(s)
 	}
-	c.uncross()
+	c.swapCrossed()
 }
 
-// uncross lets each slot have its preferred control member where each holds the other's: neither could return.
-func (c *Client) uncross() {
+// swapCrossed lets each slot have its preferred control member where each holds the other's: neither could return.
+func (c *Client) swapCrossed() {
 	a, b := &c.slots[0], &c.slots[1]
 	if a.current != nil && b.current != nil && a.current == b.preferred && b.current == a.preferred {
 		a.current, b.current = b.current, a.current
@@ -174,12 +174,12 @@
 	return !slices.ContainsFunc(c.slots[:], func(s slot) bool { return c.fresh(s.current) || c.fresh(s.beside) })
 }
 
-// lose empties the slots of a control member. One that can't be reached is shunned for a while; one whose link broke is dialled
+// lose empties the slots of a control member. One that can't be reached is avoided for a while; one whose link broke is dialled
 // once more first.
 func (c *Client) lose(o *control, unreachable bool) {
 	o.linked, o.steady, o.behind, o.wantsSums = false, 0, false, false
 	if unreachable {
-		o.shunned = c.now + c.random.span(shunLow, shunHigh)<<min(o.failures, mostDoubled)
+		o.avoidedUntil = c.now + c.random.span(avoidLow, avoidHigh)<<min(o.failures, mostDoubled)
 		o.failures++
 	}
 	for i := range c.slots {
@@ -229,7 +229,7 @@
 	}
 }
 
-// replacement is the preferred control member of a slot, where that is not shunned, or one of all that are left, by an order of
+// replacement is the preferred control member of a slot, where that is not avoided, or one of all that are left, by an order of
 // this front end's own; not another of its zone, to which all front ends of the lost one would go. One whose link broke comes first
 // in that order, and so is dialled again.
 func (c *Client) replacement(s *slot) *control {
@@ -240,7 +240,7 @@
 				return false
 			}
 		}
-		return c.now >= o.shunned
+		return c.now >= o.avoidedUntil
 	}
 	spread := func(o *control) bool {
 		return free(o) && (o == s.preferred || o.zone != c.cfg.Zone)
@@ -273,7 +273,7 @@
 	e, ok := c.view.Of(s.preferred.name)
 	taken := slices.ContainsFunc(c.slots[:], func(other slot) bool { return other.current == s.preferred || other.beside == s.preferred })
 	switch {
-	case !ok || e.State != Alive || c.now < s.preferred.shunned || taken:
+	case !ok || e.State != Alive || c.now < s.preferred.avoidedUntil || taken:
 		s.settled, s.back = 0, 0
 	case s.settled == 0:
 		s.settled = c.now
--- a/attach/view.go
+++ b/attach/view.go
@@ -24,7 +24,7 @@
 	total         uint64
 	past          pastSet           // processes that were replaced
 	removed       pastSet           // processes whose entry was taken out of the view
-	ghosts        map[string]*kept  // entries that a home did not have to which this front end came, by name
+	missingAtHome map[string]*kept  // entries that a home did not have to which this front end came, by name
 	texts         map[string]string // zones and homes, each kept once
 	confirmed     Micros
 	known         bool // confirmed holds a time
@@ -131,9 +131,9 @@
 	if from == merged {
 		v.past.remove(e.Incarnation)
 	}
-	if ghost := v.ghosts[e.Name]; ghost != nil {
-		delete(v.ghosts, e.Name)
-		v.order(ghost, e, from)
+	if missing := v.missingAtHome[e.Name]; missing != nil {
+		delete(v.missingAtHome, e.Name)
+		v.order(missing, e, from)
 	}
 	switch {
 	case old == nil:
@@ -151,13 +151,13 @@
 
 // order notes which of two processes of one name is past: the one known before, unless the other answered an earlier challenge.
 func (v *View) order(old, e *kept, from source) {
-	told := old.challenged != 0 && e.challenged != 0
+	bothKnown := old.challenged != 0 && e.challenged != 0
 	switch {
 	case old.Incarnation == e.Incarnation:
-		if told {
+		if bothKnown {
 			e.challenged = min(e.challenged, old.challenged)
 		}
-	case from != merged && told && e.challenged < old.challenged:
+	case from != merged && bothKnown && e.challenged < old.challenged:
 		v.past.add(e.Incarnation)
 	default:
 		v.past.add(old.Incarnation)
@@ -173,8 +173,8 @@
 	v.count(old, 1)
 }
 
-// mostGhosts bounds the entries that are remembered of what a home does not have. Past it all are forgotten.
-const mostGhosts = 8192
+// mostMissingAtHome bounds the entries that are remembered of what a home does not have. Past it all are forgotten.
+const mostMissingAtHome = 8192
 
 // remove drops the entry of a name. It is gone where the home took it out; a home that does not have it may only have missed it.
 func (v *View) remove(name string, from source) {
@@ -191,10 +191,10 @@
 		v.removed.add(old.Incarnation)
 		return
 	}
-	if v.ghosts == nil || len(v.ghosts) >= mostGhosts {
-		v.ghosts = map[string]*kept{}
+	if v.missingAtHome == nil || len(v.missingAtHome) >= mostMissingAtHome {
+		v.missingAtHome = map[string]*kept{}
 	}
-	v.ghosts[name] = old
+	v.missingAtHome[name] = old
 }
 
 func (v *View) index(e *kept) {
@@ -268,8 +268,8 @@
 	}
 }
 
-// believe ends the conflicts of those that the home shows alive for long, and says whether any are left.
-func (v *View) believe(long bool) bool {
+// endConflicts ends the conflicts of those that the home shows alive for long, and says whether any are left.
+func (v *View) endConflicts(long bool) bool {
 	left := false
 	for _, e := range v.list {
 		if !v.past.contains(e.Incarnation) {
--- a/attach/view_test.go
+++ b/attach/view_test.go
@@ -57,7 +57,7 @@
 	e, _ := p.client.View().Of("o0001")
 	p.client.view.past.add(e.Incarnation)
 	p.client.view.conflict = true
-	p.run(believeSpan - 2*second)
+	p.run(conflictSpan - 2*second)
 	require.False(t, p.client.View().Alive(e.Incarnation))
 	p.run(5 * second)
 	require.True(t, p.client.View().Alive(e.Incarnation))
@@ -84,11 +84,11 @@
 	require.False(t, p.contains(0))
 
 	v := newView()
-	for i := range mostGhosts + 10 {
+	for i := range mostMissingAtHome + 10 {
 		v.apply(tells(fmt.Sprint(i), uint64(i+1), Alive, second), followed)
 		v.apply([]change{{Entry: Entry{Name: fmt.Sprint(i)}, removed: true}}, resumed)
 	}
-	require.LessOrEqual(t, len(v.ghosts), mostGhosts)
+	require.LessOrEqual(t, len(v.missingAtHome), mostMissingAtHome)
 }
 
 // A log is bounded by batches and by names.
--- a/exercise/membership/truth.go
+++ b/exercise/membership/truth.go
@@ -240,12 +240,12 @@
 	*highest = max(*highest, uint16(v.order()))
 }
 
-// stoppedWord is for how long the word may still be about that a member is dead that stood still and goes on.
-const stoppedWord = 2 * second
+// staleAfterStop is for how long the word may still be about that a member is dead that stood still and goes on.
+const staleAfterStop = 2 * second
 
 // wronglyDead says whether a member runs, and is where the one who holds it for dead could have known.
 func (t *truth) wronglyDead(by, subject *place, order int) bool {
-	if subject.resumed != 0 && t.s.now-subject.resumed < stoppedWord {
+	if subject.resumed != 0 && t.s.now-subject.resumed < staleAfterStop {
 		return false
 	}
 	return subject.running() && subject.births == order && t.s.network.sameSide(by, subject)
