--- a/Makefile
+++ b/Makefile
@@ -63,8 +63,8 @@
 	done
 	$(VIRTUAL) --front-ends 353 --faults rest --json docs/capacity/virtual-rest-300.json
 	CHUTECHUTE_LONG=1 CHUTECHUTE_RESULTS=$(CURDIR)/docs/capacity go test -count=1 -v -p 1 -timeout 30m -run '^TestCapacityOf' \
-		./decide ./gateway ./budget ./cmd/chutechute
-	bin/chutechute-scale fit $(addprefix docs/capacity/,$(addsuffix .json,decisions lists budgets loads connections connections-tls dials reloads primary-changes))
+		./attach ./decide ./gateway ./budget ./cmd/chutechute
+	bin/chutechute-scale fit $(addprefix docs/capacity/,$(addsuffix .json,decisions lists budgets loads connections connections-tls dials reloads primary-changes view))
 
 fuzz: ## ten minutes of texts nobody has thought of
 	go test -run XXX -fuzz FuzzRead -fuzztime 10m ./statement
--- a/attach/cost_test.go
+++ b/attach/cost_test.go
@@ -9,19 +9,25 @@
 	"github.com/stretchr/testify/require"
 )
 
+// fullControls is how many control members the users set aside machines for.
+const fullControls = 53
+
 // full is a control member with 2,700 front ends in its view, of which as many are attached to it as to each of 53.
-func full(t testing.TB) (s *Server, now Micros) {
+func full(t testing.TB) (s *Server, now Micros) { return withEach(t, 51) }
+
+// withEach is one of 53 control members to each of which so many front ends are attached.
+func withEach(t testing.TB, each int) (s *Server, now Micros) {
 	now = 100 * second
 	var controls []ControlMember
-	for i := range 53 {
+	for i := range fullControls {
 		controls = append(controls, ControlMember{Name: fmt.Sprintf("front-control-%02d", i), Zone: fmt.Sprintf("zone-%02d", i%23),
 			Incarnation: weight("c", fmt.Sprint(i), 1)})
 	}
 	s = NewServer(Config{Name: controls[0].Name, Zone: controls[0].Zone, Incarnation: controls[0].Incarnation, Controls: controls})
 	s.Tick(now, controls)
-	for i := 1; i < 53; i++ {
+	for i := 1; i < fullControls; i++ {
 		var rows []row
-		for j := range 51 {
+		for j := range each {
 			name := fmt.Sprintf("front-%02d-%03d", i, j)
 			rows = append(rows, row{name: name, zone: controls[i].Zone, incarnation: weight(name, "", 2), serves: true, challenged: now})
 		}
@@ -29,7 +35,7 @@
 		m.sum = newTable("", 0).sumAfter(rows)
 		require.NoError(t, s.ReceiveControl(now, controls[i].Name, controls[i].Incarnation, Table, m.encode()))
 	}
-	for i := range 51 {
+	for i := range each {
 		beatOf(t, s, now, i, true)
 	}
 	now += 50 * ms
@@ -47,6 +53,16 @@
 	require.NoError(t, s.Receive(now, Link{From: name, Zone: "zone-00", Incarnation: weight(name, "", 2), Greeted: now}, Heartbeat, h.encode()))
 }
 
+// holding is a front end that has taken a whole view from its home.
+func holding(t testing.TB, s *Server, now Micros, body []byte) *Client {
+	c := NewClient(Config{Name: "front-00-000", Zone: "zone-00", Incarnation: 5, Controls: s.cfg.Controls})
+	c.Tick(now)
+	c.Linked(now+second, s.cfg.Name, s.cfg.Incarnation)
+	c.home = c.byName[s.cfg.Name]
+	require.NoError(t, c.Receive(now+second, s.cfg.Name, s.cfg.Incarnation, ViewPart, body))
+	return c
+}
+
 // The bytes of a full view and of one change, and what a client needs to hold it.
 func TestCostsOfAFullView(t *testing.T) {
 	s, now := full(t)
@@ -59,11 +75,7 @@
 	var before, after runtime.MemStats
 	runtime.GC()
 	runtime.ReadMemStats(&before)
-	c := NewClient(Config{Name: "front-00-000", Zone: "zone-00", Incarnation: 5, Controls: s.cfg.Controls})
-	c.Tick(now)
-	c.Linked(now+second, s.cfg.Name, s.cfg.Incarnation)
-	c.home = c.byName[s.cfg.Name]
-	require.NoError(t, c.Receive(now+second, s.cfg.Name, s.cfg.Incarnation, ViewPart, body))
+	c := holding(t, s, now, body)
 	require.Equal(t, 2756, c.View().Len())
 	runtime.GC()
 	runtime.ReadMemStats(&after)
@@ -100,11 +112,7 @@
 	body := s.wholeView()
 	b.ReportAllocs()
 	for b.Loop() {
-		c := NewClient(Config{Name: "front-00-000", Zone: "zone-00", Incarnation: 5, Controls: s.cfg.Controls})
-		c.Tick(now)
-		c.Linked(now, s.cfg.Name, s.cfg.Incarnation)
-		c.home = c.byName[s.cfg.Name]
-		require.NoError(b, c.Receive(now, s.cfg.Name, s.cfg.Incarnation, ViewPart, body))
+		holding(b, s, now, body)
 	}
 }
 
