--- a/internal/epoll/listener.go
+++ b/internal/epoll/listener.go
@@ -69,45 +69,52 @@
 func (l *listener) ready(uint32) {
 	for accepted := 0; ; accepted++ {
 		fd, from, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
-		if err == unix.EINTR || err == unix.ECONNABORTED {
-			continue
-		}
-		if err != nil {
-			if err != unix.EAGAIN && accepted == 0 {
-				slog.Warn("accept", "error", err)
-				if !l.evict() && !l.s.pool.makeRoom() {
-					l.rest(true)
-				}
+		switch {
+		case err == unix.EINTR || err == unix.ECONNABORTED:
+		case err == unix.EAGAIN || err != nil && accepted > 0:
+			return
+		case err != nil:
+			slog.Warn("accept", "error", err)
+			if !l.evict() && !l.s.pool.makeRoom() {
+				l.rest(true)
 			}
 			return
-		}
-		if len(l.clients) >= l.most && !l.evict() && l.s.unused() <= 0 {
+		case !l.hasPlace():
 			unix.Close(fd)
-			continue
-		}
-		if l.s.unused() <= 0 && !l.s.pool.makeRoom() && !l.evict() && l.s.unused() <= -overdraft {
-			unix.Close(fd)
-			continue
+		default:
+			l.admit(fd, from)
 		}
-		_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
-		c := &client{stream: newStream(l.s.loop, fd, thrift.MaxFrame+4, l.maxUnread(), &l.budget), l: l,
-			open: map[int32]*gateway.Request{}, born: l.s.now, since: l.s.now, address: address(from)}
-		c.always = unix.EPOLLRDHUP // its end, also while it is not read from
-		c.want = unix.EPOLLIN | c.always
-		if err := l.s.loop.add(fd, c.want, c); err != nil {
-			slog.Warn("accept", "error", err)
-			c.close()
-			continue
-		}
-		l.s.count.Accepted++
-		l.clients[c] = struct{}{}
-		if m := l.s.security.material; m != nil && m.Config != nil {
-			c.secure = tlsio.Server(m.Config)
-		}
-		c.look()
 	}
 }
 
+// hasPlace says whether there is a place for one more client, and makes it where it can.
+func (l *listener) hasPlace() bool {
+	if len(l.clients) >= l.most && !l.evict() && l.s.unused() <= 0 {
+		return false
+	}
+	return l.s.unused() > 0 || l.s.pool.makeRoom() || l.evict() || l.s.unused() > -overdraft
+}
+
+// admit begins a client's connection, and reads what it has sent by now.
+func (l *listener) admit(fd int, from unix.Sockaddr) {
+	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // without it answers are only slower
+	c := &client{stream: newStream(l.s.loop, fd, thrift.MaxFrame+4, l.maxUnread(), &l.budget), l: l,
+		open: map[int32]*gateway.Request{}, born: l.s.now, since: l.s.now, address: address(from)}
+	c.always = unix.EPOLLRDHUP // its end, also while it is not read from
+	c.want = unix.EPOLLIN | c.always
+	if err := l.s.loop.add(fd, c.want, c); err != nil {
+		slog.Warn("accept", "error", err)
+		c.close()
+		return
+	}
+	l.s.count.Accepted++
+	l.clients[c] = struct{}{}
+	if m := l.s.security.material; m != nil && m.Config != nil {
+		c.secure = tlsio.Server(m.Config)
+	}
+	c.look()
+}
+
 // rest leaves who waits to connect waiting, where no descriptor is to be had, until the next tick: they would keep the loop from
 // resting.
 func (l *listener) rest(rest bool) {
