member: what is heard right after a stop of this process is not moved into the future

Cause: Set.Tick moves when others were heard by the length of a stop of this process.

Change: Heard lets time pass first, as Tick does.

--- a/member/member.go
+++ b/member/member.go
@@ -95,6 +95,7 @@
 // Heard takes a heartbeat that came over a link whose challenge was made here at the time greeted. It is false for one of an
 // incarnation that is gone, which must not count.
 func (s *Set) Heard(now Micros, name string, incarnation uint64, greeted Micros, leaving bool, reports []Report) bool {
+	s.pass(now)
 	m := s.byName[name]
 	if m == nil || slices.Contains(m.past, incarnation) || m.Incarnation != incarnation && m.Incarnation != 0 && greeted <= m.challenged {
 		return false
@@ -119,8 +120,9 @@
 	return true
 }
 
-// Tick lets time pass, and gives those whose state has changed.
-func (s *Set) Tick(now Micros) (changed []*Member) {
+// pass lets time pass. After a stop of this process it comes before anything that was heard since, which would else be moved into
+// the future.
+func (s *Set) pass(now Micros) {
 	if gap := now - s.now; s.now != 0 && gap > s.cfg.Pause {
 		for _, m := range s.list {
 			if m.Incarnation != 0 {
@@ -129,6 +131,11 @@
 		}
 	}
 	s.now = now
+}
+
+// Tick lets time pass, and gives those whose state has changed.
+func (s *Set) Tick(now Micros) (changed []*Member) {
+	s.pass(now)
 	for _, m := range s.list {
 		if state := s.state(m); state != m.State {
 			m.State = state
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -84,3 +84,19 @@
 	run(s, 600*ms, 1300*ms, func(member.Micros) {})
 	assert.Equal(t, member.Left, s.Of("b").State)
 }
+
+// What waited while this process stood still is heard before time has passed here. It was heard then and not later: who is silent
+// from then on is suspected and dead as soon as ever.
+func TestHeardRightAfterAPause(t *testing.T) {
+	s := set()
+	run(s, 0, 1000*ms, func(now member.Micros) { s.Heard(now, "b", 1, 0, false, nil) })
+	const goesOn = 11_000 * ms
+	s.Heard(goesOn, "b", 1, 0, false, nil)
+	silent := func(member.Micros) {}
+	run(s, goesOn, goesOn+500*ms, silent)
+	assert.Equal(t, member.Alive, s.Of("b").State)
+	run(s, goesOn+600*ms, goesOn+700*ms, silent)
+	assert.Equal(t, member.Suspect, s.Of("b").State)
+	run(s, goesOn+800*ms, goesOn+3000*ms, silent)
+	assert.Equal(t, member.Dead, s.Of("b").State)
+}
