--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run measure fleet budgets histories rotate scale scale-full fuzz
+.PHONY: build test lint run measure fleet budgets histories rotate scale scale-full scale-hours fuzz
 
 # Linked dynamically by the C tool chain, as the platform's bench for large fleets asks.
 export CGO_ENABLED = 1
@@ -46,7 +46,7 @@
 	$(SCALE) --front-ends 100 --control 6 --seconds 20 --changes 2 --json docs/capacity/short.json \
 		--faults "3s restart 10% over 2s; 8s kill attached 3 for 4s; 10s stop attached 5 for 2s; 14s restart control 6"
 
-VIRTUAL = $(SCALE) --virtual --processor --control 53 --zones 23 --seed 1
+VIRTUAL = $(SCALE) --virtual --control 53 --zones 23 --seed 1
 
 scale-full: build ## control traffic by the fleet's size, two runs each, the fits, and full size in virtual time, some 25 minutes: docs/capacity; NOTE says what else runs
 	set -e; for n in 5 10 20 40 80; do for run in 1 2; do \
@@ -58,13 +58,18 @@
 	bin/chutechute-scale fit docs/capacity/baseline-*.json
 	$(SCALE) --front-ends 1000 --control 10 --zones 5 --changes 0 --seed 8 --faults "100ms restart 10% over 9s" --json docs/capacity/restarts-1000.json
 	bin/chutechute-scale fit docs/capacity/attached-*.json
-	set -e; for scenario in rest start restarts zone control; do \
-		$(VIRTUAL) --front-ends 2753 --faults $$scenario --json docs/capacity/virtual-$$scenario.json; \
+	set -e; for scenario in rest start restarts zone control flap; do \
+		$(VIRTUAL) --processor --front-ends 2753 --faults $$scenario --json docs/capacity/virtual-$$scenario.json; \
 	done
-	$(VIRTUAL) --front-ends 353 --faults rest --json docs/capacity/virtual-rest-300.json
+	$(VIRTUAL) --processor --front-ends 353 --faults rest --json docs/capacity/virtual-rest-300.json
 	CHUTECHUTE_LONG=1 CHUTECHUTE_RESULTS=$(CURDIR)/docs/capacity go test -count=1 -v -p 1 -timeout 30m -run '^TestCapacityOf' \
 		./attach ./decide ./gateway ./budget ./cmd/chutechute
 	bin/chutechute-scale fit $(addprefix docs/capacity/,$(addsuffix .json,decisions lists budgets loads connections connections-tls dials reloads primary-changes view))
 
+scale-hours: build ## hours with cut regions and lost messages at full size in virtual time, some 20 minutes and 4 GB each: docs/capacity
+	set -e; for scenario in regions split lossy; do \
+		$(VIRTUAL) --front-ends 2753 --faults $$scenario --json docs/capacity/virtual-$$scenario.json; \
+	done
+
 fuzz: ## ten minutes of texts nobody has thought of
 	go test -run XXX -fuzz FuzzRead -fuzztime 10m ./statement
--- a/exercise/membership/scenarios_test.go
+++ b/exercise/membership/scenarios_test.go
@@ -133,7 +133,7 @@
 
 func long(t *testing.T) {
 	if os.Getenv("CHUTECHUTE_LONG") == "" {
-		t.Skip("takes minutes a scenario and 4 GB: CHUTECHUTE_LONG=1; make scale-full plays five of them by the tool")
+		t.Skip("takes minutes a scenario and 4 GB: CHUTECHUTE_LONG=1; make scale-full and make scale-hours play nine of them by the tool")
 	}
 }
 
