--- a/attach/damping.go
+++ b/attach/damping.go
@@ -14,9 +14,6 @@
 	changeRate = rate{10_000_000, 20}
 	// repairRate is of snapshots and repairs to one link.
 	repairRate = rate{3_000_000, 4}
-	// snapshotRate is of snapshots to one name, whichever its process: a front end that ends again and again does not have its home
-	// send the whole view each time, and waits for its own that long.
-	snapshotRate = rate{10_000_000, 2}
 	// catchUpRate is of changes from the log to one link.
 	catchUpRate = rate{500_000, 8}
 	// pullRate is of pulls of one table: an answer takes less than its gap, where none is lost.
@@ -27,6 +24,25 @@
 	sumRate = rate{5_000_000, 2}
 )
 
+// snapshotRate is of the bytes of snapshots to one name, whichever its process: a front end that ends again and again does not have
+// its home send a large view each time. It is half of the 11 KB a second that a front end may take and send.
+var snapshotRate = byteRate{5_000, 10_000_000}
+
+// byteRate bounds bytes: so many a second, and those of a span at once. What is larger goes when nothing else went for long.
+type byteRate struct {
+	each Micros // bytes a second
+	span Micros
+}
+
+// allow says whether so many bytes may go now, and notes them if so. due is the state, 0 at first.
+func (r byteRate) allow(now Micros, bytes int, due *Micros) bool {
+	if *due-now > r.span {
+		return false
+	}
+	*due = max(*due, now) + Micros(bytes)*1_000_000/r.each
+	return true
+}
+
 // allow says whether it may happen now, and notes it if so. due is the state, 0 at first.
 func (r rate) allow(now Micros, due *Micros) bool {
 	if *due-now > r.gap*Micros(r.burst-1) {
--- a/attach/lease.go
+++ b/attach/lease.go
@@ -25,7 +25,7 @@
 	waits   bool   // a change is put off by the bounded rate
 	changes Micros // state of the bounded rate of its changes
 
-	snapshots Micros // state of the bounded rate of snapshots to its name
+	snapshots Micros // state of the bounded bytes of snapshots to its name
 	reader    reader
 }
 
