--- a/attach/damping.go
+++ b/attach/damping.go
@@ -34,13 +34,12 @@
 	span Micros
 }
 
-// allow says whether so many bytes may go now, and notes them if so. due is the state, 0 at first.
-func (r byteRate) allow(now Micros, bytes int, due *Micros) bool {
-	if *due-now > r.span {
-		return false
-	}
+// allows says whether something may go now. due is the state, 0 at first.
+func (r byteRate) allows(now, due Micros) bool { return due-now <= r.span }
+
+// note counts what goes.
+func (r byteRate) note(now Micros, bytes int, due *Micros) {
 	*due = max(*due, now) + Micros(bytes)*1_000_000/r.each
-	return true
 }
 
 // allow says whether it may happen now, and notes it if so. due is the state, 0 at first.
--- a/attach/replication.go
+++ b/attach/replication.go
@@ -84,15 +84,15 @@
 			s.nameState(r.name).swap(old, kept)
 			continue
 		}
-		p := s.nameState(r.name)
-		p.swap(old, kept)
-		p.recompareUntil = s.now + recompareSpan
+		n := s.nameState(r.name)
+		n.swap(old, kept)
+		n.recompareUntil = s.now + recompareSpan
 		if kept != nil {
 			for _, past := range kept.past {
 				s.past.add(past)
 			}
 		}
-		s.touched(p)
+		s.touched(n)
 	}
 }
 
--- a/attach/serve.go
+++ b/attach/serve.go
@@ -157,7 +157,7 @@
 func (s *Server) repairView(l *lease, h *heartbeat) (body []byte, unknown bool, err error) {
 	mask := s.differing(h)
 	whole := bits.OnesCount64(mask) >= manyBuckets
-	if whole && !snapshotRate.allow(s.now, len(s.wholeView()), &l.snapshots) || !repairRate.allow(s.now, &l.reader.repaired) {
+	if whole && !snapshotRate.allows(s.now, l.snapshots) || !repairRate.allow(s.now, &l.reader.repaired) {
 		s.Counters.Limited++
 		return nil, false, nil
 	}
@@ -168,6 +168,7 @@
 	l.reader.live = true
 	if whole {
 		body = s.wholeView()
+		snapshotRate.note(s.now, len(body), &l.snapshots)
 		s.Counters.Snapshots++
 		s.Counters.SnapshotBytes += len(body)
 		return body, false, nil
--- a/attach/server.go
+++ b/attach/server.go
@@ -279,11 +279,11 @@
 	if l := s.lessees[e.Name]; l != nil && l.incarnation == incarnation && len(l.links) > 0 {
 		return s.cfg.Name, true
 	}
-	p := s.names[e.Name]
-	if p == nil {
+	n := s.names[e.Name]
+	if n == nil {
 		return "", false
 	}
-	for _, r := range p.rows {
+	for _, r := range n.rows {
 		home := s.byName[r.table.home]
 		holds := r.incarnation == incarnation && r.evidence() == Alive && home != s.self && home.State == Alive
 		if holds && (!ok || home.Name == e.Home) {
--- a/internal/standin/attached.go
+++ b/internal/standin/attached.go
@@ -18,7 +18,7 @@
 	return func(f *Fleet) {
 		f.Section["attached"] = map[string]any{"enabled": true}
 		for i, zone := range zones {
-			ip := address(int(nets.Add(1))%250 + 1)
+			ip := nextAddress()
 			name := fmt.Sprintf("a%d", i+1)
 			f.Fronts = append(f.Fronts, &Front{F: f, N: len(f.Fronts), Name: name, Zone: zone, Attached: true,
 				Listen: port(f.T, ip), Folder: filepath.Join(f.Dir, "disk-"+name), Admin: filepath.Join(f.Dir, name+".sock")})
@@ -226,7 +226,7 @@
 
 // Twin prepares another process of a front end's name, with ways of its own to all control members. It does not start it.
 func (f *Fleet) Twin(n *Front) *Front {
-	ip := address(int(nets.Add(1))%250 + 1)
+	ip := nextAddress()
 	twin := &Front{F: f, N: len(f.Fronts), Name: n.Name, Zone: n.Zone, Attached: n.Attached, Section: n.Section,
 		Listen: port(f.T, ip), Folder: n.Folder, Log: &LockedBuffer{}}
 	twin.Admin = filepath.Join(f.Dir, fmt.Sprintf("%s-%d.sock", twin.Name, twin.N))
--- a/internal/standin/fleet.go
+++ b/internal/standin/fleet.go
@@ -50,6 +50,9 @@
 // address gives a loopback address of its own with ports that are free on it: no others use it, so none can take them.
 func address(n int) string { return fmt.Sprintf("%s.%d", Loopback(), n) }
 
+// nextAddress is the next of them.
+func nextAddress() string { return address(int(nets.Add(1))%250 + 1) }
+
 func port(t *testing.T, ip string) string { return ports(t, ip, 1)[0] }
 
 // ports are free ones of an address, each another: all are held until the last is chosen.
@@ -74,7 +77,7 @@
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = f.journal.Close() })
 	for i := range fronts {
-		ip := address(int(nets.Add(1))%250 + 1)
+		ip := nextAddress()
 		name := fmt.Sprintf("n%d", i+1)
 		addresses := ports(t, ip, 2)
 		f.Fronts = append(f.Fronts, &Front{F: f, N: i, Name: name, Zone: string(rune('a' + i%3)), Listen: addresses[0], Peer: addresses[1],
