--- a/review/testdata/standin/run.go
+++ b/review/testdata/standin/run.go
@@ -184,6 +184,9 @@
 	cmd        *exec.Cmd
 	exited     chan struct{}
 	logPath    string
+	configPath string
+	// installation is the path of the installation file; empty without one.
+	installation string
 }
 
 // StartFrontEnd starts a front end with the deploy file's command and waits until it serves. The installation is left
@@ -194,10 +197,12 @@
 	r.need(os.MkdirAll(filepath.Join(dir, "tmp"), 0o700))
 	configPath := filepath.Join(dir, "config.json")
 	r.WriteJSON(configPath, config)
+	f.configPath = configPath
 	command, shown := r.command, r.command
 	if installation != nil {
 		path := filepath.Join(dir, "installation.json")
 		r.WriteJSON(path, installation)
+		f.installation = path
 		command += " serve --installation " + path
 		shown += " serve --installation installation.json"
 	}
