--- a/review/testdata/standin/run.go
+++ b/review/testdata/standin/run.go
@@ -246,6 +246,8 @@
 	return string(text)
 }
 
+func (f *FrontEnd) logHas(text string) bool { return strings.Contains(f.log(), text) }
+
 // Signal sends a signal to the front end's process.
 func (f *FrontEnd) Signal(s syscall.Signal) {
 	f.run.Log("front end %s gets %s", f.Name, s)
