--- a/review/testdata/standin/engine.go
+++ b/review/testdata/standin/engine.go
@@ -44,11 +44,11 @@
 // Engine is a sound engine: it answers within 250 ms, runs a query until it ends, is deleted or has not been asked for
 // in 2 s, and gives its end again.
 type Engine struct {
-	Name, Addr string
-	run        *Run
-	plan       func(Start) Plan
-	server     *http.Server
-	listener   net.Listener
+	Name, Addr, Zone string
+	run              *Run
+	plan             func(Start) Plan
+	server           *http.Server
+	listener         net.Listener
 
 	mu      sync.Mutex
 	conns   map[net.Conn]bool
@@ -60,7 +60,7 @@
 func (r *Run) NewEngine(number int, plan func(Start) Plan) *Engine {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	r.need(err)
-	e := &Engine{Name: fmt.Sprintf("s-%08x", number), Addr: listener.Addr().String(), run: r, plan: plan,
+	e := &Engine{Name: fmt.Sprintf("s-%08x", number), Addr: listener.Addr().String(), Zone: "room-a", run: r, plan: plan,
 		queries: map[string]*query{}, listener: listener, conns: map[net.Conn]bool{}}
 	e.server = &http.Server{Handler: http.HandlerFunc(e.serve), ConnState: e.track}
 	go func() { _ = e.server.Serve(listener) }()
--- a/review/testdata/standin/run.go
+++ b/review/testdata/standin/run.go
@@ -166,7 +166,7 @@
 func (r *Run) Config(name, listen, journal string, settings map[string]any, engines ...*Engine) map[string]any {
 	var targets []any
 	for _, e := range engines {
-		targets = append(targets, map[string]any{"uid": e.Name, "endpoint": e.Addr, "az": "room-a", "model": "std-8a",
+		targets = append(targets, map[string]any{"uid": e.Name, "endpoint": e.Addr, "az": e.Zone, "model": "std-8a",
 			"pod_group": 0, "state": "in_service", "boot_ms": 0})
 	}
 	entry := map[string]any{"pos": 1, "hosts": map[string]any{"rev": 1, "all": true, "targets": targets}}
