--- a/review/testdata/standin/fleet.go
+++ b/review/testdata/standin/fleet.go
@@ -39,7 +39,7 @@
 				address = f.paths[[2]int{i, j}].Addr
 			}
 			members = append(members, map[string]any{"name": fmt.Sprintf("n%d", j+1), "address": address,
-				"zone": []string{"room-a", "room-b"}[j%2]})
+				"zone": r.Rooms[j%len(r.Rooms)]})
 		}
 		config := r.Config(fmt.Sprintf("n%d", i+1), r.FreeAddress(), journal.Addr, Settings(count, i), engines...)
 		fleet := map[string]any{"enabled": true, "site": "review", "members": members}
--- a/review/testdata/standin/run.go
+++ b/review/testdata/standin/run.go
@@ -32,6 +32,8 @@
 type Run struct {
 	Root, Case, Dir string // the repository; the case's folder; a temporary folder
 	Trouble         bool
+	MemoryMB        int      // of a front end
+	Rooms           []string // of the front ends of a fleet, in turn
 	startedAt       time.Time
 	command         string // the deploy file's run command
 	frontEnds       []*FrontEnd
@@ -53,7 +55,8 @@
 }
 
 func run(root, folder, name string) (code int) {
-	r := &Run{Root: root, Case: folder, Trouble: os.Getenv("TROUBLE") != "0", startedAt: time.Now()}
+	r := &Run{Root: root, Case: folder, Trouble: os.Getenv("TROUBLE") != "0", MemoryMB: 192,
+		Rooms: []string{"room-a", "room-b"}, startedAt: time.Now()}
 	r.lastID.Store(uint64(time.Now().UnixNano()) << 8)
 	var err error
 	if r.record, err = os.Create(filepath.Join(folder, "record.txt")); err != nil {
@@ -172,7 +175,7 @@
 	entry := map[string]any{"pos": 1, "hosts": map[string]any{"rev": 1, "all": true, "targets": targets}}
 	return map[string]any{
 		"name": name, "listen": listen, "journal": journal, "seed": fmt.Sprintf("%x", time.Now().UnixNano()),
-		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"limits": map[string]any{"cores": 1, "memory_mb": r.MemoryMB, "sockets": 1024},
 		"known":  map[string]any{"pos": 1, "entries": []any{entry}}, "settings": settings,
 	}
 }
