--- a/review/testdata/standin/case_drain.go
+++ b/review/testdata/standin/case_drain.go
@@ -14,7 +14,10 @@
 
 // Leader returns the index of the front end that leads the record.
 func (f *Fleet) Leader() int {
-	for {
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(end) {
+			panic(fmt.Errorf("%w: no front end leads the record", errNotRun))
+		}
 		for _, n := range f.FrontEnds {
 			if n.Ended() {
 				continue
@@ -32,7 +35,6 @@
 				}
 			}
 		}
-		time.Sleep(50 * time.Millisecond)
 	}
 }
 
--- a/review/testdata/standin/run.go
+++ b/review/testdata/standin/run.go
@@ -44,6 +44,9 @@
 	record *os.File
 }
 
+// maxTempDir is the longest name of a folder below which paths of sockets keep to the system's limit of 107 bytes.
+const maxTempDir = 60
+
 // errNotRun ends a case that couldn't run.
 var errNotRun = errors.New("not run")
 
@@ -63,7 +66,11 @@
 		return exitNotRun
 	}
 	defer r.record.Close()
-	if r.Dir, err = os.MkdirTemp("", "review"); err != nil {
+	temporary := os.TempDir()
+	if len(temporary) > maxTempDir {
+		temporary = "/tmp"
+	}
+	if r.Dir, err = os.MkdirTemp(temporary, "review"); err != nil {
 		return exitNotRun
 	}
 	defer os.RemoveAll(r.Dir)
