Wait for the end of a query after resets and a refused connection

Cause: enginePool.handleNoConnection took two connections that were closed within 50 ms and a refused one for the end of the engine's process, where a second execution does no harm. There was no answer and no DELETE before, and the last poll was 0.3 s old. The engine's record ends the query 1.7 s later.

Change: the state of connections is no proof of an end. All queries wait as those did whose second execution does harm: for an answer, or for 2.35 s without a poll ("a query runs on until it ends, until someone deletes it, or until nobody has asked for it in 2 s"). The counting of resets is gone, and so is the listing as removed as a proof, which was asked for together with it only. Attempt.RequiresConfirmedEnd is only about descriptors now and is called KeepConnection.

Tests: TestResetsAndARefusalDoNotEndAQuery failed before (sent again after 2 to 3 ms). TestDeadProcessIsNotWaitedFor demanded the fault: that idempotent queries of a process that resets and refuses are sent elsewhere within 2 s. From the front end's side a dead process and a draining engine behind a reset look the same, so no program can meet both. TestQueriesOfADeadProcessAreRetried replaces it: for both effects a lower bound (2 s, the rule) and now an upper one too (4 s), and the same bound on connections.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -13,7 +13,9 @@
 	// Core.ReportProgress before.
 	Start(a *Attempt)
 	// Cancel ends a started attempt early. The core calls it at most once for each attempt. The EngineClient
-	// calls Core.AttemptEnded once it is known that the attempt no longer runs.
+	// calls Core.AttemptEnded once it is known that the attempt no longer runs: the engine has reported the end, has
+	// received the cancellation, or has not been polled for the attempt for 2 s. The state of a connection proves
+	// nothing about an attempt that was sent.
 	Cancel(a *Attempt)
 	// SetPriority sends the changed priority of an attempt in flight, Attempt.Priority, to its engine.
 	SetPriority(a *Attempt)
@@ -40,10 +42,9 @@
 	GrantMB        float64         // memory that it may use, in megabytes; 0: the engine chooses
 	StartBy        monotime.Micros // no byte of its start request may be written at or after this time; 0: no such bound
 	AlreadyRunning bool            // another front end started it: the engine is only polled for it
-	// RequiresConfirmedEnd requires that the end of the attempt is certain and not inferred from the state of a
-	// connection, because a second execution would do harm or other requests wait for the end. The end is certain once
-	// the engine has reported it, has received the cancellation, or has not been polled for the attempt for 2 s.
-	RequiresConfirmedEnd bool
+	// KeepConnection requires that no connection in use by the attempt is closed just to free its descriptor, because a
+	// second execution would do harm or other requests wait for the end of this one.
+	KeepConnection bool
 	// WorkUsed is the work that the engine reported, as time on one thread; 0 without a report.
 	WorkUsed monotime.Micros
 	// MemoryUsedMB is the memory that the engine reported, in megabytes; 0 without a report.
@@ -64,15 +65,15 @@
 		return
 	}
 	a := &Attempt{
-		Request:              r,
-		Engine:               start.Engine,
-		Timeout:              r.deadline - c.now,
-		GrantMB:              r.grantMB,
-		StartBy:              start.StartBy,
-		RequiresConfirmedEnd: r.requiresConfirmedEnd,
-		number:               len(r.attempts),
-		state:                attemptInFlight,
-		startedAt:            c.now,
+		Request:        r,
+		Engine:         start.Engine,
+		Timeout:        r.deadline - c.now,
+		GrantMB:        r.grantMB,
+		StartBy:        start.StartBy,
+		KeepConnection: r.keepConnection,
+		number:         len(r.attempts),
+		state:          attemptInFlight,
+		startedAt:      c.now,
 	}
 	if start.Timeout > 0 && start.Timeout < a.Timeout {
 		a.Timeout = start.Timeout
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -80,10 +80,10 @@
 	completion    *statement.Completion // what was read from the statement; nil if only its table group was read
 	registration  *Registration         // nil if the request is not registered in the idempotency store
 
-	requiresConfirmedEnd bool    // Attempt.RequiresConfirmedEnd of its attempts
-	grantMB              float64 // Attempt.GrantMB of its later attempts
-	attempts             []*Attempt
-	attemptsInFlight     int
+	keepConnection   bool    // Attempt.KeepConnection of its attempts
+	grantMB          float64 // Attempt.GrantMB of its later attempts
+	attempts         []*Attempt
+	attemptsInFlight int
 }
 
 // newRequest returns a request that is not open yet.
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -53,7 +53,7 @@
 		return r, nil
 	}
 	event := c.requestEvent(r, class)
-	r.requiresConfirmedEnd = c.requiresConfirmedEnd(event)
+	r.keepConnection = c.keepConnection(event)
 	c.openRequest(r)
 	if !c.register(now, r, event) {
 		c.addEvent(event)
@@ -116,9 +116,9 @@
 	return event
 }
 
-// requiresConfirmedEnd reports whether a second execution of a request would do harm, or other requests wait for its
-// end (see Attempt.RequiresConfirmedEnd).
-func (c *Core) requiresConfirmedEnd(event scheduler.Request) bool {
+// keepConnection reports whether a second execution of a request would do harm, or other requests wait for its end (see
+// Attempt.KeepConnection).
+func (c *Core) keepConnection(event scheduler.Request) bool {
 	class := &c.settings.Classes[event.Class]
 	return event.NonIdempotent || class.Effect != scheduler.Idempotent || class.Ordered
 }
--- a/internal/server/engine.go
+++ b/internal/server/engine.go
@@ -22,10 +22,6 @@
 	requestCount       int
 	waiters            []*engineRequest // requests that wait for a connection, first in, first out
 	refusesConnections bool             // it refused the last dialed connection
-
-	// resetCount counts the connections that the engine closed during a call within resetWindow. A response resets it.
-	resetCount       int
-	resetWindowStart monotime.Micros
 }
 
 // closeIdle closes the idle connections.
@@ -88,12 +84,3 @@
 	}
 	return nil
 }
-
-// countReset counts a connection that the engine closed during a call. Connections that are closed at the same time are
-// noticed within resetWindow.
-func (e *engine) countReset(now monotime.Micros) {
-	if now-e.resetWindowStart > resetWindow {
-		e.resetCount, e.resetWindowStart = 0, now
-	}
-	e.resetCount++
-}
--- a/internal/server/engine_conn.go
+++ b/internal/server/engine_conn.go
@@ -89,7 +89,7 @@
 		c.failDial(err)
 		return
 	}
-	c.engine.refusesConnections, c.engine.resetCount = false, 0
+	c.engine.refusesConnections = false
 	if c.pool.usesTLS() {
 		c.startHandshake()
 		return
@@ -184,9 +184,6 @@
 // call.
 func (c *engineConn) fail(arrived bool) {
 	request := c.request
-	if c.state == engineBusy && !arrived {
-		c.engine.countReset(c.pool.turnTime())
-	}
 	c.terminate()
 	switch {
 	case request == nil:
--- a/internal/server/engine_eviction.go
+++ b/internal/server/engine_eviction.go
@@ -21,17 +21,17 @@
 
 // isReplaceable reports whether a connection may be closed just to free its descriptor.
 //
-// A connection in use by a query that must not run twice, or whose end other queries wait for, must stay open: only the
-// time of the last poll determines when the engine has abandoned such a query. Connections to a draining engine that
-// has requests must stay open too, since the engine accepts no new ones, and its queries could then be neither polled
-// nor canceled. The notice that it drains may arrive late, so the last established connection to any engine with
+// A connection in use by a query that must not run twice, or whose end other queries wait for, must stay open: if the
+// query can't be polled elsewhere, all of them wait until the engine has abandoned it. Connections to a draining engine
+// that has requests must stay open too, since the engine accepts no new ones, and its queries could then be neither
+// polled nor canceled. The notice that it drains may arrive late, so the last established connection to any engine with
 // requests is kept as well.
 func (p *enginePool) isReplaceable(c *engineConn) bool {
 	e := c.engine
 	switch {
 	case e.requestCount == 0:
 		return true
-	case c.request != nil && c.request.requiresConfirmedEnd():
+	case c.request != nil && c.request.keepConnection():
 		return false
 	}
 	return e.establishedCount > 1 && !e.draining && !e.refusesConnections
--- a/internal/server/engine_failures.go
+++ b/internal/server/engine_failures.go
@@ -9,44 +9,39 @@
 
 const (
 	redialDelay = 100 * monotime.Millisecond
-	resetWindow = 50 * monotime.Millisecond // connections that are closed at the same time are noticed within this time
-	maxResumes  = 3                         // how often in a row a query is resumed on another connection
-	maxRedials  = 2                         // how many connections in a row may break unused
+	maxResumes  = 3 // how often in a row a query is resumed on another connection
+	maxRedials  = 2 // how many connections in a row may break unused
 )
 
 // handleNoConnection continues a request for which no connection could be established. refused reports whether the
 // engine refused the connection.
 //
-// An attempt that was never sent never ran. Otherwise the next action depends on what the failure proves:
+// An attempt that was never sent never ran. Otherwise a connection that was not established proves nothing about the
+// query, which is not bound to connections:
 //
-// A draining engine refuses new connections but continues its queries, so the request waits for one of the connections
-// that are left. That none is left proves nothing, since the network may have reset the last one.
+// A draining engine, or one at its connection limit, refuses new connections but continues its queries, so the request
+// waits for one of the connections that are left. That none is left proves nothing either, since the network may have
+// reset all of them at the same time.
 //
-// A process that has ended closed all its connections at the same time, or is listed as removed. That is sufficient
-// evidence for a query that may run twice without harm. For other queries it is not: when it was taken as proof for
-// them, the next query with the same key was sent too early.
+// A process that has ended refuses connections too. The next one may be accepted by a new process, whose response that
+// it does not know the query says nothing about the old process.
 //
-// In all other cases another connection may succeed where this one was established too late, so the engine is dialed
-// again until it must have abandoned the query. When a single late connection ended these attempts, a DELETE stayed
-// undelivered, and the next query with the same key started while the first was still running.
+// So the engine is dialed again until it must have abandoned the query. When a single late connection ended these
+// attempts, a DELETE stayed undelivered, and the next query with the same key started while the first was still
+// running. When resets and a refusal ended them, idempotent queries ran on two engines at once.
 func (p *enginePool) handleNoConnection(request *engineRequest, refused bool) {
 	request.logDebug("no connection to engine", slog.Bool("refused", refused))
 	e := request.engine
 	request.connection = nil
 	e.refusesConnections = refused
-	processMayHaveEnded := refused && request.connectionReset
-	if processMayHaveEnded && request.attempt.RequiresConfirmedEnd {
-		// The next connection may be accepted by a new process, which does not know the query.
-		request.startUnconfirmed = true
+	if refused && request.connectionReset {
+		request.startUnconfirmed = true // by the process that accepts the next connection
 	}
 	switch {
 	case !request.startSent:
 		p.finish(request, scheduler.NoConnection)
 	case refused && e.establishedCount > 0:
 		e.enqueue(request)
-	case processMayHaveEnded && !request.attempt.RequiresConfirmedEnd && (e.removed || e.resetCount > 1):
-		p.finish(request, scheduler.Reset)
-		p.sendWaiting(e)
 	default:
 		request.redialAt = p.turnTime() + redialDelay
 	}
--- a/internal/server/engine_request.go
+++ b/internal/server/engine_request.go
@@ -59,10 +59,9 @@
 // isHealthCheck reports whether the request is a health check, which belongs to no attempt.
 func (r *engineRequest) isHealthCheck() bool { return r.attempt == nil }
 
-// requiresConfirmedEnd reports whether the end of the attempt must be certain: the query must not run twice, or other
-// queries wait for its end.
-func (r *engineRequest) requiresConfirmedEnd() bool {
-	return r.attempt != nil && r.attempt.RequiresConfirmedEnd
+// keepConnection reports whether the request's connection must not be closed just to free its descriptor.
+func (r *engineRequest) keepConnection() bool {
+	return r.attempt != nil && r.attempt.KeepConnection
 }
 
 // isStartExpired reports whether it is too late to write the start. It reads the clock again, since the process may
--- a/internal/server/engine_response.go
+++ b/internal/server/engine_response.go
@@ -80,7 +80,7 @@
 // is reusable.
 func (c *engineConn) handleResponse(response rest.Response, more bool) {
 	request := c.request
-	c.engine.lastSeen, c.engine.resetCount = c.pool.turnTime(), 0
+	c.engine.lastSeen = c.pool.turnTime()
 	outcome, err := callOutcome{result: scheduler.Succeeded}, error(nil)
 	if request != nil {
 		outcome.result, outcome.ended, err = request.query.HandleResponse(response)
