Hold an order key until the engine has confirmed the end of the attempt

Seen by callers: a load is sent while the one before it of the same key still counts as out.

Cause: enginePool.handleAbandoned took it for the end of an attempt that the engine had not been polled for it for 2.35 s. The engine has stopped the query by then, unless it had completed before: then it holds the result, and the attempt is "out from its whole arrival at an engine until its end is written or someone gives it up".

Change: where others wait for the end by the order of a key (Attempt.RequiresConfirmedEnd, now only for these), an attempt ends by the engine's answer to a poll or to a last DELETE, which is repeated until it is answered, or by the engine's removal: the list "knows only whether a process runs". A request that waits for a connection is no longer ended meanwhile. All others end after 2 s without a poll, as before.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,8 +14,8 @@
 	Start(a *Attempt)
 	// Cancel ends a started attempt early. The core calls it at most once for each attempt. The EngineClient
 	// calls Core.AttemptEnded once it is known that the attempt no longer runs: the engine has reported the end, has
-	// received the cancellation, or has not been polled for the attempt for 2 s. The state of a connection proves
-	// nothing about an attempt that was sent.
+	// received the cancellation, or, unless the attempt RequiresConfirmedEnd, has not been polled for it for 2 s. The
+	// state of a connection proves nothing about an attempt that was sent.
 	Cancel(a *Attempt)
 	// SetPriority sends the changed priority of an attempt in flight, Attempt.Priority, to its engine.
 	SetPriority(a *Attempt)
@@ -45,6 +45,10 @@
 	// KeepConnection requires that no connection in use by the attempt is closed just to free its descriptor, because a
 	// second execution would do harm or other requests wait for the end of this one.
 	KeepConnection bool
+	// RequiresConfirmedEnd is set if other requests wait, by the order of their key, for the end of the attempt. It ends
+	// only once its engine has reported the end, has received the cancellation, or is removed: a query that completed
+	// and has not been polled since counts as running until then.
+	RequiresConfirmedEnd bool
 	// WorkUsed is the work that the engine reported, as time on one thread; 0 without a report.
 	WorkUsed monotime.Micros
 	// MemoryUsedMB is the memory that the engine reported, in megabytes; 0 without a report.
@@ -65,15 +69,16 @@
 		return
 	}
 	a := &Attempt{
-		Request:        r,
-		Engine:         start.Engine,
-		Timeout:        r.deadline - c.now,
-		GrantMB:        r.grantMB,
-		StartBy:        start.StartBy,
-		KeepConnection: r.keepConnection,
-		number:         len(r.attempts),
-		state:          attemptInFlight,
-		startedAt:      c.now,
+		Request:              r,
+		Engine:               start.Engine,
+		Timeout:              r.deadline - c.now,
+		GrantMB:              r.grantMB,
+		StartBy:              start.StartBy,
+		KeepConnection:       r.keepConnection,
+		RequiresConfirmedEnd: r.holdsOrderKey,
+		number:               len(r.attempts),
+		state:                attemptInFlight,
+		startedAt:            c.now,
 	}
 	if start.Timeout > 0 && start.Timeout < a.Timeout {
 		a.Timeout = start.Timeout
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -81,6 +81,7 @@
 	registration  *Registration         // nil if the request is not registered in the idempotency store
 
 	keepConnection   bool    // Attempt.KeepConnection of its attempts
+	holdsOrderKey    bool    // requests of the same order key wait for its end
 	grantMB          float64 // Attempt.GrantMB of its later attempts
 	attempts         []*Attempt
 	attemptsInFlight int
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -29,13 +29,14 @@
 	r.registration = &Registration{core: c, request: r, scheduled: true, attemptStarted: true, attemptMayHaveRun: true}
 	c.openRequest(r)
 	a := &Attempt{
-		Request:        r,
-		Engine:         t.Engine,
-		Timeout:        r.deadline - now,
-		AlreadyRunning: true,
-		KeepConnection: true,
-		state:          attemptInFlight,
-		startedAt:      now,
+		Request:              r,
+		Engine:               t.Engine,
+		Timeout:              r.deadline - now,
+		AlreadyRunning:       true,
+		KeepConnection:       true,
+		RequiresConfirmedEnd: t.OrderKey != "",
+		state:                attemptInFlight,
+		startedAt:            now,
 	}
 	c.addAttempt(a)
 	c.engines.Start(a)
--- a/internal/server/engine_eviction.go
+++ b/internal/server/engine_eviction.go
@@ -31,7 +31,7 @@
 	switch {
 	case e.requestCount == 0:
 		return true
-	case c.request != nil && c.request.keepConnection():
+	case c.request != nil && c.request.keepsConnection():
 		return false
 	}
 	return e.establishedCount > 1 && !e.draining && !e.refusesConnections
--- a/internal/server/engine_failures.go
+++ b/internal/server/engine_failures.go
@@ -96,7 +96,7 @@
 	request.resumeCount++
 	if request.isHealthCheck() || request.finalDeleteSent || request.startUnconfirmed ||
 		request.resumeCount > maxResumes {
-		return
+		return // the engine abandons the query, which is no longer polled
 	}
 	switch {
 	case request.query.StartPending():
--- a/internal/server/engine_request.go
+++ b/internal/server/engine_request.go
@@ -59,9 +59,13 @@
 // isHealthCheck reports whether the request is a health check, which belongs to no attempt.
 func (r *engineRequest) isHealthCheck() bool { return r.attempt == nil }
 
-// keepConnection reports whether the request's connection must not be closed just to free its descriptor.
-func (r *engineRequest) keepConnection() bool {
-	return r.attempt != nil && r.attempt.KeepConnection
+// keepsConnection reports whether the request's connection must not be closed just to free its descriptor.
+func (r *engineRequest) keepsConnection() bool { return r.attempt != nil && r.attempt.KeepConnection }
+
+// requiresConfirmedEnd reports whether the attempt ends only once its engine has confirmed that. A removed engine has
+// ended with all its queries.
+func (r *engineRequest) requiresConfirmedEnd() bool {
+	return r.attempt != nil && r.attempt.RequiresConfirmedEnd && !r.engine.removed
 }
 
 // isStartExpired reports whether it is too late to write the start. It reads the clock again, since the process may
@@ -71,6 +75,11 @@
 		r.engine.readClock() >= r.attempt.StartBy
 }
 
+// isCallUnderWay reports whether a call of the request is in flight, or waits for a connection.
+func (r *engineRequest) isCallUnderWay() bool {
+	return r.connection != nil || r.isWaiting || r.redialAt != 0
+}
+
 // isAbandonable reports whether the engine will abandon the query unless it is polled again.
 func (r *engineRequest) isAbandonable() bool {
 	return r.startSent && (r.connection == nil || r.cancelAfterStart || r.query.Canceling())
--- a/internal/server/engine_timeouts.go
+++ b/internal/server/engine_timeouts.go
@@ -81,27 +81,54 @@
 	switch {
 	case request.isHealthCheck() && now-request.startedAt >= healthCheckTimeout:
 		p.finish(request, scheduler.TimedOut)
-	case request.isAbandonable() && now-request.lastPolled >= abandonTimeout:
-		p.handleAbandoned(request)
 	case request.redialAt != 0 && now >= request.redialAt:
 		request.redialAt = 0
 		p.sendNext(request)
+	case request.isAbandonable() && now-request.lastPolled >= abandonTimeout:
+		p.handleAbandoned(request)
 	}
 }
 
-// handleAbandoned ends a request whose query the engine must have abandoned by now. If the POST is unconfirmed, it
-// first sends a last DELETE, which ends the query in case the POST arrived late.
+// handleAbandoned continues a request whose query the engine must have stopped by now. That ends the attempt, with two
+// exceptions. If the start is unconfirmed, the engine may read it later. If the end must be confirmed, a query that
+// completed before it was abandoned counts as running until its engine has reported the end or has received a DELETE.
+// Such an attempt ends with the response to a last DELETE, or once the engine is removed: its process has then ended.
+//
+// If no connection to the engine can be established for the last DELETE, an attempt whose end needs no confirmation has
+// ended too.
 func (p *enginePool) handleAbandoned(request *engineRequest) {
-	if request.connection != nil {
-		request.connection.terminate()
-		request.connection = nil
-	}
-	if !request.startUnconfirmed || request.finalDeleteSent {
+	mustConfirm := request.requiresConfirmedEnd()
+	switch {
+	case mustConfirm && request.isCallUnderWay():
+	case mustConfirm && request.finalDeleteSent:
+		p.repeatFinalDelete(request)
+	case request.finalDeleteSent || !mustConfirm && !request.startUnconfirmed:
+		p.dropConnection(request)
 		p.finish(request, scheduler.Reset)
-		return
+	default:
+		p.dropConnection(request)
+		p.sendFinalDelete(request)
 	}
+}
+
+// sendFinalDelete sends a last DELETE, which ends the query in case the POST arrived late or the query had completed.
+func (p *enginePool) sendFinalDelete(request *engineRequest) {
 	request.finalDeleteSent = true
 	request.lastPolled = p.turnTime() - abandonTimeout + silenceTimeout
 	request.query.Cancel()
 	p.dial(request)
 }
+
+// repeatFinalDelete sends another last DELETE after the abandon timeout.
+func (p *enginePool) repeatFinalDelete(request *engineRequest) {
+	request.finalDeleteSent = false
+	request.lastPolled = p.turnTime()
+}
+
+// dropConnection closes the connection that a request has, if any.
+func (p *enginePool) dropConnection(request *engineRequest) {
+	if c := request.connection; c != nil {
+		request.connection = nil
+		c.terminate()
+	}
+}
