Reset given-up calls, and do not take an engine's silence for the end of a start

Seen by callers: queries run on two engines at once after one of them was cut off for 6 s or hung.

A POST without a response was given up after 1 s, and 3.35 s after that, with a last DELETE unanswered or never sent, enginePool.handleAbandoned ended the attempt. Nothing had shown that the start would not arrive any more. There are two ways for it to arrive. Cut off: Stream.Close ends the connection without a reset, so the system goes on to deliver. Hung: the start lies in the engine's socket, and its process reads it once it continues.

Change: a connection with a call in flight is reset when it is given up, so that the system discards what was not delivered (RFC 9293, section 3.10.5: an ABORT flushes all that is queued for transmission or retransmission).

TestAbortDiscardsWhatWasNotDelivered shows both ends on sockets.

--- a/internal/eventloop/eventloop_test.go
+++ b/internal/eventloop/eventloop_test.go
@@ -1,6 +1,9 @@
 package eventloop
 
 import (
+	"io"
+	"net"
+	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -61,3 +64,37 @@
 	assert.False(t, b.PeerIdle())
 	assert.False(t, b.Fill())
 }
+
+// Guards against a call that arrives after its attempt counts as ended: the system goes on to deliver what was written
+// before Close, however much later, and discards it at Abort.
+func TestAbortDiscardsWhatWasNotDelivered(t *testing.T) {
+	for name, end := range map[string]func(*Stream){"close": (*Stream).Close, "abort": (*Stream).Abort} {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer listener.Close()
+		fd, err := Dial(netip.MustParseAddrPort(listener.Addr().String()))
+		require.NoError(t, err)
+		peer, err := listener.Accept()
+		require.NoError(t, err)
+		defer peer.Close()
+		loop, err := NewLoop()
+		require.NoError(t, err)
+		defer loop.Close()
+		const size = 8 << 20 // more than the peer's system receives unread
+		s := NewStream(loop, fd, size, size, &ring.Budget{Max: 2 * size})
+		require.NoError(t, loop.Add(fd, unix.EPOLLIN, nil))
+		_, err = s.Out.Write(make([]byte, size))
+		require.NoError(t, err)
+		require.NoError(t, s.Flush())
+		written := size - s.Out.Len()
+		end(&s)
+		received, err := io.Copy(io.Discard, peer)
+		if name == "close" {
+			require.NoError(t, err)
+			assert.EqualValues(t, written, received)
+		} else {
+			assert.ErrorIs(t, err, unix.ECONNRESET)
+			assert.Less(t, received, int64(written))
+		}
+	}
+}
--- a/internal/eventloop/stream.go
+++ b/internal/eventloop/stream.go
@@ -120,6 +120,16 @@
 // IsHangup reports whether readiness events include one for a connection that the peer has closed or that is broken.
 func IsHangup(events uint32) bool { return events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 }
 
+// Abort resets the connection and otherwise does the same as Close. The system discards what it has not delivered yet,
+// which it would go on to deliver after Close (RFC 9293, section 3.10.5).
+func (s *Stream) Abort() {
+	if !s.Closed {
+		// A failure is harmless: the connection is closed without a reset.
+		_ = unix.SetsockoptLinger(s.FD, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
+	}
+	s.Close()
+}
+
 // Close closes the connection and releases its buffers. Closing a closed stream does nothing.
 func (s *Stream) Close() {
 	if s.Closed {
--- a/internal/server/engine_conn.go
+++ b/internal/server/engine_conn.go
@@ -195,9 +195,14 @@
 }
 
 // terminate closes the connection at once and removes it from the pool, so that the next waiting request can proceed.
-// The caller decides what happens to the connection's own request.
+// The caller decides what happens to the connection's own request. A call in flight is given up: what the engine has
+// not received of it must not arrive later, when its attempt may count as ended.
 func (c *engineConn) terminate() {
-	c.Close()
+	if c.state == engineBusy {
+		c.Abort()
+	} else {
+		c.Close()
+	}
 	c.request = nil
 	if _, ok := c.pool.connections[c]; !ok {
 		return
--- a/internal/server/engine_failures.go
+++ b/internal/server/engine_failures.go
@@ -88,14 +88,17 @@
 //
 // A query without a response for the second time is canceled: a poll may reach the engine late and prolong the query,
 // so the response to a DELETE proves more than waiting does. If the POST has no response yet, the engine may still read
-// it, so no DELETE is sent that could overtake it.
+// it, so no DELETE is sent that could overtake it. A last DELETE is repeated later for the same reason.
 func (p *enginePool) handleUnresponsive(request *engineRequest) {
 	request.logDebug("engine unresponsive")
 	p.server.core.EngineUnresponsive(request.engine.name)
 	request.connection, request.connectionReset = nil, false
 	request.resumeCount++
-	if request.isHealthCheck() || request.finalDeleteSent || request.startUnconfirmed ||
-		request.resumeCount > maxResumes {
+	if request.finalDeleteSent {
+		p.repeatFinalDelete(request)
+		return
+	}
+	if request.isHealthCheck() || request.startUnconfirmed || request.resumeCount > maxResumes {
 		return // the engine abandons the query, which is no longer polled
 	}
 	switch {
--- a/internal/server/engine_request.go
+++ b/internal/server/engine_request.go
@@ -80,6 +80,11 @@
 	return r.connection != nil || r.isWaiting || r.redialAt != 0
 }
 
+// awaitsResponse reports whether the engine has accepted the connection that carries the request's call.
+func (r *engineRequest) awaitsResponse() bool {
+	return r.connection != nil && !r.connection.isConnecting()
+}
+
 // isAbandonable reports whether the engine will abandon the query unless it is polled again.
 func (r *engineRequest) isAbandonable() bool {
 	return r.startSent && (r.connection == nil || r.cancelAfterStart || r.query.Canceling())
--- a/internal/server/engine_response.go
+++ b/internal/server/engine_response.go
@@ -17,6 +17,7 @@
 	result   scheduler.Result // of the query, if it has ended
 	ended    bool
 	reusable bool // the connection may carry another call
+	overdue  bool // the engine was unresponsive, and reads what arrived meanwhile on several connections in any order
 }
 
 // readResponses reads input and handles the responses that were received completely.
@@ -94,6 +95,7 @@
 		c.failMalformed(err)
 		return
 	}
+	outcome.overdue = c.pool.turnTime()-c.lastActivity >= responseTimeout
 	c.markIdle(response)
 	outcome.reusable = c.isReusable(response, more)
 	if request == nil {
@@ -108,6 +110,9 @@
 	}
 	if isUnknownToEngine(request, outcome) {
 		request.logDebug("query unknown to engine")
+		if request.finalDeleteSent {
+			c.pool.repeatFinalDelete(request)
+		}
 		c.release(outcome.reusable)
 		return
 	}
@@ -148,9 +153,10 @@
 }
 
 // isUnknownToEngine reports whether the engine ended a query that it does not know and that may still run: the engine
-// may read the POST later, or another process may have received it.
+// may read the POST later, or another process may have received it. The response to a last DELETE excludes that unless
+// it is overdue.
 func isUnknownToEngine(request *engineRequest, outcome callOutcome) bool {
-	if !outcome.ended || !request.startUnconfirmed || request.finalDeleteSent {
+	if !outcome.ended || !request.startUnconfirmed || request.finalDeleteSent && !outcome.overdue {
 		return false
 	}
 	return outcome.result == scheduler.Errored || outcome.result == scheduler.Canceled
--- a/internal/server/engine_timeouts.go
+++ b/internal/server/engine_timeouts.go
@@ -94,12 +94,15 @@
 // completed before it was abandoned counts as running until its engine has reported the end or has received a DELETE.
 // Such an attempt ends with the response to a last DELETE, or once the engine is removed: its process has then ended.
 //
-// If no connection to the engine can be established for the last DELETE, an attempt whose end needs no confirmation has
-// ended too.
+// An unconfirmed start can still be read by an engine that accepts connections and does not respond, so an attempt with
+// one ends with the response to a last DELETE too. If no connection can be established, the machine is unreachable, or
+// no process listens. The connection that carried the start has been reset, so the start no longer arrives, and an
+// attempt whose end needs no confirmation has ended.
 func (p *enginePool) handleAbandoned(request *engineRequest) {
 	mustConfirm := request.requiresConfirmedEnd()
 	switch {
 	case mustConfirm && request.isCallUnderWay():
+	case request.finalDeleteSent && (request.awaitsResponse() || request.isWaiting):
 	case mustConfirm && request.finalDeleteSent:
 		p.repeatFinalDelete(request)
 	case request.finalDeleteSent || !mustConfirm && !request.startUnconfirmed:
