Send a DELETE again where something else comes in place of its answer

A load can be sent while the one before it of the same key runs on.

Cause: enginePool.handleBrokenCall took a malformed response to a DELETE for the proof that the engine had received the DELETE, and ended the attempt as canceled.

Change: such a DELETE counts as unanswered, as any other call. It is sent again on another connection. The log attribute `arrived` is `malformed` now, which is what it tells.

Test: TestBytesBeforeTheResponseToADeleteProveNothing failed before: the next load was sent without an answer to any DELETE.

--- a/cmd/chutechute/endings_test.go
+++ b/cmd/chutechute/endings_test.go
@@ -127,6 +127,34 @@
 	assert.Greater(t, posts[1].ReceivedAt.UnixNano(), deletedAt.Load())
 }
 
+// Guards against a load that is sent while the previous one of its order key runs on. Bytes that follow an earlier
+// response were once taken for a malformed response to the DELETE, which the engine had thus received; it may not have
+// read it, and the connection is reset.
+func TestBytesBeforeTheResponseToADeleteProveNothing(t *testing.T) {
+	var deletedAt atomic.Int64
+	r := start(t, 1, func(r *testharness.Harness, w http.ResponseWriter, c testharness.EngineRequest) {
+		switch {
+		case c.Method == "DELETE":
+			deletedAt.CompareAndSwap(0, time.Now().UnixNano())
+			w.WriteHeader(204)
+		case c.Header.Get("Request-Id") == testharness.RequestID(2):
+			testharness.RespondResult(w, testharness.ResultRow)
+		default:
+			time.Sleep(250 * time.Millisecond)
+			testharness.RespondRawTwice(w, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", 20*time.Millisecond, "noise\n")
+		}
+	}, setLongLoadTimeouts)
+	c := r.NewClient()
+	c.SendLoad(1, "200") // its deadline passes while the start has no response
+	assert.NotEqual(t, "answer", c.ReadReply().Kind)
+	c.SendLoad(2, "60000")
+	require.Equal(t, "answer", c.ReadReply().Kind)
+	posts := r.Requests("POST", "/")
+	require.Len(t, posts, 2)
+	require.NotZero(t, deletedAt.Load(), "sent without a response to any DELETE")
+	assert.Greater(t, posts[1].ReceivedAt.UnixNano(), deletedAt.Load())
+}
+
 // startWithRunningLoad starts a front end and sends it a load, which the engine keeps running until release is set.
 func startWithRunningLoad(t *testing.T) (r *testharness.Harness, c *testharness.Client, release *atomic.Bool) {
 	release = &atomic.Bool{}
--- a/internal/server/engine_conn.go
+++ b/internal/server/engine_conn.go
@@ -180,15 +180,15 @@
 	c.UpdateInterest(true)
 }
 
-// fail closes a broken connection and continues its request. arrived reports whether the engine received the whole
-// call.
-func (c *engineConn) fail(arrived bool) {
+// fail closes a broken connection and continues its request. malformed reports whether something else was received in
+// place of the response.
+func (c *engineConn) fail(malformed bool) {
 	request := c.request
 	c.terminate()
 	switch {
 	case request == nil:
 	case request.startSent || request.isHealthCheck():
-		c.pool.handleBrokenCall(request, arrived)
+		c.pool.handleBrokenCall(request, malformed)
 	default:
 		c.pool.redial(request)
 	}
--- a/internal/server/engine_failures.go
+++ b/internal/server/engine_failures.go
@@ -47,21 +47,19 @@
 	}
 }
 
-// handleBrokenCall continues a request whose call got no readable response. arrived reports whether something else
-// was received in place of the response, which means that the engine received the whole call. Queries are not bound to
-// connections and an engine sends its response again, so the query is polled over another connection. After more than
-// maxResumes failures in a row the query is canceled.
-func (p *enginePool) handleBrokenCall(request *engineRequest, arrived bool) {
-	request.logDebug("engine call broken", slog.Bool("arrived", arrived))
+// handleBrokenCall continues a request whose call got no readable response. malformed reports whether something else
+// was received in its place. That does not show that the engine has received the call, since it may have followed an
+// earlier response. Queries are not bound to connections and an engine sends its response again, so the query is polled
+// or deleted over another connection. After more than maxResumes failures in a row the query is canceled.
+func (p *enginePool) handleBrokenCall(request *engineRequest, malformed bool) {
+	request.logDebug("engine call broken", slog.Bool("malformed", malformed))
 	request.connection = nil
-	request.connectionReset = !arrived
+	request.connectionReset = !malformed
 	request.lastPolled = p.turnTime() // the engine may have received the call until now
 	request.resumeCount++
 	switch {
 	case request.isHealthCheck():
 		p.finish(request, scheduler.Reset)
-	case arrived && request.query.Canceling():
-		p.finish(request, scheduler.Canceled)
 	case request.resumeCount <= maxResumes:
 		p.resume(request)
 	case !request.query.Canceling() && !request.startUnconfirmed:
