Take only the statuses that engines use for the end of a query

Cause: rest.Query.HandleResponse took any status that it did not know for an error of the query, which has then ended, and any but 200 and 202 for the answer to a DELETE. A late second 204, or a 502 of a device between, says nothing about the query, and a safe one was sent to another engine at once while it ran on.

Change: any other status counts as a malformed response: the query is polled again, or the DELETE sent again, on another connection. A 500 still ends a DELETE, as it stands for a query that the engine no longer knows.

TestOutcomes, with its status 418, passes unchanged.

--- a/cmd/chutechute/engine_faults_test.go
+++ b/cmd/chutechute/engine_faults_test.go
@@ -140,7 +140,9 @@
 		closeConn bool
 		polls     int // how often the result is polled for again
 	}{
-		"noise": {"\x00\xff\x17 noise", false, 1},
+		"noise":                    {"\x00\xff\x17 noise", false, 1},
+		"status of a DELETE":       {"HTTP/1.1 204 No Content\r\n\r\n", false, 1},
+		"status that engines lack": {"HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n", false, 1},
 		"no status": {
 			"HTTP/1.1 2x0 OK\r\nX-Batches: 1\r\nContent-Length: 6\r\n\r\n" + testharness.ResultRow, false, 1,
 		},
--- a/internal/rest/query.go
+++ b/internal/rest/query.go
@@ -159,7 +159,8 @@
 }
 
 // HandleResponse processes the response to the last call. If the query has ended, result is its result; otherwise the
-// next Call has to be sent at once. After an error the call counts as one without a response.
+// next Call has to be sent at once. After an error the call counts as one without a response. A status that engines do
+// not use for the call is an error: it proves nothing about the query.
 func (q *Query) HandleResponse(r Response) (result scheduler.Result, ended bool, err error) {
 	if r.Load != "" {
 		q.load = parseLoadReport(r.Load)
@@ -171,7 +172,7 @@
 	case q.state == changingPriority: // whatever the status: if the query itself has failed, the next poll reports it
 		q.state, q.enginePriority = polling, q.start.Priority
 		return 0, false, nil
-	case q.state == canceling && (r.Status == 200 || r.Status == 202):
+	case q.state == canceling && r.Status != 204 && r.Status != 500:
 		return 0, false, ErrStaleResponse
 	case q.state == canceling:
 		return scheduler.Canceled, true, nil
@@ -186,8 +187,10 @@
 	case r.Status == 202 && q.state != fetchingPages:
 		q.state, q.progress = polling, r.Progress
 		return 0, false, nil
-	case r.Status != 200:
+	case r.Status == 500:
 		return scheduler.Errored, true, nil
+	case r.Status != 200:
+		return 0, false, fmt.Errorf("%w: status %d", ErrMalformedResponse, r.Status)
 	}
 	pages := q.pages
 	if q.state != fetchingPages {
