Write up the faults in docs/incidents, and the end of an attempt in the pages

The table in resets-and-a-refusal.md lists each place that takes an attempt for ended, or never run, without an answer, with the sentence that makes its proof enough.

Change: docs/incidents, which the tests of names on pages read too; ARCHITECTURE, GLOSSARY and questions 5 and 7 of QUESTIONS follow. The comment on gateway.AbandonTimeout no longer says that a query has certainly ended then, as one that has completed has not.

Measured: go test ./docs . passes.

--- a/docs/pagenames_test.go
+++ b/docs/pagenames_test.go
@@ -50,7 +50,7 @@
 func TestNamesOnOtherPages(t *testing.T) {
 	code, err := readCode(os.DirFS(repositoryRoot))
 	require.NoError(t, err)
-	for _, pattern := range []string{"design/*.md", "operators/*.md", "../CONTRIBUTING.md"} {
+	for _, pattern := range []string{"design/*.md", "operators/*.md", "incidents/*.md", "../CONTRIBUTING.md"} {
 		paths, err := filepath.Glob(pattern)
 		require.NoError(t, err)
 		require.NotEmpty(t, paths, pattern)
@@ -123,7 +123,9 @@
 func TestTestsNamedOnPages(t *testing.T) {
 	tests, err := testFunctions(os.DirFS(repositoryRoot))
 	require.NoError(t, err)
-	for _, pattern := range []string{"*.md", "design/*.md", "operators/*.md", "../CONTRIBUTING.md", "../README.md"} {
+	for _, pattern := range []string{
+		"*.md", "design/*.md", "operators/*.md", "incidents/*.md", "../CONTRIBUTING.md", "../README.md",
+	} {
 		paths, err := filepath.Glob(pattern)
 		require.NoError(t, err)
 		require.NotEmpty(t, paths, pattern)
--- a/gateway/takeover.go
+++ b/gateway/takeover.go
@@ -2,8 +2,8 @@
 
 import "chutechute/internal/monotime"
 
-// AbandonTimeout is the time after which an engine that is not polled for a query has certainly ended it: engines end
-// it after 2 s; 250 ms are added for a poll that is still under way, and 100 ms as a margin.
+// AbandonTimeout is the time after which an engine that is not polled for a query has certainly stopped it, unless it
+// has completed: engines stop it after 2 s; 250 ms are added for a poll that is under way, and 100 ms as a margin.
 const AbandonTimeout = 2350 * monotime.Millisecond
 
 // Takeover describes a running request of another front end that this one takes over.
