Give requests that wait for a connection a new one where none is left

Cause: a waiting request gets its turn when a connection ends or may be reused. Where the request that had the last turn ends without a connection, nobody gives the next its turn.

Change: enginePool.checkEngine starts the first waiting request over a new connection where the engine has none. handleAbandoned says first when there is nothing to do. A handler that two tests shared stands once.

--- a/cmd/chutechute/endings_test.go
+++ b/cmd/chutechute/endings_test.go
@@ -357,14 +357,7 @@
 func TestResetsAndARefusalDoNotEndAQuery(t *testing.T) {
 	var resetAt atomic.Int64
 	var connections testharness.ConnectionSet
-	r := start(t, 2, func(r *testharness.Harness, w http.ResponseWriter, c testharness.EngineRequest) {
-		if resetAt.Load() != 0 {
-			testharness.RespondResult(w, testharness.ResultRow)
-			return
-		}
-		time.Sleep(250 * time.Millisecond)
-		w.WriteHeader(202)
-	}, setLongTimeouts, func(r *testharness.Harness) { r.OnConnState = connections.Track })
+	r := start(t, 2, runUntil(&resetAt), setLongTimeouts, func(r *testharness.Harness) { r.OnConnState = connections.Track })
 	c := r.NewClient()
 	for n := range 8 {
 		c.SendLookup(n, "60000")
@@ -384,6 +377,19 @@
 	}
 }
 
+// runUntil returns a handler that responds that a query is still running until the time at is set, and then with a
+// result.
+func runUntil(at *atomic.Int64) testharness.EngineHandler {
+	return func(_ *testharness.Harness, w http.ResponseWriter, _ testharness.EngineRequest) {
+		if at.Load() != 0 {
+			testharness.RespondResult(w, testharness.ResultRow)
+			return
+		}
+		time.Sleep(250 * time.Millisecond)
+		w.WriteHeader(202)
+	}
+}
+
 // busiestEngine returns the engine that received most of the requests.
 func busiestEngine(r *testharness.Harness, requests []testharness.EngineRequest) *testharness.StubEngine {
 	counts := map[string]int{}
@@ -401,14 +407,7 @@
 func TestQueriesOfADeadProcessAreRetried(t *testing.T) {
 	for _, op := range []string{"lookup", "load"} {
 		var diedAt atomic.Int64
-		r := start(t, 2, func(r *testharness.Harness, w http.ResponseWriter, c testharness.EngineRequest) {
-			if diedAt.Load() != 0 {
-				testharness.RespondResult(w, testharness.ResultRow)
-				return
-			}
-			time.Sleep(250 * time.Millisecond)
-			w.WriteHeader(202)
-		}, setLongTimeouts)
+		r := start(t, 2, runUntil(&diedAt), setLongTimeouts)
 		c := r.NewClient()
 		for n := range 8 {
 			c.SendRequest("SELECT 1 FROM s_1.t", "call", testharness.RequestID(n), "op", op, "ttl", "60000",
--- a/internal/server/engine_timeouts.go
+++ b/internal/server/engine_timeouts.go
@@ -64,12 +64,15 @@
 	}
 }
 
-// checkEngine sends waiting requests over the connections that are reusable by now. It deletes a removed engine once
-// that has no connections and no requests.
+// checkEngine sends waiting requests over the connections that are reusable by now, or the first of them over a new
+// connection if there is none. It deletes a removed engine once that has no connections and no requests.
 func (p *enginePool) checkEngine(name string, e *engine) {
 	for len(e.waiters) > 0 && e.hasReusable(p.turnTime()) {
 		p.sendWaiting(e)
 	}
+	if e.connectionCount == 0 {
+		p.sendWaiting(e)
+	}
 	if e.removed && e.connectionCount == 0 && e.requestCount == 0 {
 		delete(p.engines, name)
 	}
@@ -100,9 +103,11 @@
 // attempt whose end needs no confirmation has ended.
 func (p *enginePool) handleAbandoned(request *engineRequest) {
 	mustConfirm := request.requiresConfirmedEnd()
+	if mustConfirm && request.isCallUnderWay() ||
+		request.finalDeleteSent && (request.awaitsResponse() || request.isWaiting) {
+		return // the response, or the failure of the call, decides
+	}
 	switch {
-	case mustConfirm && request.isCallUnderWay():
-	case request.finalDeleteSent && (request.awaitsResponse() || request.isWaiting):
 	case mustConfirm && request.finalDeleteSent:
 		p.repeatFinalDelete(request)
 	case request.finalDeleteSent || !mustConfirm && !request.startUnconfirmed:
