--- a/cmd/chutechute/endings_test.go
+++ b/cmd/chutechute/endings_test.go
@@ -357,7 +357,8 @@
 func TestResetsAndARefusalDoNotEndAQuery(t *testing.T) {
 	var resetAt atomic.Int64
 	var connections testharness.ConnectionSet
-	r := start(t, 2, runUntil(&resetAt), setLongTimeouts, func(r *testharness.Harness) { r.OnConnState = connections.Track })
+	track := func(r *testharness.Harness) { r.OnConnState = connections.Track }
+	r := start(t, 2, runUntil(&resetAt), setLongTimeouts, track)
 	c := r.NewClient()
 	for n := range 8 {
 		c.SendLookup(n, "60000")
