--- a/internal/server/engine_timeouts.go
+++ b/internal/server/engine_timeouts.go
@@ -107,14 +107,15 @@
 		request.finalDeleteSent && (request.awaitsResponse() || request.isWaiting) {
 		return // the response, or the failure of the call, decides
 	}
+	if c := request.detach(); c != nil {
+		c.terminate()
+	}
 	switch {
 	case mustConfirm && request.finalDeleteSent:
 		p.repeatFinalDelete(request)
 	case request.finalDeleteSent || !mustConfirm && !request.startUnconfirmed:
-		p.dropConnection(request)
 		p.finish(request, scheduler.Reset)
 	default:
-		p.dropConnection(request)
 		p.sendFinalDelete(request)
 	}
 }
@@ -132,11 +133,3 @@
 	request.finalDeleteSent = false
 	request.lastPolled = p.turnTime()
 }
-
-// dropConnection closes the connection that a request has, if any.
-func (p *enginePool) dropConnection(request *engineRequest) {
-	if c := request.connection; c != nil {
-		request.connection = nil
-		c.terminate()
-	}
-}
