--- a/review/testdata/standin2/client.go
+++ b/review/testdata/standin2/client.go
@@ -64,20 +64,26 @@
 	return append(binary.BigEndian.AppendUint32(b, uint32(len(s))), s...)
 }
 
-// send writes a message and returns its number and where its answer arrives.
-func (c *client) send(method string, arguments []byte, answered bool) (int32, chan answer, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+// message returns the next message and its number.
+func (c *client) message(method string, arguments []byte) (int32, []byte) {
 	c.seq++
 	message := text([]byte{0x80, 1, 0, 1}, method)
 	message = binary.BigEndian.AppendUint32(message, uint32(c.seq))
 	message = append(append(message, arguments...), 0)
+	return c.seq, append(binary.BigEndian.AppendUint32(nil, uint32(len(message))), message...)
+}
+
+// send writes a message and returns its number and where its answer arrives.
+func (c *client) send(method string, arguments []byte, answered bool) (int32, chan answer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	seq, message := c.message(method, arguments)
 	result := make(chan answer, 1)
 	if answered {
-		c.pending[c.seq] = result
+		c.pending[seq] = result
 	}
-	_, err := c.conn.Write(append(binary.BigEndian.AppendUint32(nil, uint32(len(message))), message...))
-	return c.seq, result, err
+	_, err := c.conn.Write(message)
+	return seq, result, err
 }
 
 // request encodes the arguments of a request. The fields are name, value, name, value and so on.
--- a/review/testdata/standin2/frontend.go
+++ b/review/testdata/standin2/frontend.go
@@ -32,6 +32,7 @@
 	running       bool
 	memoryMB      int
 	tls           *tls.Config // of its clients; nil without TLS
+	proxies       []*proxy    // of its links with the other front ends
 }
 
 // freeAddress returns an address with a free port on a loopback address that no other program connects from.
@@ -196,13 +197,20 @@
 // startFleet starts front ends that keep a record of loads together, in memory, and returns them with the leader first.
 func startFleet(w *world, count int, j *journal, es *engines, more map[string]any) []*frontEnd {
 	var list []*frontEnd
-	var members []any
 	for i := range count {
-		f := newFrontEnd(w, fmt.Sprintf("n%d", i+1), count, i, j, es)
-		list = append(list, f)
-		members = append(members, map[string]any{"name": f.name, "address": f.peer, "zone": "room-a"})
+		list = append(list, newFrontEnd(w, fmt.Sprintf("n%d", i+1), count, i, j, es))
 	}
 	for _, f := range list {
+		var members []any // the others are reached through proxies
+		for _, other := range list {
+			address := other.peer
+			if other != f {
+				p := startProxy(w, other.peer)
+				f.proxies, other.proxies = append(f.proxies, p), append(other.proxies, p)
+				address = p.addr
+			}
+			members = append(members, map[string]any{"name": other.name, "address": address, "zone": "room-a"})
+		}
 		section := map[string]any{"enabled": true, "site": "review", "members": members, "copies": 3, "admin": f.socket}
 		for key, value := range more {
 			section[key] = value
@@ -215,6 +223,13 @@
 	return leaderFirst(list)
 }
 
+// setCut cuts a front end off from the others, or ends the cut.
+func (w *world) setCut(f *frontEnd, cut bool) {
+	for _, p := range f.proxies {
+		p.setCut(cut)
+	}
+}
+
 // leaderFirst waits until one of the front ends leads a record with three votes, and returns that one first.
 func leaderFirst(list []*frontEnd) (ordered []*frontEnd) {
 	waitFor("the record has a leader and three votes", 30*time.Second, func() bool {
