--- a/review/testdata/standin2/cut.go
+++ b/review/testdata/standin2/cut.go
@@ -16,7 +16,7 @@
 func orderAfterCut(w *world) {
 	es := startEngines(w, 6)
 	j := startJournal(w, knownEvents)
-	fleet := startFleet(w, 3, j, es, nil)
+	fleet := startFleet(w, 3, j, es, map[string]any{"orphan_s": 2})
 	other, cut := fleet[0], fleet[1]
 	w.log("%s leads the record of loads", other.name)
 	type request struct {
--- a/review/testdata/standin2/proxy.go
+++ b/review/testdata/standin2/proxy.go
@@ -1,17 +1,17 @@
 package main
 
 import (
-	"io"
 	"net"
 	"sync"
 )
 
-// proxy passes connections on to a target until it is cut: then it closes all and takes no new ones.
+// proxy passes connections on to a target until it is cut. Then it says nothing: open connections stay open and silent,
+// and what is written to them arrives once the cut is over; new ones get no further than the proxy.
 type proxy struct {
 	addr, target string
 	mu           sync.Mutex
+	open         *sync.Cond
 	isCut        bool
-	conns        map[net.Conn]bool
 }
 
 // startProxy starts a proxy on a free port.
@@ -19,7 +19,8 @@
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	check(err, "proxy")
 	w.atEnd(func() { _ = listener.Close() })
-	p := &proxy{addr: listener.Addr().String(), target: target, conns: map[net.Conn]bool{}}
+	p := &proxy{addr: listener.Addr().String(), target: target}
+	p.open = sync.NewCond(&p.mu)
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -32,44 +33,39 @@
 	return p
 }
 
-// add counts connections as open, unless the proxy is cut.
-func (p *proxy) add(conns ...net.Conn) bool {
+// wait waits while the proxy is cut.
+func (p *proxy) wait() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, conn := range conns {
-		if p.isCut {
-			conn.Close()
-			continue
-		}
-		p.conns[conn] = true
+	for p.isCut {
+		p.open.Wait()
 	}
-	return !p.isCut
 }
 
 func (p *proxy) serve(conn net.Conn) {
-	if !p.add(conn) {
-		return
-	}
+	defer conn.Close()
+	p.wait()
 	far, err := net.Dial("tcp4", p.target)
 	if err != nil {
-		conn.Close()
-		return
-	}
-	if !p.add(far) {
-		conn.Close()
 		return
 	}
-	pass := func(to, from net.Conn) {
-		_, _ = io.Copy(to, from)
-		to.Close()
-		from.Close()
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		delete(p.conns, to)
-		delete(p.conns, from)
+	defer far.Close()
+	go p.pass(conn, far)
+	p.pass(far, conn)
+}
+
+// pass passes on what one side writes, until it closes.
+func (p *proxy) pass(to, from net.Conn) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		p.wait()
+		if _, failed := to.Write(buffer[:n]); failed != nil || err != nil {
+			to.Close()
+			from.Close()
+			return
+		}
 	}
-	go pass(conn, far)
-	pass(far, conn)
 }
 
 // setCut cuts the proxy, or ends the cut.
@@ -77,10 +73,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.isCut = cut
-	for conn := range p.conns {
-		if cut {
-			conn.Close()
-			delete(p.conns, conn)
-		}
-	}
+	p.open.Broadcast()
 }
