Review case 6: a client's open requests are lost when buffers run out

Cause: closeLargest ends the connection with the largest buffers, whatever requests are open on it, when the buffers that all clients share are full.

Change: review/6 is this case, the gravest; the drain of case 6 is case 8 now. The load that is retried after its client has gone, case 8 before, is known as the earlier review's play `gone`; it stays as `bin/standin2 gone`.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,4 +6,4 @@
 	echo "run the build of the deploy file and review/build-2.sh first" >&2
 	exit 2
 fi
-exec bin/standin2 gone review/8
+exec bin/standin2 drain review/8
