Handle messages of clients in fair shares and in short turns of the loop

Cause: a turn of the loop handled all that had arrived, for up to 416 ms, and the next turn read the connections in epoll's order. A trace by request id showed both loads of a broken pair submitted in one turn, after one of 363 ms; the core's step took 1 ms of it.

Change: messages are queued when they are read and handled for 10 ms a turn, in the order of self-clocked fair queueing by bytes; those of one order key keep the order of reading. Cancels and closes take effect when they are read.

--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -14,9 +14,19 @@
 // Budget limits the total storage of all buffers that share it.
 type Budget struct {
 	Max  int // bytes
-	used int // bytes allocated by the buffers
+	used int // bytes allocated by the buffers, or reserved
 }
 
+// Reserve counts bytes that are stored outside a buffer towards the limit. They may exceed it: the caller checks
+// HasSpace first if they must not.
+func (b *Budget) Reserve(size int) { b.used += size }
+
+// Release reverts Reserve.
+func (b *Budget) Release(size int) { b.used -= size }
+
+// HasSpace reports whether the limit allows that many further bytes.
+func (b *Budget) HasSpace(size int) bool { return b.used+size <= b.Max }
+
 // Buffer is a ring buffer of bytes that grows up to a limit. It allocates no storage until it is used.
 type Buffer struct {
 	buf     []byte
@@ -106,7 +116,7 @@
 		return true
 	}
 	size = min(b.max, max(size, 2*len(b.buf), initialSize))
-	if b.budget.used+size-len(b.buf) > b.budget.Max {
+	if !b.budget.HasSpace(size - len(b.buf)) {
 		return false
 	}
 	b.reallocate(size)
--- a/internal/server/client_close.go
+++ b/internal/server/client_close.go
@@ -79,7 +79,7 @@
 // lingerTimeout: closing the socket with unread input would reset the connection and destroy responses that the client
 // has not read yet.
 func (c *clientConn) halfCloseIfDrained() {
-	if c.Closed || c.state != clientDraining || len(c.inFlight) > 0 || c.Out.Len() > 0 {
+	if c.Closed || c.state != clientDraining || c.awaitsResponse() || c.Out.Len() > 0 {
 		return
 	}
 	c.state, c.lastActivity = clientLingering, c.turnTime()
@@ -129,8 +129,9 @@
 	c.cancelInFlight()
 }
 
-// cancelInFlight cancels the requests in flight, since nobody waits for their responses.
+// cancelInFlight cancels the requests in flight and drops the queued messages, since nobody waits for their responses.
 func (c *clientConn) cancelInFlight() {
+	c.dropQueued()
 	requests := c.inFlight
 	c.inFlight = nil
 	for _, request := range requests {
--- a/internal/server/client_conn.go
+++ b/internal/server/client_conn.go
@@ -2,8 +2,6 @@
 
 import (
 	"crypto/x509"
-	"errors"
-	"log/slog"
 
 	"golang.org/x/sys/unix"
 
@@ -17,7 +15,7 @@
 
 const (
 	pauseReadingAbove  = 256 << 10 // bytes of unread responses above which no more requests of the client are handled
-	maxMessagesPerTurn = 32        // of one connection, so that one client does not delay the others
+	maxMessagesPerTurn = 32        // decoded from one connection, so that one client does not delay the others
 
 	// A client that has sent nothing or an incomplete message gets a response, or its connection is closed, within 3 s
 	// of connecting. One that has sent a complete message may keep its connection open indefinitely.
@@ -43,10 +41,12 @@
 	eventloop.Stream
 	listener *clientListener
 	inFlight map[int32]*gateway.Request // by sequence number
+	queue    clientQueue                // messages that were received and not handled yet
 	address  uint64                     // the client's IPv4 address
 
 	state           clientState
-	deferred        bool            // received messages are left for the next turn
+	deferred        bool            // received messages are left in In for the next turn
+	inputMalformed  bool            // a malformed message was received; what follows it is not decoded
 	receivedMessage bool            // a complete message has been received
 	sentResponse    bool            // a response was sent; firstMessageTimeout applies until then
 	establishedAt   monotime.Micros // when it connected or, with TLS, completed the handshake
@@ -66,20 +66,21 @@
 // turnTime returns the time of the current turn.
 func (c *clientConn) turnTime() monotime.Micros { return c.listener.server.host.TurnTime }
 
-// isIdle reports whether the client waits for nothing: no response is pending and no message is deferred.
-func (c *clientConn) isIdle() bool {
-	return len(c.inFlight) == 0 && c.Out.Len() == 0 && !c.deferred
-}
+// isIdle reports whether the client waits for nothing: no response is pending and no message is left to be handled.
+func (c *clientConn) isIdle() bool { return !c.awaitsResponse() && c.Out.Len() == 0 && !c.deferred }
+
+// awaitsResponse reports whether a received message is still to be handled or answered.
+func (c *clientConn) awaitsResponse() bool { return len(c.inFlight) > 0 || len(c.queue.messages) > 0 }
 
 // readTimedOut reports whether the client took too long to send its first message or the rest of an incomplete one.
 func (c *clientConn) readTimedOut(now monotime.Micros) bool {
-	if !c.sentResponse && len(c.inFlight) == 0 && now-c.establishedAt >= firstMessageTimeout {
+	if !c.sentResponse && !c.awaitsResponse() && now-c.establishedAt >= firstMessageTimeout {
 		return true
 	}
 	return c.partialSince != 0 && now-c.partialSince >= partialMessageTimeout
 }
 
-// Ready writes pending output, reads input and handles the received messages.
+// Ready writes pending output, reads input and queues the received messages.
 func (c *clientConn) Ready(events uint32) {
 	if c.state == clientLingering || c.state == clientDraining && isReadable(events) {
 		c.discardInput()
@@ -96,7 +97,7 @@
 		c.handlePeerClose()
 		return
 	}
-	c.processMessages()
+	c.queueMessages()
 }
 
 // readNow reads input, and the client's close, without waiting for epoll to report them.
@@ -109,15 +110,15 @@
 	c.Ready(unix.EPOLLIN)
 }
 
-// processMessages handles the complete messages that were received, up to maxMessagesPerTurn. It stops early if the
-// client leaves too many responses unread.
-func (c *clientConn) processMessages() {
-	for processed := 0; !c.Closed && c.state == clientOpen && !c.isOutputBlocked(); processed++ {
-		if processed >= maxMessagesPerTurn {
+// queueMessages queues the complete messages that were received, up to maxMessagesPerTurn. It stops early if the client
+// leaves too many responses unread or has too many messages queued.
+func (c *clientConn) queueMessages() {
+	for queued := 0; c.acceptsMessages(); queued++ {
+		if queued >= maxMessagesPerTurn || !c.hasQueueSpace() {
 			c.deferMessages()
 			break
 		}
-		if !c.processMessage() {
+		if !c.queueMessage() {
 			c.awaitInput()
 			return
 		}
@@ -127,12 +128,17 @@
 	}
 }
 
+// acceptsMessages reports whether received messages may be queued now.
+func (c *clientConn) acceptsMessages() bool {
+	return !c.Closed && c.state == clientOpen && !c.inputMalformed && !c.isOutputBlocked()
+}
+
 // isOutputBlocked reports whether the client leaves too many responses unread.
 func (c *clientConn) isOutputBlocked() bool { return c.Out.Len() > pauseReadingAbove }
 
 // wantsInput reports whether input is to be read, either as messages or to be discarded.
 func (c *clientConn) wantsInput() bool {
-	return c.state != clientOpen || !c.isOutputBlocked() && !c.deferred
+	return c.state != clientOpen || !c.isOutputBlocked() && !c.deferred && !c.inputMalformed
 }
 
 // deferMessages leaves the remaining messages for the next turn.
@@ -143,26 +149,15 @@
 	}
 }
 
-// processMessage handles the next message. It returns false if no complete message has been received.
-func (c *clientConn) processMessage() bool {
+// queueMessage queues the next message. It returns false if no complete message has been received.
+func (c *clientConn) queueMessage() bool {
 	message, ok, err := thrift.Next(c.In)
-	if ok || err != nil {
-		c.receivedMessage, c.partialSince, c.lastActivity = true, 0, c.turnTime()
-	}
-	var exception *thrift.Exception
-	switch {
-	case errors.As(err, &exception):
-		c.counters().UnusableRequests++
-		c.respond(exception.Reply())
-	case err != nil:
-		c.counters().MalformedInput++
-		slog.Debug("malformed client message", slog.Any("error", err))
-		c.closeAfterResponses()
-	case !ok:
+	if !ok && err == nil {
 		return c.decryptMore()
-	default:
-		c.dispatch(message)
 	}
+	c.receivedMessage, c.partialSince, c.lastActivity = true, 0, c.turnTime()
+	c.inputMalformed = err != nil && !isException(err)
+	c.enqueue(message, err)
 	return true
 }
 
--- a/internal/server/client_eviction.go
+++ b/internal/server/client_eviction.go
@@ -110,5 +110,5 @@
 	}
 }
 
-// bufferedBytes returns the size of the connection's buffers in bytes.
-func (c *clientConn) bufferedBytes() int { return c.In.Cap() + c.Out.Cap() }
+// bufferedBytes returns the size of the connection's buffers and queued messages in bytes.
+func (c *clientConn) bufferedBytes() int { return c.In.Cap() + c.Out.Cap() + c.queue.bytes }
--- a/internal/server/client_listener.go
+++ b/internal/server/client_listener.go
@@ -10,6 +10,7 @@
 
 	"chutechute/gateway"
 	"chutechute/internal/eventloop"
+	"chutechute/internal/fairqueue"
 	"chutechute/internal/ring"
 	"chutechute/internal/thrift"
 	"chutechute/internal/tlsio"
@@ -31,7 +32,8 @@
 	address      netip.AddrPort
 	clients      map[*clientConn]struct{}
 	maxClients   int
-	deferred     []*clientConn // connections with messages left for the next turn
+	messages     fairqueue.Queue[queuedMessage]
+	deferred     []*clientConn // connections with messages in In that are queued in the next turn
 	bufferBudget ring.Budget
 	acceptPaused bool // no descriptor is available for another connection
 }
@@ -181,13 +183,13 @@
 	}
 }
 
-// processDeferred handles the messages that were left over from the last turn.
-func (l *clientListener) processDeferred() {
+// queueDeferred queues the messages that were left over from the last turn.
+func (l *clientListener) queueDeferred() {
 	deferred := l.deferred
 	l.deferred = nil
 	for _, c := range deferred {
 		c.deferred = false
-		c.processMessages()
+		c.queueMessages()
 	}
 }
 
--- a/internal/server/client_requests.go
+++ b/internal/server/client_requests.go
@@ -28,24 +28,27 @@
 	alphanumeric = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 )
 
-// dispatch handles a message according to its method.
-func (c *clientConn) dispatch(message thrift.Message) {
+// Names of the methods that clients call, and of the field that holds the order key of a request.
+const (
+	methodHealth  = "health"
+	methodCancel  = "cancel"
+	methodCall    = "call"
+	fieldOrderKey = "row"
+)
+
+// dispatch handles a message other than a cancel according to its method.
+func (c *clientConn) dispatch(message thrift.Message, receivedAt monotime.Micros) {
 	switch message.Name {
-	case "health":
+	case methodHealth:
 		healthy := c.listener.server.lifecycle.Healthy()
 		c.respond(thrift.EncodeReply(message.Name, message.Seq, nil, nil, healthy))
-	case "cancel":
-		if request := c.inFlight[message.Target]; request != nil {
-			delete(c.inFlight, message.Target)
-			c.listener.server.core.Cancel(request)
-		}
-	case "call":
-		c.submit(message)
+	case methodCall:
+		c.submit(message, receivedAt)
 	}
 }
 
 // submit passes the request in a call message to the core.
-func (c *clientConn) submit(message thrift.Message) {
+func (c *clientConn) submit(message thrift.Message, receivedAt monotime.Micros) {
 	if c.inFlight[message.Seq] != nil { // two responses with one sequence number could not be told apart
 		c.counters().MalformedInput++
 		c.closeAfterResponses()
@@ -60,6 +63,7 @@
 		c.respondUnusable(message, err)
 		return
 	}
+	call.ClientTimeout -= c.turnTime() - receivedAt
 	call.Credentials = c.credentials(message.Fields["token"])
 	response := &responder{client: c, sequence: message.Seq}
 	request, err := c.listener.server.core.Submit(c.turnTime(), call, response)
@@ -99,7 +103,7 @@
 		ID:             fields["call"],
 		Class:          fields["op"],
 		Tenant:         fields["org"],
-		OrderKey:       fields["row"],
+		OrderKey:       fields[fieldOrderKey],
 		IdempotencyKey: fields["dedupe"],
 		Statement:      message.Body,
 	}
--- a/internal/server/client_tls.go
+++ b/internal/server/client_tls.go
@@ -74,7 +74,7 @@
 		c.peerCertificate = state.PeerCertificates[0]
 		c.callerCertificate = certs.IdentityCertificate(c.peerCertificate)
 	}
-	c.processMessages()
+	c.queueMessages()
 }
 
 // certificateAt returns the client's certificate, with its revocation status at the given wall-clock time. It returns
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -195,7 +195,8 @@
 	return s.peering == nil || phase == gateway.Answering && s.peering.Released()
 }
 
-// runTurn waits for events, handles all that are ready and runs one step of the core.
+// runTurn waits for events, reads all that is ready, handles messages of clients for a limited time and runs one step
+// of the core.
 func (s *Server) runTurn() error {
 	s.awaitTurn()
 	ready, err := s.host.Loop.Wait(s.nextTurnAt() - s.host.Clock.Now())
@@ -206,8 +207,9 @@
 	if s.peering != nil {
 		s.peering.SetNow(s.host.TurnTime)
 	}
-	s.listener.processDeferred()
+	s.listener.queueDeferred()
 	s.host.Loop.Dispatch(ready)
+	s.listener.handleMessages()
 	if s.host.TurnTime >= s.nextTickAt {
 		s.nextTickAt = s.host.TurnTime + eventloop.TickInterval
 		s.tick()
@@ -233,7 +235,7 @@
 	if coreAt, ok := s.core.NextTimer(); ok {
 		at = min(at, coreAt)
 	}
-	if len(s.listener.deferred) > 0 || s.core.HasEvents() {
+	if len(s.listener.deferred) > 0 || s.listener.messages.Len() > 0 || s.core.HasEvents() {
 		at = s.host.TurnTime
 	}
 	return at
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -69,8 +69,13 @@
 	Fields map[string]string // of call
 	Body   []byte            // of call
 	Target int32             // of cancel: sequence number of the call to cancel
+
+	size int
 }
 
+// Size returns the size of the message's frame in bytes.
+func (m *Message) Size() int { return m.size }
+
 // ErrFrame reports bytes that are not a frame of the strict binary protocol. The connection has to be closed.
 var ErrFrame = errors.New("thrift: not a frame of the strict binary protocol")
 
@@ -89,7 +94,8 @@
 		return m, false, nil
 	}
 	m, err = parse(data[4 : 4+size])
-	in.Discard(4 + int(size))
+	m.size = 4 + int(size)
+	in.Discard(m.size)
 	return m, err == nil, err
 }
 
