Start no further attempt of a registered load whose client has gone

Cause: Core.Cancel only replaced the responder of a registered request with a started attempt; the scheduler kept the request and retried it.

Change: the scheduler is told, attempts that wait for authorization end, started ones go on, and the request ends with the last of them.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -178,7 +178,7 @@
 	case a.registration != nil && !result.NeverRan():
 		a.registration.attemptMayHaveRun = true
 	}
-	if a.AlreadyRunning && result != scheduler.Succeeded {
+	if (a.AlreadyRunning || a.clientDisconnected && a.Request.attemptsInFlight == 0) && result != scheduler.Succeeded {
 		a.finished = true // the scheduler does not have the request, and no client waits for it
 	}
 	return final
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -75,10 +75,13 @@
 	receivedAt    monotime.Micros
 	deadline      monotime.Micros // when the final response is due
 	deadlineTimer *timer
-	finished      bool                  // it has got its final response, or no client waits for one
-	caller        identity.Caller       // zero value if callers are not identified
-	completion    *statement.Completion // what was read from the statement; nil if only its table group was read
-	registration  *Registration         // nil if the request is not registered in the idempotency store
+	finished      bool // it has got its final response, or no client waits for one
+	// clientDisconnected is set if the request continues, only with the attempts that were started, after its client
+	// has disconnected.
+	clientDisconnected bool
+	caller             identity.Caller       // zero value if callers are not identified
+	completion         *statement.Completion // what was read from the statement; nil if only its table group was read
+	registration       *Registration         // nil if the request is not registered in the idempotency store
 
 	keepConnection   bool    // Attempt.KeepConnection of its attempts
 	holdsOrderKey    bool    // requests of the same order key wait for its end
@@ -129,7 +132,8 @@
 }
 
 // Cancel ends a request whose client has disconnected: its Responder is no longer called, and its attempts are
-// canceled. A registered request continues if an attempt of it was started, because a repeat will request its outcome.
+// canceled. An attempt of a registered request that was started goes on, because a repeat will request its outcome, but
+// no further attempt is started.
 // Cancel has no effect on a request that has got its final response.
 func (c *Core) Cancel(r *Request) {
 	if c.applyingActions {
@@ -142,7 +146,7 @@
 	}
 	c.counters.CanceledRequests++
 	if r.registration.outlivesClient() {
-		r.responder = discardResponse{}
+		c.continueWithoutClient(r)
 		return
 	}
 	r.finished = true
@@ -151,6 +155,26 @@
 	c.closeIfDone(r)
 }
 
+// continueWithoutClient lets the started attempts of a registered request go on after its client has disconnected. The
+// request ends with the last of them.
+func (c *Core) continueWithoutClient(r *Request) {
+	r.responder = discardResponse{}
+	if r.registration.committed || r.clientDisconnected {
+		return
+	}
+	r.clientDisconnected = true
+	c.addEvent(scheduler.ClientDisconnected{ID: r.schedulerID})
+	for _, a := range r.attempts {
+		if a.state == attemptAuthorizing {
+			c.cancelAttempt(a, scheduler.Canceled)
+		}
+	}
+	if r.attemptsInFlight == 0 {
+		r.finished = true
+		c.closeIfDone(r)
+	}
+}
+
 // respond delivers a request's rows to its client.
 func (c *Core) respond(now monotime.Micros, r *Request, rows []byte) {
 	r.finished = true
--- a/internal/testharness/recordingengine.go
+++ b/internal/testharness/recordingengine.go
@@ -89,6 +89,19 @@
 	return e
 }
 
+// FailRunning ends all running queries as failed.
+func (e *RecordingEngine) FailRunning() {
+	e.mu.Lock()
+	var running []*query
+	for _, q := range e.queries {
+		running = append(running, q)
+	}
+	e.mu.Unlock()
+	for _, q := range running {
+		e.end(q, history.ExecutionFinished, queryFailed)
+	}
+}
+
 // Close closes the engine's server and all of its connections.
 func (e *RecordingEngine) Close() { closeServer(e.server) }
 
