Answer requests beyond a connection's limits when they are read

A message that waits unread for others of its connection hides the close behind it, and has its place in the order of a key only once it is read.

--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -62,6 +62,12 @@
 	return r, nil
 }
 
+// RejectUnqueued rejects a request that was not submitted, because its adapter has no memory in which it could wait.
+func (c *Core) RejectUnqueued(responder Responder) {
+	c.counters.Rejected++
+	responder.Reject(overloadRetryAfter)
+}
+
 // validate checks a request and returns the index of its class; noClass if the class is to be read from the statement.
 func (c *Core) validate(call *Call) (class int, err error) {
 	class, known := c.settings.ClassIndex[call.Class]
--- a/internal/server/client_conn.go
+++ b/internal/server/client_conn.go
@@ -111,10 +111,10 @@
 }
 
 // queueMessages queues the complete messages that were received, up to maxMessagesPerTurn. It stops early if the client
-// leaves too many responses unread or has too many messages queued.
+// leaves too many responses unread.
 func (c *clientConn) queueMessages() {
 	for queued := 0; c.acceptsMessages(); queued++ {
-		if queued >= maxMessagesPerTurn || !c.hasQueueSpace() {
+		if queued >= maxMessagesPerTurn {
 			c.deferMessages()
 			break
 		}
@@ -157,7 +157,7 @@
 	}
 	c.receivedMessage, c.partialSince, c.lastActivity = true, 0, c.turnTime()
 	c.inputMalformed = err != nil && !isException(err)
-	c.enqueue(message, err)
+	c.accept(message, err)
 	return true
 }
 
--- a/internal/server/client_queue.go
+++ b/internal/server/client_queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"slices"
 
@@ -14,8 +15,7 @@
 	// maxTurnDuration is the time after which a turn of the loop handles no more messages of clients. What arrives
 	// meanwhile on different connections is read in one turn, and the order in which it arrived is then unknown.
 	maxTurnDuration = 10 * monotime.Millisecond
-	// maxQueuedMessages is the number of messages that one connection may have queued. A client that keeps to the
-	// protocol has fewer, since each of its open requests is sent and canceled at most once.
+	// maxQueuedMessages is the number of messages of one connection above which only requests are queued.
 	maxQueuedMessages = 2 * maxInFlight
 	// messageOverhead is the cost of a message beside that of its bytes, in bytes.
 	messageOverhead = 256
@@ -34,6 +34,7 @@
 type clientQueue struct {
 	flow     fairqueue.Flow
 	messages []*fairqueue.Entry[queuedMessage]
+	calls    int // number of requests among the messages
 	bytes    int // reserved from the buffer budget
 }
 
@@ -43,32 +44,48 @@
 	return errors.As(err, &exception)
 }
 
-// hasQueueSpace reports whether another message of the connection may be queued.
-func (c *clientConn) hasQueueSpace() bool {
-	if len(c.queue.messages) == 0 {
-		return true
+// isCall reports whether the message is a readable request.
+func (m *queuedMessage) isCall() bool { return m.failure == nil && m.message.Name == methodCall }
+
+// accept queues a message, or the failure to decode one. A client that closes its connection is noticed only once all
+// that it sent before is read, and requests of one order key keep the order in which they are read. Therefore a message
+// never waits in the input buffer for others to be handled: what exceeds a limit is answered at once. A cancel takes
+// effect at once, too: no attempt may begin for a request whose client no longer waits.
+func (c *clientConn) accept(message thrift.Message, failure error) {
+	received := queuedMessage{client: c, message: message, failure: failure, receivedAt: c.turnTime()}
+	switch {
+	case failure == nil && message.Name == methodCancel:
+		c.cancel(message.Target)
+	case received.isCall() && len(c.inFlight)+c.queue.calls >= maxInFlight:
+		c.respondUnusable(message, fmt.Errorf("more than %d open requests", maxInFlight))
+	case received.isCall() && c.inFlight[message.Seq] == nil && !c.hasQueueSpace(message.Size()):
+		c.listener.server.core.RejectUnqueued(&responder{client: c, sequence: message.Seq})
+	case !received.isCall() && len(c.queue.messages) >= maxQueuedMessages && !c.inputMalformed:
+		c.handle(received)
+	default:
+		c.enqueue(received)
 	}
-	next := min(c.In.Len(), thrift.MaxFrame)
-	return len(c.queue.messages) < maxQueuedMessages && c.queue.bytes+next <= c.listener.maxUnreadOutput() &&
-		c.listener.bufferBudget.HasSpace(next)
 }
 
-// enqueue queues a message, or the failure to decode one. A cancel takes effect at once: no attempt may begin for a
-// request whose client no longer waits.
-func (c *clientConn) enqueue(message thrift.Message, failure error) {
-	if failure == nil && message.Name == methodCancel {
-		c.cancel(message.Target)
-		return
+// hasQueueSpace reports whether a request of the given size may be queued. The only queued message may have any size.
+func (c *clientConn) hasQueueSpace(size int) bool {
+	if c.queue.bytes == 0 {
+		return true
 	}
-	entry := c.listener.messages.Add(
-		&c.queue.flow,
-		message.Size()+messageOverhead,
-		message.Fields[fieldOrderKey],
-		queuedMessage{client: c, message: message, failure: failure, receivedAt: c.turnTime()},
-	)
+	return c.queue.bytes+size <= c.listener.maxUnreadOutput() && c.listener.bufferBudget.HasSpace(size)
+}
+
+// enqueue adds a message to the queue.
+func (c *clientConn) enqueue(received queuedMessage) {
+	size := received.message.Size()
+	orderKey := received.message.Fields[fieldOrderKey]
+	entry := c.listener.messages.Add(&c.queue.flow, size+messageOverhead, orderKey, received)
 	c.queue.messages = append(c.queue.messages, entry)
-	c.queue.bytes += message.Size()
-	c.listener.bufferBudget.Reserve(message.Size())
+	c.queue.bytes += size
+	if received.isCall() {
+		c.queue.calls++
+	}
+	c.listener.bufferBudget.Reserve(size)
 }
 
 // cancel cancels the request with a sequence number, whether it was submitted or is still queued.
@@ -79,8 +96,7 @@
 		return
 	}
 	for i, entry := range c.queue.messages {
-		queued := &entry.Value
-		if queued.failure == nil && queued.message.Name == methodCall && queued.message.Seq == sequence {
+		if queued := &entry.Value; queued.isCall() && queued.message.Seq == sequence {
 			c.listener.messages.Remove(entry)
 			c.removeQueued(i)
 			c.counters().CanceledRequests++
@@ -91,8 +107,12 @@
 
 // removeQueued removes the message at an index from the connection's queue.
 func (c *clientConn) removeQueued(index int) {
-	size := c.queue.messages[index].Value.message.Size()
+	queued := &c.queue.messages[index].Value
+	size := queued.message.Size()
 	c.queue.bytes -= size
+	if queued.isCall() {
+		c.queue.calls--
+	}
 	c.listener.bufferBudget.Release(size)
 	c.queue.messages = slices.Delete(c.queue.messages, index, index+1)
 }
@@ -103,11 +123,10 @@
 		c.listener.messages.Remove(entry)
 	}
 	c.listener.bufferBudget.Release(c.queue.bytes)
-	c.queue.messages, c.queue.bytes = nil, 0
+	c.queue.messages, c.queue.bytes, c.queue.calls = nil, 0, 0
 }
 
-// handleMessages handles queued messages, at least one and otherwise until the turn has lasted maxTurnDuration. A
-// message is handled in a later turn than all that was read before it and has the same order key.
+// handleMessages handles queued messages, at least one, until the turn has lasted maxTurnDuration.
 func (l *clientListener) handleMessages() {
 	host := &l.server.host
 	for {
--- a/internal/server/client_requests.go
+++ b/internal/server/client_requests.go
@@ -54,10 +54,6 @@
 		c.closeAfterResponses()
 		return
 	}
-	if len(c.inFlight) >= maxInFlight {
-		c.respondUnusable(message, fmt.Errorf("more than %d open requests", len(c.inFlight)))
-		return
-	}
 	call, err := parseCall(message)
 	if err != nil {
 		c.respondUnusable(message, err)
