--- a/cmd/chutechute/client_left_test.go
+++ b/cmd/chutechute/client_left_test.go
@@ -15,8 +15,8 @@
 	"chutechute/internal/testharness"
 )
 
-// Guards against further attempts of a registered load whose client has gone: when the running attempt failed later, the
-// load was sent to an engine again, up to four times.
+// Guards against further attempts of a registered load whose client has gone: when the running attempt failed later,
+// the load was sent to an engine again, up to four times.
 func TestNoFurtherAttemptOfALoadWhoseClientHasGone(t *testing.T) {
 	t.Parallel()
 	f := testharness.NewFleet(t, program, 3)
--- a/gateway/idempotency.go
+++ b/gateway/idempotency.go
@@ -72,8 +72,8 @@
 }
 
 // Schedule passes the request to the scheduler. The store calls it when this front end owns the request and the request
-// is the first in the queue of its order key. It has no effect if the scheduler has the request already, or if no attempt
-// of it may start any more.
+// is the first in the queue of its order key. It has no effect if the scheduler has the request already, or if no
+// attempt of it may start any more.
 func (reg *Registration) Schedule() {
 	if !reg.request.finished && !reg.request.clientDisconnected && !reg.scheduled {
 		reg.scheduled = true
