Forget the arrivals of the retry budget as their window passes

Cause: arrivals were dropped only when a retry was asked for. Now each arrival drops those before the window, and arrivals of one time share an entry.

--- a/internal/testharness/process.go
+++ b/internal/testharness/process.go
@@ -94,11 +94,17 @@
 }
 
 // PeakMemoryMB returns the process's peak resident memory, in MiB.
-func (h *Harness) PeakMemoryMB() int {
+func (h *Harness) PeakMemoryMB() int { return h.memoryMB("VmHWM:") }
+
+// ResidentMemoryMB returns the process's resident memory, in MiB.
+func (h *Harness) ResidentMemoryMB() int { return h.memoryMB("VmRSS:") }
+
+// memoryMB returns the value of a line of the process's status file, in MiB.
+func (h *Harness) memoryMB(label string) int {
 	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.Cmd.Process.Pid))
 	require.NoError(h.T, err)
 	kb := 0
-	_, err = fmt.Sscanf(string(status[bytes.Index(status, []byte("VmHWM:")):]), "VmHWM: %d kB", &kb)
+	_, err = fmt.Sscanf(string(status[bytes.Index(status, []byte(label)):]), label+" %d kB", &kb)
 	require.NoError(h.T, err)
 	return kb / 1024
 }
--- a/scheduler/retry.go
+++ b/scheduler/retry.go
@@ -25,10 +25,16 @@
 
 func (r *retryBudget) countArrival(now monotime.Micros, rules *Rules) {
 	if rules.RetryBudget {
+		r.arrivals.dropBefore(r.arrivalsFrom(now, rules))
 		r.arrivals.add(now, 1)
 	}
 }
 
+// arrivalsFrom returns the start of the window in which arrivals count.
+func (r *retryBudget) arrivalsFrom(now monotime.Micros, rules *Rules) monotime.Micros {
+	return now - rules.RetryBudgetWindow + 1
+}
+
 func (r *retryBudget) countRetry(now monotime.Micros, rules *Rules) {
 	if rules.RetryBudget {
 		r.retries.add(now, 1)
@@ -40,7 +46,7 @@
 	if !rules.RetryBudget {
 		return true
 	}
-	arrived := r.arrivals.since(now - rules.RetryBudgetWindow + 1)
+	arrived := r.arrivals.since(r.arrivalsFrom(now, rules))
 	return r.retries.since(now-rules.RetryBudgetWindow)+1 <= rules.MinRetries+rules.RetryRatio*arrived
 }
 
--- a/scheduler/window.go
+++ b/scheduler/window.go
@@ -14,17 +14,26 @@
 
 // add records an amount. Times must not decrease from call to call.
 func (w *slidingWindow) add(at monotime.Micros, amount float64) {
+	if last := len(w.at) - 1; last >= 0 && w.at[last] == at {
+		w.amount[last] += amount
+		return
+	}
 	w.at = append(w.at, at)
 	w.amount = append(w.amount, amount)
 }
 
-// since drops amounts recorded before from and returns the sum of the others.
-func (w *slidingWindow) since(from monotime.Micros) float64 {
+// dropBefore drops amounts recorded before from.
+func (w *slidingWindow) dropBefore(from monotime.Micros) {
 	expired := 0
 	for expired < len(w.at) && w.at[expired] < from {
 		expired++
 	}
 	w.at, w.amount = w.at[expired:], w.amount[expired:]
+}
+
+// since drops amounts recorded before from and returns the sum of the others.
+func (w *slidingWindow) since(from monotime.Micros) float64 {
+	w.dropBefore(from)
 	sum := 0.0
 	for _, amount := range w.amount {
 		sum += amount
