Count all that open and queued requests keep towards the memory limits

Callers saw a front end pass its limit: 320 clients with 32 requests of 60 KB each took 71 to 80 MB of 32 where the bytes were in the order key.

--- a/gateway/capacity_test.go
+++ b/gateway/capacity_test.go
@@ -59,7 +59,7 @@
 	t.Helper()
 	siteSettings, err := settings.Parse([]byte(testharness.Settings))
 	require.NoError(t, err)
-	limits := gateway.Limits{MaxOpen: 1000, MaxStatementBytes: 1 << 20}
+	limits := gateway.Limits{MaxOpen: 1000, MaxRequestBytes: 1 << 20}
 	core, err := gateway.New(siteSettings, 7, limits, noEngines{}, &counters.Set{})
 	require.NoError(t, err)
 	return &coreWithDiscovery{
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,8 +24,8 @@
 
 // Limits bounds the open requests of a core. A request that would exceed a limit is rejected.
 type Limits struct {
-	MaxOpen           int // number of open requests
-	MaxStatementBytes int // total size of the statements of open requests
+	MaxOpen         int // number of open requests
+	MaxRequestBytes int // total size of the statements and keys of open requests
 }
 
 // Core is the state of one front end.
@@ -49,7 +49,7 @@
 	lastSequence     uint64
 	open             map[uint64]*Request // by Request.schedulerID
 	openIDs          map[string]bool     // Call.ID of the open requests
-	statementBytes   int                 // total size of the statements of open requests
+	requestBytes     int                 // total size of the statements and keys of open requests
 	attemptsInFlight int
 
 	applyingActions bool
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -35,6 +35,9 @@
 	reportedMemoryMB float64
 }
 
+// size returns the bytes of the statement and the keys, which an open request keeps. Its other texts are short.
+func (c *Call) size() int { return len(c.Statement) + len(c.OrderKey) + len(c.IdempotencyKey) }
+
 // Credentials are the credentials of a request's caller. They are used only if callers are identified (see
 // Core.ConfigureIdentity).
 type Credentials struct {
@@ -114,7 +117,7 @@
 func (c *Core) openRequest(r *Request) {
 	c.open[r.schedulerID] = r
 	c.openIDs[r.ID] = true
-	c.statementBytes += len(r.Statement)
+	c.requestBytes += r.size()
 	r.deadlineTimer = c.timers.schedule(r.deadline, func() { c.expire(r) })
 }
 
@@ -125,7 +128,7 @@
 	}
 	delete(c.open, r.schedulerID)
 	delete(c.openIDs, r.ID)
-	c.statementBytes -= len(r.Statement)
+	c.requestBytes -= r.size()
 	c.callers.release(r.caller)
 	c.timers.cancel(r.deadlineTimer)
 	c.releaseRegistration(r)
--- a/gateway/simulation_test.go
+++ b/gateway/simulation_test.go
@@ -73,7 +73,7 @@
 		byOrderKey:   map[string][]*clientRequest{},
 		hedging:      hedging,
 	}
-	s.core, err = New(conf, seed, Limits{MaxOpen: 100, MaxStatementBytes: 1 << 20}, s, &counters.Set{})
+	s.core, err = New(conf, seed, Limits{MaxOpen: 100, MaxRequestBytes: 1 << 20}, s, &counters.Set{})
 	require.NoError(t, err)
 	return s
 }
@@ -298,7 +298,7 @@
 		assert.True(s.t, r.disconnected || r.responses == 1, "%s of class %d: no response", r.id, r.class)
 	}
 	assert.True(s.t, s.core.Idle(), "the core still has requests or attempts")
-	assert.Zero(s.t, s.core.statementBytes)
+	assert.Zero(s.t, s.core.requestBytes)
 }
 
 // With random events (all results of attempts, timeouts, clients that disconnect, engines that drain and return, a
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
+	call.Credentials = Credentials{} // not needed any more, and possibly large
 	class, err := c.validate(call)
 	if err != nil {
 		return nil, err
@@ -94,7 +95,7 @@
 
 // hasCapacity reports whether the limits allow a further request.
 func (c *Core) hasCapacity(call *Call) bool {
-	return len(c.open) < c.limits.MaxOpen && c.statementBytes+len(call.Statement) <= c.limits.MaxStatementBytes
+	return len(c.open) < c.limits.MaxOpen && c.requestBytes+call.size() <= c.limits.MaxRequestBytes
 }
 
 // requestEvent returns the event that passes a request to the scheduler.
--- a/internal/server/client_conn.go
+++ b/internal/server/client_conn.go
@@ -151,7 +151,11 @@
 
 // queueMessage queues the next message. It returns false if no complete message has been received.
 func (c *clientConn) queueMessage() bool {
-	message, ok, err := thrift.Next(c.In)
+	next := thrift.Next
+	if !c.mayQueueCall(thrift.NextSize(c.In)) {
+		next = thrift.NextHeader
+	}
+	message, ok, err := next(c.In)
 	if !ok && err == nil {
 		return c.decryptMore()
 	}
--- a/internal/server/client_queue.go
+++ b/internal/server/client_queue.go
@@ -19,6 +19,8 @@
 	maxQueuedMessages = 2 * maxInFlight
 	// messageOverhead is the cost of a message beside that of its bytes, in bytes.
 	messageOverhead = 256
+	// decodedOverhead is the memory of a queued message beside the bytes of its frame, in bytes.
+	decodedOverhead = 1 << 10
 )
 
 // queuedMessage is a message of a client that was received and is to be handled.
@@ -44,6 +46,9 @@
 	return errors.As(err, &exception)
 }
 
+// memory returns the bytes that the message takes while it is queued.
+func (m *queuedMessage) memory() int { return m.message.Size() + decodedOverhead }
+
 // isCall reports whether the message is a readable request.
 func (m *queuedMessage) isCall() bool { return m.failure == nil && m.message.Name == methodCall }
 
@@ -58,7 +63,7 @@
 		c.cancel(message.Target)
 	case received.isCall() && len(c.inFlight)+c.queue.calls >= maxInFlight:
 		c.respondUnusable(message, fmt.Errorf("more than %d open requests", maxInFlight))
-	case received.isCall() && c.inFlight[message.Seq] == nil && !c.hasQueueSpace(message.Size()):
+	case received.isCall() && c.inFlight[message.Seq] == nil && !c.hasQueueSpace(received.memory()):
 		c.listener.server.core.RejectUnqueued(&responder{client: c, sequence: message.Seq})
 	case !received.isCall() && len(c.queue.messages) >= maxQueuedMessages && !c.inputMalformed:
 		c.handle(received)
@@ -67,7 +72,13 @@
 	}
 }
 
-// hasQueueSpace reports whether a request of the given size may be queued. The only queued message may have any size.
+// mayQueueCall reports whether the limits allow to queue a request with a frame of the given size.
+func (c *clientConn) mayQueueCall(frameSize int) bool {
+	return len(c.inFlight)+c.queue.calls < maxInFlight && c.hasQueueSpace(frameSize+decodedOverhead)
+}
+
+// hasQueueSpace reports whether a request that takes the given memory may be queued. The only queued message may take
+// any.
 func (c *clientConn) hasQueueSpace(size int) bool {
 	if c.queue.bytes == 0 {
 		return true
@@ -77,15 +88,14 @@
 
 // enqueue adds a message to the queue.
 func (c *clientConn) enqueue(received queuedMessage) {
-	size := received.message.Size()
-	orderKey := received.message.Fields[fieldOrderKey]
-	entry := c.listener.messages.Add(&c.queue.flow, size+messageOverhead, orderKey, received)
+	cost := received.message.Size() + messageOverhead
+	entry := c.listener.messages.Add(&c.queue.flow, cost, received.message.Fields[fieldOrderKey], received)
 	c.queue.messages = append(c.queue.messages, entry)
-	c.queue.bytes += size
+	c.queue.bytes += received.memory()
 	if received.isCall() {
 		c.queue.calls++
 	}
-	c.listener.bufferBudget.Reserve(size)
+	c.listener.bufferBudget.Reserve(received.memory())
 }
 
 // cancel cancels the request with a sequence number, whether it was submitted or is still queued.
@@ -108,12 +118,11 @@
 // removeQueued removes the message at an index from the connection's queue.
 func (c *clientConn) removeQueued(index int) {
 	queued := &c.queue.messages[index].Value
-	size := queued.message.Size()
-	c.queue.bytes -= size
+	c.queue.bytes -= queued.memory()
 	if queued.isCall() {
 		c.queue.calls--
 	}
-	c.listener.bufferBudget.Release(size)
+	c.listener.bufferBudget.Release(queued.memory())
 	c.queue.messages = slices.Delete(c.queue.messages, index, index+1)
 }
 
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"slices"
 
 	"chutechute/internal/ring"
 )
@@ -42,6 +43,8 @@
 	version   = 0x80010000 // of the strict binary protocol
 	maxDepth  = 16         // nesting levels of a skipped value
 	maxFields = 256        // of one request
+
+	lengthSize = 4 // bytes of the length that precedes each frame
 )
 
 // Kinds of application exceptions.
@@ -66,7 +69,7 @@
 type Message struct {
 	Name   string
 	Seq    int32
-	Fields map[string]string // of call
+	Fields map[string]string // of call: those of CallFields
 	Body   []byte            // of call
 	Target int32             // of cancel: sequence number of the call to cancel
 
@@ -76,12 +79,29 @@
 // Size returns the size of the message's frame in bytes.
 func (m *Message) Size() int { return m.size }
 
+// CallFields are the names of the fields of a call that are kept. Any others are skipped: a client may send hundreds,
+// and each kept one takes much more memory than its bytes in the frame.
+var CallFields = []string{"op", "call", "ttl", "org", "dedupe", "work", "mb", "row", "token"}
+
 // ErrFrame reports bytes that are not a frame of the strict binary protocol. The connection has to be closed.
 var ErrFrame = errors.New("thrift: not a frame of the strict binary protocol")
 
+// NextSize returns the size of the next message's frame, as its sender claims; 0 if its length is not received yet.
+func NextSize(in *ring.Buffer) int {
+	if in.Len() < lengthSize {
+		return 0
+	}
+	return lengthSize + int(binary.BigEndian.Uint32(in.Bytes()))
+}
+
 // Next removes the next message from the input buffer. ok is false while it is incomplete. After an *Exception the
 // connection stays usable; after any other error it has to be closed.
-func Next(in *ring.Buffer) (m Message, ok bool, err error) {
+func Next(in *ring.Buffer) (m Message, ok bool, err error) { return next(in, true) }
+
+// NextHeader is Next, but leaves out the arguments of a call, so that it takes no memory for them.
+func NextHeader(in *ring.Buffer) (m Message, ok bool, err error) { return next(in, false) }
+
+func next(in *ring.Buffer, keepArguments bool) (m Message, ok bool, err error) {
 	if in.Len() < 4 {
 		return m, false, nil
 	}
@@ -93,14 +113,14 @@
 	if len(data) < 4+int(size) {
 		return m, false, nil
 	}
-	m, err = parse(data[4 : 4+size])
+	m, err = parse(data[4:4+size], keepArguments)
 	m.size = 4 + int(size)
 	in.Discard(m.size)
 	return m, err == nil, err
 }
 
 // parse parses the payload of a frame. Arguments that are unknown or of another type than expected are skipped.
-func parse(frame []byte) (Message, error) {
+func parse(frame []byte, keepArguments bool) (Message, error) {
 	r := &reader{data: frame}
 	head := uint32(r.i32())
 	name := r.text()
@@ -114,6 +134,8 @@
 	case "call":
 		handleField = func(id int16, kind byte) bool {
 			switch {
+			case !keepArguments:
+				return false
 			case id == 1 && kind == tMap:
 				m.Fields = r.fields()
 			case id == 2 && kind == tString:
@@ -185,17 +207,19 @@
 func (r *reader) bytes() []byte { return r.take(int(r.i32())) }
 func (r *reader) text() string  { return string(r.bytes()) }
 
-// fields decodes a map of strings to strings.
+// fields decodes a map of strings to strings, and returns the entries whose keys are in CallFields.
 func (r *reader) fields() map[string]string {
 	key, value, n := r.byte(), r.byte(), r.i32()
 	if n < 0 || n > maxFields || n > 0 && (key != tString || value != tString) {
 		r.malformed = true
 		return nil
 	}
-	m := make(map[string]string, n)
+	m := make(map[string]string, min(int(n), len(CallFields)))
 	for ; n > 0 && !r.malformed; n-- {
-		k := r.text()
-		m[k] = r.text()
+		name, value := r.bytes(), r.bytes()
+		if i := slices.IndexFunc(CallFields, func(known string) bool { return known == string(name) }); i >= 0 {
+			m[CallFields[i]] = string(value)
+		}
 	}
 	return m
 }
--- a/simulation/process.go
+++ b/simulation/process.go
@@ -74,7 +74,7 @@
 		f.disk = f.newDisk()
 	}
 	p.node = fleet.NewNode(p.nodeConfig(), p.notify)
-	limits := gateway.Limits{MaxOpen: maxOpenRequests, MaxStatementBytes: maxStatementBytes}
+	limits := gateway.Limits{MaxOpen: maxOpenRequests, MaxRequestBytes: maxStatementBytes}
 	var err error
 	p.core, err = gateway.New(s.settings, s.random.Uint64(), limits, engineClient{p}, &p.counters)
 	if err != nil {
