Close an idle client for want of buffers only if it takes its share

Now a connection without requests in flight is closed first only if it takes half of an even share of the buffers. TestDrainsBesideCostlyStatements, TestHalfRequestsCostNoOpenRequest and TestMemoryOfAllClients passed.

--- a/internal/server/client_eviction.go
+++ b/internal/server/client_eviction.go
@@ -95,9 +95,9 @@
 	return evictNewConnection
 }
 
-// closeLargest closes the connection with the largest buffers. It is called when the buffer budget is exhausted. As
-// long as there are others with buffers, it closes no connection that waits for a response, since its requests were
-// accepted.
+// closeLargest closes the connection with the largest buffers. It is called when the buffer budget is exhausted. A
+// connection with requests in flight, which would be lost, is closed only if there is no other one that takes at least
+// half of an even share of the budget.
 func (l *clientListener) closeLargest() {
 	var largest *clientConn
 	for c := range l.clients {
@@ -115,13 +115,18 @@
 // isCheaperToClose reports whether the connection is closed rather than another one when the buffer budget is
 // exhausted.
 func (c *clientConn) isCheaperToClose(other *clientConn) bool {
-	isClosable := !c.awaitsResponse() && c.bufferedBytes() > 0
-	otherIsClosable := !other.awaitsResponse() && other.bufferedBytes() > 0
-	if isClosable != otherIsClosable {
-		return isClosable
+	if isIdle := c.isIdleWithShare(); isIdle != other.isIdleWithShare() {
+		return isIdle
 	}
 	return c.bufferedBytes() > other.bufferedBytes()
 }
 
+// isIdleWithShare reports whether the connection has no request in flight and takes at least half of an even share of
+// the buffer budget of all clients. Buffers double as they grow, so those of equal clients differ by up to that factor.
+func (c *clientConn) isIdleWithShare() bool {
+	evenShare := c.listener.bufferBudget.Max / len(c.listener.clients)
+	return len(c.inFlight) == 0 && c.bufferedBytes() >= evenShare/2
+}
+
 // bufferedBytes returns the size of the connection's buffers and queued messages in bytes.
 func (c *clientConn) bufferedBytes() int { return c.In.Cap() + c.Out.Cap() + c.queue.bytes }
