Take an engine as removed once another is listed at its address

Callers' work went to the wrong process: when a new engine came up at the address of one whose end was not told yet, 10 of 20 attempts were sent to the new process in the old engine's name, beside its own share.

Cause: engines are known by ID alone. Two processes can't listen at one address, so the one listed before has gone.

Change: enginePool.replacedEngines adds the removal of the former engine to the event, for the pool and the scheduler.

TestNewEngineAtAListedAddress: 10 of 20 before in two forms, 0 of 20 now; the two forms with one event passed before.

--- a/internal/server/discovery_watch.go
+++ b/internal/server/discovery_watch.go
@@ -155,6 +155,7 @@
 
 // updateEndpoints passes an event of the discovery service to the engine pool and the core.
 func (s *Server) updateEndpoints(event discovery.Event) {
+	event.Engines = append(event.Engines, s.pool.replacedEngines(event)...)
 	s.pool.updateEndpoints(event)
 	endpoints := make([]scheduler.Endpoint, len(event.Engines))
 	for i, engine := range event.Engines {
