Name the fields and methods of the protocol once, and check a call's limits once

The kept fields were listed in thrift and again in parseCall, so a field added there alone would have been dropped in silence; names of methods and the length of a frame's length stood in both packages; the limits of a queued call were worked out for the decoder and again for the answer. thrift now has the names, and exceededLimit gives one result for both. Nothing that clients see changes.

--- a/internal/server/client_conn.go
+++ b/internal/server/client_conn.go
@@ -151,8 +151,8 @@
 
 // queueMessage queues the next message. It returns false if no complete message has been received.
 func (c *clientConn) queueMessage() bool {
-	next := thrift.Next
-	if !c.mayQueueCall(thrift.NextSize(c.In)) {
+	next, limit := thrift.Next, c.exceededLimit(thrift.NextSize(c.In))
+	if limit != noLimit {
 		next = thrift.NextHeader
 	}
 	message, ok, err := next(c.In)
@@ -161,7 +161,7 @@
 	}
 	c.receivedMessage, c.partialSince, c.lastActivity = true, 0, c.turnTime()
 	c.inputMalformed = err != nil && !isException(err)
-	c.accept(message, err)
+	c.accept(message, err, limit)
 	return true
 }
 
--- a/internal/server/client_listener.go
+++ b/internal/server/client_listener.go
@@ -21,7 +21,6 @@
 	// unreadOutputDivisor limits the responses that one client may leave unread to this fraction, 1/n, of the buffer
 	// budget of all clients.
 	unreadOutputDivisor = 4
-	frameLengthSize     = 4  // bytes of the length that precedes each frame
 	closedDescriptor    = -1 // value of clientListener.fd after close
 )
 
@@ -113,7 +112,7 @@
 func (l *clientListener) admit(fd int, from unix.Sockaddr) {
 	_ = unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1) // on failure responses are merely slower
 	host := &l.server.host
-	maxInput := thrift.MaxFrame + frameLengthSize
+	maxInput := thrift.MaxFrame + thrift.LengthSize
 	c := &clientConn{
 		Stream:        eventloop.NewStream(host.Loop, fd, maxInput, l.maxUnreadOutput(), &l.bufferBudget),
 		listener:      l,
--- a/internal/server/client_queue.go
+++ b/internal/server/client_queue.go
@@ -50,20 +50,44 @@
 func (m *queuedMessage) memory() int { return m.message.Size() + decodedOverhead }
 
 // isCall reports whether the message is a readable request.
-func (m *queuedMessage) isCall() bool { return m.failure == nil && m.message.Name == methodCall }
+func (m *queuedMessage) isCall() bool { return m.failure == nil && m.message.Name == thrift.MethodCall }
+
+// callLimit is a limit of one connection that a request exceeds.
+type callLimit int
+
+const (
+	noLimit callLimit = iota
+	openLimit
+	memoryLimit
+)
+
+// exceededLimit returns the limit that a request with a frame of the given size would exceed if it were queued. Memory
+// does not limit the only queued message.
+func (c *clientConn) exceededLimit(frameSize int) callLimit {
+	memory := frameSize + decodedOverhead
+	switch {
+	case len(c.inFlight)+c.queue.calls >= maxInFlight:
+		return openLimit
+	case c.queue.bytes == 0:
+		return noLimit
+	case c.queue.bytes+memory > c.listener.maxUnreadOutput() || !c.listener.bufferBudget.HasSpace(memory):
+		return memoryLimit
+	}
+	return noLimit
+}
 
 // accept queues a message, or the failure to decode one. A client that closes its connection is noticed only once all
 // that it sent before is read, and requests of one order key keep the order in which they are read. Therefore a message
-// never waits in the input buffer for others to be handled: what exceeds a limit is answered at once. A cancel takes
-// effect at once, too: no attempt may begin for a request whose client no longer waits.
-func (c *clientConn) accept(message thrift.Message, failure error) {
+// never waits in the input buffer for others to be handled: a request that exceeds a limit is answered at once. A
+// cancel takes effect at once, too: no attempt may begin for a request whose client no longer waits.
+func (c *clientConn) accept(message thrift.Message, failure error, limit callLimit) {
 	received := queuedMessage{client: c, message: message, failure: failure, receivedAt: c.turnTime()}
 	switch {
-	case failure == nil && message.Name == methodCancel:
+	case failure == nil && message.Name == thrift.MethodCancel:
 		c.cancel(message.Target)
-	case received.isCall() && len(c.inFlight)+c.queue.calls >= maxInFlight:
+	case received.isCall() && limit == openLimit:
 		c.respondUnusable(message, fmt.Errorf("more than %d open requests", maxInFlight))
-	case received.isCall() && c.inFlight[message.Seq] == nil && !c.hasQueueSpace(received.memory()):
+	case received.isCall() && limit == memoryLimit && c.inFlight[message.Seq] == nil:
 		c.listener.server.core.RejectUnqueued(&responder{client: c, sequence: message.Seq})
 	case !received.isCall() && len(c.queue.messages) >= maxQueuedMessages && !c.inputMalformed:
 		c.handle(received)
@@ -72,24 +96,10 @@
 	}
 }
 
-// mayQueueCall reports whether the limits allow to queue a request with a frame of the given size.
-func (c *clientConn) mayQueueCall(frameSize int) bool {
-	return len(c.inFlight)+c.queue.calls < maxInFlight && c.hasQueueSpace(frameSize+decodedOverhead)
-}
-
-// hasQueueSpace reports whether a request that takes the given memory may be queued. The only queued message may take
-// any.
-func (c *clientConn) hasQueueSpace(size int) bool {
-	if c.queue.bytes == 0 {
-		return true
-	}
-	return c.queue.bytes+size <= c.listener.maxUnreadOutput() && c.listener.bufferBudget.HasSpace(size)
-}
-
 // enqueue adds a message to the queue.
 func (c *clientConn) enqueue(received queuedMessage) {
 	cost := received.message.Size() + messageOverhead
-	entry := c.listener.messages.Add(&c.queue.flow, cost, received.message.Fields[fieldOrderKey], received)
+	entry := c.listener.messages.Add(&c.queue.flow, cost, received.message.Fields[thrift.FieldOrderKey], received)
 	c.queue.messages = append(c.queue.messages, entry)
 	c.queue.bytes += received.memory()
 	if received.isCall() {
--- a/internal/server/client_requests.go
+++ b/internal/server/client_requests.go
@@ -28,21 +28,13 @@
 	alphanumeric = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
 )
 
-// Names of the methods that clients call, and of the field that holds the order key of a request.
-const (
-	methodHealth  = "health"
-	methodCancel  = "cancel"
-	methodCall    = "call"
-	fieldOrderKey = "row"
-)
-
 // dispatch handles a message other than a cancel according to its method.
 func (c *clientConn) dispatch(message thrift.Message, receivedAt monotime.Micros) {
 	switch message.Name {
-	case methodHealth:
+	case thrift.MethodHealth:
 		healthy := c.listener.server.lifecycle.Healthy()
 		c.respond(thrift.EncodeReply(message.Name, message.Seq, nil, nil, healthy))
-	case methodCall:
+	case thrift.MethodCall:
 		c.submit(message, receivedAt)
 	}
 }
@@ -60,7 +52,7 @@
 		return
 	}
 	call.ClientTimeout -= c.turnTime() - receivedAt
-	call.Credentials = c.credentials(message.Fields["token"])
+	call.Credentials = c.credentials(message.Fields[thrift.FieldToken])
 	response := &responder{client: c, sequence: message.Seq}
 	request, err := c.listener.server.core.Submit(c.turnTime(), call, response)
 	var denied *identity.Denied
@@ -96,11 +88,11 @@
 func parseCall(message thrift.Message) (*gateway.Call, error) {
 	fields := message.Fields
 	call := &gateway.Call{
-		ID:             fields["call"],
-		Class:          fields["op"],
-		Tenant:         fields["org"],
-		OrderKey:       fields[fieldOrderKey],
-		IdempotencyKey: fields["dedupe"],
+		ID:             fields[thrift.FieldID],
+		Class:          fields[thrift.FieldClass],
+		Tenant:         fields[thrift.FieldTenant],
+		OrderKey:       fields[thrift.FieldOrderKey],
+		IdempotencyKey: fields[thrift.FieldIdempotencyKey],
 		Statement:      message.Body,
 	}
 	if !isRequestID(call.ID) {
@@ -109,19 +101,19 @@
 	if !isIdempotencyKey(call.IdempotencyKey) {
 		return nil, fmt.Errorf("dedupe: %.80q is no key", call.IdempotencyKey)
 	}
-	ttl, err := parseNumber(fields, "ttl", maxTTLMillis)
+	ttl, err := parseNumber(fields, thrift.FieldTimeout, maxTTLMillis)
 	if err == nil && ttl <= 0 {
-		err = fmt.Errorf("ttl: %.80q is no span in milliseconds", fields["ttl"])
+		err = fmt.Errorf("ttl: %.80q is no span in milliseconds", fields[thrift.FieldTimeout])
 	}
 	if err != nil {
 		return nil, err
 	}
-	work, err := parseNumber(fields, "work", maxWorkMillis)
+	work, err := parseNumber(fields, thrift.FieldWork, maxWorkMillis)
 	if err != nil {
 		return nil, err
 	}
 	call.ClientTimeout, call.EstimatedWork = millisToMicros(ttl), millisToMicros(work)
-	call.MemoryMB, err = parseNumber(fields, "mb", maxMemoryMB)
+	call.MemoryMB, err = parseNumber(fields, thrift.FieldMemory, maxMemoryMB)
 	return call, err
 }
 
--- a/internal/server/client_responder.go
+++ b/internal/server/client_responder.go
@@ -24,7 +24,7 @@
 
 // Respond sends the result rows of the request.
 func (r *responder) Respond(rows []byte) {
-	r.send(thrift.EncodeReply("call", r.sequence, rows, nil, true))
+	r.send(thrift.EncodeReply(thrift.MethodCall, r.sequence, rows, nil, true))
 }
 
 // Reject tells the client that the request did not run, and after what time it may be retried.
--- a/internal/thrift/reply.go
+++ b/internal/thrift/reply.go
@@ -35,7 +35,7 @@
 
 // declaredException returns a reply with an exception that the service declares, in the result's field with that id.
 func declaredException(seq int32, id int16, fields map[string]string) []byte {
-	b := appendFieldHeader(beginMessage(typeReply, "call", seq), tStruct, id)
+	b := appendFieldHeader(beginMessage(typeReply, MethodCall, seq), tStruct, id)
 	b = appendMap(appendFieldHeader(b, tMap, 1), fields)
 	return endMessage(append(b, tStop, tStop))
 }
--- a/internal/thrift/thrift.go
+++ b/internal/thrift/thrift.go
@@ -11,8 +11,31 @@
 	"chutechute/internal/ring"
 )
 
-// MaxFrame is the maximum size of a frame in bytes.
-const MaxFrame = 256 << 10
+// Sizes of messages in bytes.
+const (
+	MaxFrame   = 256 << 10 // maximum size of a frame
+	LengthSize = 4         // size of the length that precedes each frame
+)
+
+// Methods of the service.
+const (
+	MethodCall   = "call"
+	MethodCancel = "cancel"
+	MethodHealth = "health"
+)
+
+// Fields of a call.
+const (
+	FieldClass          = "op"
+	FieldID             = "call"
+	FieldTimeout        = "ttl" // in milliseconds
+	FieldTenant         = "org"
+	FieldIdempotencyKey = "dedupe"
+	FieldWork           = "work" // estimated, in milliseconds on one core
+	FieldMemory         = "mb"   // estimated, in megabytes
+	FieldOrderKey       = "row"
+	FieldToken          = "token"
+)
 
 // Types of messages.
 const (
@@ -44,7 +67,7 @@
 	maxDepth  = 16         // nesting levels of a skipped value
 	maxFields = 256        // of one request
 
-	lengthSize = 4 // bytes of the length that precedes each frame
+	minFrame = 12 // bytes of a message without a name and arguments
 )
 
 // Kinds of application exceptions.
@@ -69,7 +92,7 @@
 type Message struct {
 	Name   string
 	Seq    int32
-	Fields map[string]string // of call: those of CallFields
+	Fields map[string]string // of call: those of callFields
 	Body   []byte            // of call
 	Target int32             // of cancel: sequence number of the call to cancel
 
@@ -79,19 +102,22 @@
 // Size returns the size of the message's frame in bytes.
 func (m *Message) Size() int { return m.size }
 
-// CallFields are the names of the fields of a call that are kept. Any others are skipped: a client may send hundreds,
-// and each kept one takes much more memory than its bytes in the frame.
-var CallFields = []string{"op", "call", "ttl", "org", "dedupe", "work", "mb", "row", "token"}
+// callFields are the fields of a call that are kept. Any others are skipped: a client may send hundreds, and each kept
+// one takes much more memory than its bytes in the frame.
+var callFields = []string{
+	FieldClass, FieldID, FieldTimeout, FieldTenant, FieldIdempotencyKey, FieldWork, FieldMemory, FieldOrderKey,
+	FieldToken,
+}
 
 // ErrFrame reports bytes that are not a frame of the strict binary protocol. The connection has to be closed.
 var ErrFrame = errors.New("thrift: not a frame of the strict binary protocol")
 
 // NextSize returns the size of the next message's frame, as its sender claims; 0 if its length is not received yet.
 func NextSize(in *ring.Buffer) int {
-	if in.Len() < lengthSize {
+	if in.Len() < LengthSize {
 		return 0
 	}
-	return lengthSize + int(binary.BigEndian.Uint32(in.Bytes()))
+	return LengthSize + int(binary.BigEndian.Uint32(in.Bytes()))
 }
 
 // Next removes the next message from the input buffer. ok is false while it is incomplete. After an *Exception the
@@ -102,20 +128,21 @@
 func NextHeader(in *ring.Buffer) (m Message, ok bool, err error) { return next(in, false) }
 
 func next(in *ring.Buffer, keepArguments bool) (m Message, ok bool, err error) {
-	if in.Len() < 4 {
+	if in.Len() < LengthSize {
 		return m, false, nil
 	}
 	data := in.Bytes()
 	size := binary.BigEndian.Uint32(data)
-	if size > MaxFrame || size < 12 {
+	if size > MaxFrame || size < minFrame {
 		return m, false, fmt.Errorf("%w: length %d", ErrFrame, size)
 	}
-	if len(data) < 4+int(size) {
+	end := LengthSize + int(size)
+	if len(data) < end {
 		return m, false, nil
 	}
-	m, err = parse(data[4:4+size], keepArguments)
-	m.size = 4 + int(size)
-	in.Discard(m.size)
+	m, err = parse(data[LengthSize:end], keepArguments)
+	m.size = end
+	in.Discard(end)
 	return m, err == nil, err
 }
 
@@ -131,7 +158,7 @@
 	}
 	var handleField func(id int16, kind byte) bool
 	switch name {
-	case "call":
+	case MethodCall:
 		handleField = func(id int16, kind byte) bool {
 			switch {
 			case !keepArguments:
@@ -145,7 +172,7 @@
 			}
 			return true
 		}
-	case "cancel":
+	case MethodCancel:
 		handleField = func(id int16, kind byte) bool {
 			if id != 1 || kind != tI32 {
 				return false
@@ -153,7 +180,7 @@
 			m.Target = r.i32()
 			return true
 		}
-	case "health":
+	case MethodHealth:
 		handleField = func(int16, byte) bool { return false }
 	default:
 		return m, &Exception{m.Seq, name, UnknownMethod, "unknown method"}
@@ -207,18 +234,18 @@
 func (r *reader) bytes() []byte { return r.take(int(r.i32())) }
 func (r *reader) text() string  { return string(r.bytes()) }
 
-// fields decodes a map of strings to strings, and returns the entries whose keys are in CallFields.
+// fields decodes a map of strings to strings, and returns the entries whose keys are in callFields.
 func (r *reader) fields() map[string]string {
 	key, value, n := r.byte(), r.byte(), r.i32()
 	if n < 0 || n > maxFields || n > 0 && (key != tString || value != tString) {
 		r.malformed = true
 		return nil
 	}
-	m := make(map[string]string, min(int(n), len(CallFields)))
+	m := make(map[string]string, min(int(n), len(callFields)))
 	for ; n > 0 && !r.malformed; n-- {
 		name, value := r.bytes(), r.bytes()
-		if i := slices.IndexFunc(CallFields, func(known string) bool { return known == string(name) }); i >= 0 {
-			m[CallFields[i]] = string(value)
+		if i := slices.IndexFunc(callFields, func(known string) bool { return known == string(name) }); i >= 0 {
+			m[callFields[i]] = string(value)
 		}
 	}
 	return m
