Let the tests of floods and cancels use the harness's encoder

EncodeMessage and RequestArguments are split out of the client and used by both; the bytes sent and all assertions are the same.

--- a/cmd/chutechute/client_left_test.go
+++ b/cmd/chutechute/client_left_test.go
@@ -15,6 +15,14 @@
 	"chutechute/internal/testharness"
 )
 
+// connectTo connects a new client to a front end of a fleet.
+func connectTo(t *testing.T, n *testharness.FrontEnd) *testharness.Client {
+	conn, err := net.Dial("tcp4", n.ClientAddr)
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	return &testharness.Client{T: t, Conn: conn}
+}
+
 // Guards against further attempts of a registered load whose client has gone: when the running attempt failed later,
 // the load was sent to an engine again, up to four times.
 func TestNoFurtherAttemptOfALoadWhoseClientHasGone(t *testing.T) {
@@ -27,10 +35,7 @@
 		"reset":    func(c *testharness.Client) { _ = c.Conn.(*net.TCPConn).SetLinger(0); c.Conn.Close() },
 	} {
 		for i, n := range f.FrontEnds {
-			conn, err := net.Dial("tcp4", n.ClientAddr)
-			require.NoError(t, err)
-			t.Cleanup(func() { conn.Close() })
-			c, call := &testharness.Client{T: t, Conn: conn}, f.NewRequestID()
+			c, call := connectTo(t, n), f.NewRequestID()
 			c.SendRequest("INSERT INTO s_1.t -- ms=5000", "call", call, "op", "load", "ttl", "20000",
 				"dedupe", fmt.Sprint(name, i), "row", name, "work", "10.0")
 			isStart := func(e history.Event) bool {
@@ -56,12 +61,6 @@
 	f := testharness.NewFleet(t, program, 1)
 	f.WaitForLeader(1)
 	n := f.FrontEnds[0]
-	connect := func() *testharness.Client {
-		conn, err := net.Dial("tcp4", n.ClientAddr)
-		require.NoError(t, err)
-		t.Cleanup(func() { conn.Close() })
-		return &testharness.Client{T: t, Conn: conn}
-	}
 	for name, leave := range map[string]func(c *testharness.Client){
 		"canceled": func(c *testharness.Client) { _, _ = c.Conn.Write(cancelMessage(int(c.LastSeq))) },
 		"closed":   func(c *testharness.Client) { c.Conn.Close() },
@@ -75,13 +74,13 @@
 				}
 				c.SendRequest("SELECT * FROM s_1.t -- ms=700", fields...)
 			}
-			first := connect()
+			first := connectTo(t, n)
 			send(first)
 			isStart := func(e history.Event) bool { return e.CallID == call && e.Kind == history.ExecutionStarted }
 			f.WaitForEvent(isStart)
 			leave(first)
 			for range 40 {
-				again := connect()
+				again := connectTo(t, n)
 				send(again)
 				time.Sleep(20 * time.Millisecond)
 				again.Conn.Close()
--- a/cmd/chutechute/flood_test.go
+++ b/cmd/chutechute/flood_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"io"
 	"os"
@@ -55,13 +54,9 @@
 // floodStatement returns a statement with a table group of its own.
 func floodStatement(n int) string { return fmt.Sprintf("SELECT * FROM s_%d.t", n) }
 
-// floodMessage returns a call of a method without arguments.
+// floodMessage returns a call of a method with encoded arguments.
 func floodMessage(n int, method string, arguments ...byte) []byte {
-	message := append([]byte{0x80, 1, 0, 1}, binary.BigEndian.AppendUint32(nil, uint32(len(method)))...)
-	message = append(message, method...)
-	message = binary.BigEndian.AppendUint32(message, uint32(n+1))
-	message = append(append(message, arguments...), 0)
-	return append(binary.BigEndian.AppendUint32(nil, uint32(len(message))), message...)
+	return testharness.EncodeMessage(1, int32(n+1), method, arguments)
 }
 
 // floodRequest returns a request. A field call that is given replaces the request's own ID.
@@ -69,13 +64,7 @@
 	if !strings.Contains(strings.Join(fields, " "), "call") {
 		fields = append(fields, "call", testharness.RequestID(n+1_000_000))
 	}
-	arguments := []byte{13, 0, 1, 11, 11, 0, 0, 0, byte(len(fields) / 2)}
-	for _, text := range fields {
-		arguments = append(binary.BigEndian.AppendUint32(arguments, uint32(len(text))), text...)
-	}
-	arguments = append(arguments, 11, 0, 2)
-	arguments = append(binary.BigEndian.AppendUint32(arguments, uint32(len(statement))), statement...)
-	return floodMessage(n, "call", arguments...)
+	return floodMessage(n, "call", testharness.RequestArguments(statement, fields...)...)
 }
 
 // flood sends the messages of a form over one connection at full speed until stopped is set, and reads all responses.
--- a/cmd/chutechute/turn_test.go
+++ b/cmd/chutechute/turn_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// startOrder returns the positions at which loads with the given numbers were first started.
+// startOrder returns those of the given numbers of loads that were started, in the order of their starts.
 func startOrder(r *testharness.Harness, numbers ...int) (order []int) {
 	for _, post := range r.Requests("POST", "/") {
 		for _, n := range numbers {
@@ -169,9 +169,7 @@
 
 // cancelMessage returns the message that cancels the request with a sequence number.
 func cancelMessage(seq int) []byte {
-	message := append([]byte{0x80, 1, 0, 4, 0, 0, 0, 6}, "cancel"...)
-	message = append(message, 0, 0, 0, 99, 8, 0, 1, 0, 0, 0, byte(seq), 0)
-	return append([]byte{0, 0, 0, byte(len(message))}, message...)
+	return testharness.EncodeMessage(4, 99, "cancel", []byte{8, 0, 1, 0, 0, 0, byte(seq)})
 }
 
 // Guards against sends to a draining engine, and against a shutdown that takes too long, beside costly statements: the
--- a/internal/testharness/client.go
+++ b/internal/testharness/client.go
@@ -72,14 +72,20 @@
 // TrySendMessage is SendMessage, but returns the error if the message can't be written.
 func (c *Client) TrySendMessage(kind byte, name string, args ...[]byte) error {
 	c.LastSeq++
+	_, err := c.Conn.Write(EncodeMessage(kind, c.LastSeq, name, args...))
+	return err
+}
+
+// EncodeMessage returns the frame of a message of the given Thrift type, sequence number and method name. The arguments
+// are completely encoded fields.
+func EncodeMessage(kind byte, seq int32, name string, args ...[]byte) []byte {
 	message := append(bytes.Clone(thriftVersion), kind)
 	message = appendText(message, name)
-	message = binary.BigEndian.AppendUint32(message, uint32(c.LastSeq))
+	message = binary.BigEndian.AppendUint32(message, uint32(seq))
 	message = append(message, bytes.Join(args, nil)...)
 	message = append(message, fieldsEnd)
 	frame := binary.BigEndian.AppendUint32(nil, uint32(len(message)))
-	_, err := c.Conn.Write(append(frame, message...))
-	return err
+	return append(frame, message...)
 }
 
 // SendRequest sends a request with the given statement, and returns its sequence number. The entries of the request's
@@ -91,11 +97,16 @@
 
 // TrySendRequest is SendRequest, but returns the error if the request can't be written.
 func (c *Client) TrySendRequest(statement string, fields ...string) error {
-	info := []byte{mapField, 0, 1, stringField, stringField, 0, 0, 0, byte(len(fields) / 2)}
+	return c.TrySendMessage(callMessage, "call", RequestArguments(statement, fields...))
+}
+
+// RequestArguments returns the encoded arguments of a request. Its map is given as for SendRequest.
+func RequestArguments(statement string, fields ...string) []byte {
+	arguments := []byte{mapField, 0, 1, stringField, stringField, 0, 0, 0, byte(len(fields) / 2)}
 	for _, text := range fields {
-		info = appendText(info, text)
+		arguments = appendText(arguments, text)
 	}
-	return c.TrySendMessage(callMessage, "call", info, appendText([]byte{stringField, 0, 2}, statement))
+	return appendText(append(arguments, stringField, 0, 2), statement)
 }
 
 // RequestID returns the request id with the given number: 16 hexadecimal digits.
