Number attempts from where the scheduler got a request again

Cause: a load whose authorization is denied is taken from the scheduler and passed to it again once it is registered again. The scheduler numbers the attempts of what it takes for a new query from 0; the core counted on. Outcome{Attempt: 1} was unknown to the scheduler and ignored, so that the query kept its key and its engine's capacity for ever.

Change: a request keeps the number of its attempts before it was last passed to the scheduler, and numbers are translated by it both ways. The registry's numbers stay unique over the request.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -61,6 +61,18 @@
 	cancelReason scheduler.Result // set once it was canceled
 }
 
+// schedulerNumber returns the number that the scheduler has given the attempt. It is negative, and unknown to the
+// scheduler, if the request was passed to the scheduler again since.
+func (a *Attempt) schedulerNumber() int { return a.number - a.Request.attemptsBeforeScheduled }
+
+// attemptOf returns the attempt with a number that the scheduler has given it, or nil.
+func (r *Request) attemptOf(schedulerNumber int) *Attempt {
+	if i := r.attemptsBeforeScheduled + schedulerNumber; i < len(r.attempts) {
+		return r.attempts[i]
+	}
+	return nil
+}
+
 // startAttempt starts an attempt of a request. If the request is registered in the idempotency store, the attempt
 // starts once the store has authorized it.
 func (c *Core) startAttempt(start scheduler.StartAttempt) {
@@ -148,7 +160,7 @@
 	final := c.applyResult(now, a, result, rows)
 	c.addEvent(scheduler.Outcome{
 		ID:           a.schedulerID,
-		Attempt:      a.number,
+		Attempt:      a.schedulerNumber(),
 		Engine:       a.Engine,
 		Result:       result,
 		Elapsed:      elapsed,
@@ -193,7 +205,7 @@
 	c.counters.ProgressReports++
 	c.addEvent(scheduler.ProgressReport{
 		ID:      a.schedulerID,
-		Attempt: a.number,
+		Attempt: a.schedulerNumber(),
 		Engine:  a.Engine,
 		Kind:    kind,
 		Value:   value,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -132,9 +132,7 @@
 	case scheduler.AttemptParameters:
 		c.setAttemptParameters(a)
 	case scheduler.Cancel:
-		if r := c.open[a.ID]; r != nil && a.Attempt < len(r.attempts) {
-			c.cancelAttempt(r.attempts[a.Attempt], scheduler.Canceled)
-		}
+		c.cancelScheduled(a)
 	case scheduler.Reject:
 		c.applyReject(a)
 	case scheduler.Fail:
@@ -154,6 +152,17 @@
 	}
 }
 
+// cancelScheduled cancels an attempt for the scheduler.
+func (c *Core) cancelScheduled(cancel scheduler.Cancel) {
+	r := c.open[cancel.ID]
+	if r == nil {
+		return
+	}
+	if a := r.attemptOf(cancel.Attempt); a != nil {
+		c.cancelAttempt(a, scheduler.Canceled)
+	}
+}
+
 // applyReject rejects a request, or fails it if an attempt may have run: a rejection promises that nothing has run.
 func (c *Core) applyReject(a scheduler.Reject) {
 	r := c.open[a.ID]
--- a/gateway/idempotency.go
+++ b/gateway/idempotency.go
@@ -77,6 +77,7 @@
 func (reg *Registration) Schedule() {
 	if !reg.request.finished && !reg.request.clientDisconnected && !reg.scheduled {
 		reg.scheduled = true
+		reg.request.attemptsBeforeScheduled = len(reg.request.attempts)
 		reg.core.addEvent(reg.event)
 	}
 }
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -91,6 +91,9 @@
 	grantMB          float64 // Attempt.GrantMB of its later attempts
 	attempts         []*Attempt
 	attemptsInFlight int
+	// attemptsBeforeScheduled is the number of attempts before the request was last passed to the scheduler, which
+	// numbers attempts from there.
+	attemptsBeforeScheduled int
 }
 
 // newRequest returns a request that is not open yet.
