Keep the order of a key between registered and other requests

A load and, 80 ms later, a request with the same key of another class that keeps order and has no idempotency key: while the record has no leader, the second is sent first, 1.3 to 1.4 s before the load is over.

Cause: the scheduler keeps the order of a key among the requests that it has. A registered load gets there only when it is its turn in the record; the core passed requests that need no registration at once.

TestUnregisteredRequestWaitsForRegisteredOnesOfItsKey fails without the wait (the request is started before the load) and passes with it.

--- a/gateway/expiry.go
+++ b/gateway/expiry.go
@@ -14,7 +14,7 @@
 		return
 	}
 	c.counters.ExpiredRequests++
-	if c.expireUnscheduled(r) {
+	if c.expireUnscheduled(r) || c.expireWaiting(r) {
 		return
 	}
 	c.addEvent(scheduler.ClientDisconnected{ID: r.schedulerID, AnswerDue: true})
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -51,6 +51,7 @@
 	openIDs          map[string]bool     // Call.ID of the open requests
 	requestBytes     int                 // total size of the statements and keys of open requests
 	attemptsInFlight int
+	keyOrder         keyOrder
 
 	applyingActions bool
 	deferredCancels []*Request // requests canceled while actions were applied
@@ -80,6 +81,7 @@
 		idSeed:     seed,
 		open:       map[uint64]*Request{},
 		openIDs:    map[string]bool{},
+		keyOrder:   keyOrder{},
 	}, nil
 }
 
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -85,6 +85,7 @@
 	caller             identity.Caller       // zero value if callers are not identified
 	completion         *statement.Completion // what was read from the statement; nil if only its table group was read
 	registration       *Registration         // nil if the request is not registered in the idempotency store
+	waitingEvent       *scheduler.Request    // waits for others of its order key (see keyOrder); nil if it does not
 
 	keepConnection   bool    // Attempt.KeepConnection of its attempts
 	holdsOrderKey    bool    // requests of the same order key wait for its end
@@ -135,6 +136,7 @@
 	c.callers.release(r.caller)
 	c.timers.cancel(r.deadlineTimer)
 	c.releaseRegistration(r)
+	c.scheduleNextOfKey(r)
 }
 
 // Cancel ends a request whose client has disconnected: its Responder is no longer called, and its attempts are
--- a/gateway/submit.go
+++ b/gateway/submit.go
@@ -57,9 +57,7 @@
 	r.keepConnection = c.keepConnection(event)
 	r.holdsOrderKey = c.settings.Classes[event.Class].Ordered && call.OrderKey != ""
 	c.openRequest(r)
-	if !c.register(now, r, event) {
-		c.addEvent(event)
-	}
+	c.schedule(now, r, event)
 	return r, nil
 }
 
