Keep the places of loads of a key at the front end that took them

Loads that wait in the record while their front end is cut off for 6 s run after one of their key that it took later.

Cause: the registry removes the records of unstarted loads whose owner it presumes dead, and their places with them. The front end still had them as registered: polls that were pending over the cut registered them anew in the order in which the messages arrived, and a load that was taken during the cut was registered as if those before it had their places.

Evidence: TestLoadsKeepTheirOrderAcrossACut (real processes) fails before for cuts of 6 s with orphan_s 2 and of 8 s with the default, also of the leader, and holds for cuts of 2.5 s. With the registry alone and chosen orders of commits, TestForgottenLoadsKeepTheirOrder fails in 4 of 6 forms, and so do a random test and one of a lost answer to an outcome.

Change: a front end orders its loads of a key by the index of their first registration. It starts one only once no earlier one is open there, unless another front end has that one behind it. One that the registry's queue has before an earlier one is withdrawn and registered again behind it, at most once in a poll interval.

--- a/fleet/idempotency/idempotencyclient/client.go
+++ b/fleet/idempotency/idempotencyclient/client.go
@@ -47,8 +47,9 @@
 	proposer        Proposer
 	takeoverHandler TakeoverHandler
 	now             monotime.Micros
-	tracked         map[string]*trackedRecord // by idempotency key
-	ordered         []*trackedRecord          // the values of tracked, in the order in which they were added
+	tracked         map[string]*trackedRecord   // by idempotency key
+	ordered         []*trackedRecord            // the values of tracked, in the order in which they were added
+	byOrderKey      map[string][]*trackedRecord // the same, of each order key
 
 	Conflicts     int // requests rejected because their idempotency key was used with another statement
 	TakenOver     int // unstarted requests taken over from a front end that is presumed dead
@@ -65,6 +66,7 @@
 		proposer:        proposer,
 		takeoverHandler: takeoverHandler,
 		tracked:         map[string]*trackedRecord{},
+		byOrderKey:      map[string][]*trackedRecord{},
 	}
 }
 
@@ -111,6 +113,7 @@
 func (c *Client) track(t *trackedRecord) {
 	c.tracked[t.idempotencyKey] = t
 	c.ordered = append(c.ordered, t)
+	c.addToOrderKey(t)
 }
 
 // close stops tracking a record and returns the registrations that waited for it.
@@ -120,6 +123,7 @@
 		t.closed = true
 		delete(c.tracked, t.idempotencyKey)
 		c.ordered = without(c.ordered, t)
+		c.removeFromOrderKey(t)
 	}
 	return waiting
 }
--- a/fleet/idempotency/idempotencyclient/register.go
+++ b/fleet/idempotency/idempotencyclient/register.go
@@ -48,36 +48,6 @@
 	})
 }
 
-// mustWaitToRegister reports whether an earlier request of the order key is not registered yet. A front end registers
-// the requests of an order key in the order in which it received them, even if messages are lost or reordered.
-func (c *Client) mustWaitToRegister(t *trackedRecord) bool {
-	if t.registered || t.orderKey == "" {
-		return false
-	}
-	for _, other := range c.ordered {
-		if other == t {
-			return false
-		}
-		if other.orderKey == t.orderKey && !other.registered {
-			return true
-		}
-	}
-	return false
-}
-
-// registerNext registers the next request of the order key, which waited for the Register of this one.
-func (c *Client) registerNext(t *trackedRecord) {
-	if t.orderKey == "" {
-		return
-	}
-	for _, other := range c.ordered {
-		if other != t && other.orderKey == t.orderKey && !other.registered {
-			c.register(other, false)
-			return
-		}
-	}
-}
-
 // handleRegistered handles the response to a Register.
 func (c *Client) handleRegistered(t *trackedRecord, response idempotency.Response, committed, takeOver bool) {
 	isFirstResponse := !t.registered
@@ -92,11 +62,13 @@
 			slog.Uint64("epoch", response.Epoch))
 	}
 	t.update(response, isOwner)
+	c.setFirstIndex(t, response.Index)
 	if len(t.registrations) == 0 {
 		c.closeReleased(t)
 	} else {
 		c.advance(t, response, committed)
 	}
+	c.restoreOrder(t.orderKey)
 	if isFirstResponse {
 		c.registerNext(t)
 	}
@@ -137,6 +109,9 @@
 func (c *Client) advanceOwned(t *trackedRecord, response idempotency.Response) {
 	switch {
 	case t.phase == idempotency.Waiting && response.FirstInQueue:
+		if t.waitsForEarlier = c.mustWaitToStart(t); t.waitsForEarlier {
+			return
+		}
 		if response.OwnerRequestID != t.registrations[0].Call().ID {
 			c.register(t, false) // that request was released; the registry needs the timeout of the next one
 			return
--- a/fleet/idempotency/idempotencyclient/takeover.go
+++ b/fleet/idempotency/idempotencyclient/takeover.go
@@ -46,6 +46,8 @@
 		statementDigest: response.StatementDigest,
 		ownership:       ownerAfterStart,
 		epoch:           response.Epoch,
+		index:           response.Index,
+		firstIndex:      response.Index,
 		phase:           response.Phase,
 		registered:      true,
 	}
--- a/fleet/idempotency/idempotencyclient/trackedrecord.go
+++ b/fleet/idempotency/idempotencyclient/trackedrecord.go
@@ -24,12 +24,16 @@
 	dispatched      *gateway.Registration // the one whose request was passed to the scheduler, or taken over
 	ownership       ownership
 	epoch           uint64
+	index           uint64 // the log index of its registration, which orders the registry's queue; 0: not known
+	firstIndex      uint64 // the first index that was known, which orders the requests here; 0: not registered yet
 	phase           idempotency.Phase
 
-	registered       bool   // a Register was answered
+	registered       bool   // a Register was answered, and the record was not withdrawn since
 	registerProposal uint64 // the pending Register; 0 if there is none
 	nextPoll         monotime.Micros
-	countedAsWaiting bool // its wait for another owner was counted
+	nextWithdrawal   monotime.Micros // not before this time
+	waitsForEarlier  bool            // it was first in the registry's queue, but an earlier request here has not ended
+	countedAsWaiting bool            // its wait for another owner was counted
 
 	completing       bool // a Complete is pending
 	completingSince  monotime.Micros
@@ -68,7 +72,7 @@
 
 // update sets the state of the record from the response to a Register.
 func (t *trackedRecord) update(response idempotency.Response, isOwner bool) {
-	t.epoch, t.phase = response.Epoch, response.Phase
+	t.epoch, t.index, t.phase = response.Epoch, response.Index, response.Phase
 	switch {
 	case !isOwner:
 		t.ownership = notOwner
@@ -79,5 +83,6 @@
 	}
 }
 
-// loseOwnership records that this front end is no longer the owner, or does not know whether it is.
-func (t *trackedRecord) loseOwnership() { t.ownership, t.dispatched = notOwner, nil }
+// loseOwnership records that this front end is no longer the owner, or does not know whether it is and which place the
+// record has.
+func (t *trackedRecord) loseOwnership() { t.ownership, t.dispatched, t.index = notOwner, nil, 0 }
