Refuse JSON files of keys and revoked tokens that would be used in part

What callers saw: a token that a file of revoked tokens names is taken, if the file has its issuer, or the list, twice: encoding/json uses the last of two members of a name. A misspelt list has no effect, without a word.

--- a/internal/keyfiles/files.go
+++ b/internal/keyfiles/files.go
@@ -51,32 +51,40 @@
 		return nil, err
 	}
 	keys, err := token.ParsePublicKeys(text)
+	if err == nil {
+		err = checkUniqueMembers(text)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return keys, nil
 }
 
-// ReadRevocations reads a list of revoked token IDs and subjects: {"issuer": {"jti": [...], "sub": [...]}}.
+// ReadRevocations reads a list of revoked token IDs and subjects: {"issuer": {"jti": [...], "sub": [...]}}. It returns
+// an error if the file has anything else, which would have no effect.
 func ReadRevocations(path string) (identity.Revocations, error) {
 	out := identity.Revocations{IDs: map[string]bool{}, Subjects: map[string]bool{}}
 	text, err := Read(path, maxRevocationBytes)
 	if err != nil {
 		return out, err
 	}
-	var file map[string]struct {
-		IDs      []string `json:"jti"`
-		Subjects []string `json:"sub"`
+	var file map[string]map[string][]string
+	err = json.Unmarshal(text, &file)
+	if err == nil {
+		err = checkUniqueMembers(text)
 	}
-	if err := json.Unmarshal(text, &file); err != nil {
+	if err != nil {
 		return out, fmt.Errorf("%s: %w", path, err)
 	}
-	for issuer, list := range file {
-		for _, id := range list.IDs {
-			out.IDs[issuer+" "+id] = true
-		}
-		for _, subject := range list.Subjects {
-			out.Subjects[issuer+" "+subject] = true
+	for issuer, lists := range file {
+		for name, values := range lists {
+			revoked, known := map[string]map[string]bool{"jti": out.IDs, "sub": out.Subjects}[name]
+			if !known {
+				return out, fmt.Errorf("%s: %q of issuer %q is neither jti nor sub", path, name, issuer)
+			}
+			for _, value := range values {
+				revoked[issuer+" "+value] = true
+			}
 		}
 	}
 	return out, nil
@@ -101,6 +109,9 @@
 	}
 	defer clear(text)
 	set, err := token.ParseKeySet(text)
+	if err == nil {
+		err = checkUniqueMembers(text)
+	}
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
--- a/internal/keyfiles/files_test.go
+++ b/internal/keyfiles/files_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -130,3 +131,39 @@
 	_, err = keyfiles.ReadRevocations(path)
 	assert.ErrorContains(t, err, path)
 }
+
+// The failure: of two members of one name only the last has effect, and what is misspelt has none, without a word.
+func TestJSONFilesAreInForceAsAWholeOrRefused(t *testing.T) {
+	dir := t.TempDir()
+	write := func(text string) string {
+		path := filepath.Join(dir, "file.json")
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		return path
+	}
+	for name, text := range map[string]string{
+		"issuer twice":         `{"a": {"jti": ["1"]}, "b": {}, "a": {"jti": ["2"]}}`,
+		"list twice":           `{"a": {"jti": ["1"], "jti": ["2"]}}`,
+		"unknown list":         `{"a": {"jtis": ["1"]}}`,
+		"list in capitals":     `{"a": {"jti": ["1"], "JTI": ["2"]}}`,
+		"a second value":       `{"a": {"jti": ["1"]}} {"b": {"jti": ["2"]}}`,
+		"a damaged second one": `{"a": {"jti": ["1"]}, "b": {"jti": ["2"}}`,
+	} {
+		path := write(text)
+		_, err := keyfiles.ReadRevocations(path)
+		assert.ErrorContains(t, err, path, name)
+	}
+	list, err := keyfiles.ReadRevocations(write(`{"a": {"jti": ["1"], "sub": ["1"]}, "b": {"sub": ["2"]}}`))
+	require.NoError(t, err)
+	assert.Equal(t, map[string]bool{"a 1": true}, list.IDs)
+	assert.Equal(t, map[string]bool{"a 1": true, "b 2": true}, list.Subjects)
+
+	private, public := filepath.Join(dir, "private.jwks"), filepath.Join(dir, "public.jwks")
+	addKey(t, private, public, "first")
+	keys, err := os.ReadFile(public)
+	require.NoError(t, err)
+	_, err = keyfiles.ReadPublicKeys(write(string(keys)))
+	require.NoError(t, err)
+	path := write(strings.Replace(string(keys), "{", `{"keys": [], `, 1))
+	_, err = keyfiles.ReadPublicKeys(path)
+	assert.ErrorContains(t, err, path)
+}
