Deny calls with a revoked certificate where callers are not identified

With tls and crls but no identity, a revoked client certificate is served, on open and on new connections.

Cause: revocation was looked up with the credentials of a call, which only the identification of callers asks for.

Change: without identity the server denies a call on a connection whose client certificate is revoked, with the answer that identity gives, and logs it once a connection.

TestEveryRevocationListOfAFileHasEffect without identity failed before and passes.

--- a/cmd/chutechute/tls_test.go
+++ b/cmd/chutechute/tls_test.go
@@ -220,6 +220,53 @@
 		testharness.WaitTimeout, 5*time.Millisecond)
 }
 
+// The failures: of two revocation lists in one file only the first has effect, and revoked certificates are served
+// where callers are not identified. A file with a damaged list changes nothing, and the log names it.
+func TestEveryRevocationListOfAFileHasEffect(t *testing.T) {
+	for name, identity := range map[string]string{"with identity": certificateRights, "without identity": ""} {
+		t.Run(name, func(t *testing.T) {
+			fixture := newTLSFixture(t, "require", identity)
+			second, err := certs.NewCA("second", time.Hour)
+			require.NoError(t, err)
+			fixture.writeClientCAs(fixture.ca, second)
+			r := start(t, 1, testharness.SucceedAfterPolls(0, testharness.ResultRow), fixture.useInstallation)
+			clients := map[*certs.CA]*testharness.Client{}
+			leaves := map[*certs.CA]*x509.Certificate{}
+			for _, ca := range []*certs.CA{fixture.ca, second} {
+				config, leaf := fixture.clientConfig("spiffe://town/desk/4", ca, fixture.ca)
+				clients[ca], leaves[ca] = fixture.connect(r, config), leaf.Certificate
+			}
+			n := 0
+			lookup := func(ca *certs.CA) string {
+				n++
+				sendWithToken(clients[ca], n, "lookup", "SELECT 1 FROM s_1.t", "")
+				return clients[ca].ReadReply().Kind
+			}
+			for ca := range clients {
+				assert.Equal(t, "answer", lookup(ca))
+			}
+			var lists []byte
+			for _, ca := range []*certs.CA{fixture.ca, second} {
+				text, err := ca.CreateCRL(2, time.Hour, leaves[ca])
+				require.NoError(t, err)
+				lists = append(lists, text...)
+			}
+			damaged := []byte(strings.Replace(string(lists), "\n-----END", "\n*-----END", 1))
+			require.NoError(t, keyfiles.Write(fixture.crl, damaged, 0o644))
+			r.WaitForLog("the last good content stays in force")
+			r.WaitForLog(fixture.crl)
+			for ca := range clients {
+				assert.Equal(t, "answer", lookup(ca))
+			}
+			require.NoError(t, keyfiles.Write(fixture.crl, lists, 0o644))
+			for ca := range clients {
+				require.Eventually(t, func() bool { return lookup(ca) == "fault" },
+					testharness.WaitTimeout, 5*time.Millisecond)
+			}
+		})
+	}
+}
+
 // Server certificates, the clients' authority and their certificates are changed repeatedly under load: clients with a
 // valid certificate are always served, and no others. A certificate is written before its key, so they don't match for
 // a moment.
--- a/internal/certs/load.go
+++ b/internal/certs/load.go
@@ -3,8 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"encoding/pem"
-	"errors"
 	"fmt"
 	"os"
 	"slices"
@@ -14,9 +12,6 @@
 	"chutechute/internal/keyfiles"
 )
 
-// maxFileBytes is the maximum size of each file.
-const maxFileBytes = 4 << 20
-
 // Files holds the paths and options from which the TLS configurations are made.
 type Files struct {
 	Pairs      []PairFiles // the first is for clients that send no server name
@@ -63,30 +58,10 @@
 	At   time.Time
 }
 
-// Revocations is the content of the certificate revocation lists.
-type Revocations struct {
-	Serials     map[string]bool      // by issuerKey and serial number
-	NextUpdates map[string]time.Time // by issuerKey: when the issuer's list has to be replaced by a new one
-}
-
-// issuerKey returns the map key of a certificate authority from its key ID and its DER-encoded name.
-func issuerKey(keyID, rawName []byte) string { return string(keyID) + "\x00" + string(rawName) }
-
-// IsRevoked reports whether a certificate is revoked. With rejectStale it also returns true for every certificate whose
-// issuer's list is past its next update.
-func (r *Revocations) IsRevoked(c *x509.Certificate, now time.Time, rejectStale bool) bool {
-	issuer := issuerKey(c.AuthorityKeyId, c.RawIssuer)
-	if r.Serials[issuer+"\x00"+c.SerialNumber.String()] {
-		return true
-	}
-	nextUpdate, listed := r.NextUpdates[issuer]
-	return rejectStale && listed && now.After(nextUpdate)
-}
-
 // Load reads all files. If it returns an error, which names the file, the former content of all of them must stay in
 // force. While a pair is being replaced its certificate and key do not match, which is such an error.
 func Load(f *Files) (*Material, error) {
-	m := &Material{Revocations: Revocations{map[string]bool{}, map[string]time.Time{}}}
+	m := &Material{Revocations: newRevocations()}
 	if err := m.loadEngines(f); err != nil {
 		return nil, err
 	}
@@ -120,10 +95,11 @@
 		}
 	}
 	for _, path := range f.CRLs {
-		if err := m.loadCRL(path, authorities); err != nil {
+		if err := m.loadCRLs(path, authorities); err != nil {
 			return nil, err
 		}
 	}
+	m.Revocations.addAuthorities(authorities)
 	return m, nil
 }
 
@@ -177,6 +153,9 @@
 		return pair, err
 	}
 	defer clear(key)
+	if err := checkPair(p, certificate, key); err != nil {
+		return pair, err
+	}
 	if pair, err = tls.X509KeyPair(certificate, key); err != nil {
 		return pair, fmt.Errorf("%s and %s: %w", p.Certificate, p.Key, err)
 	}
@@ -186,67 +165,6 @@
 	return pair, nil
 }
 
-// loadCertificates reads a PEM file with one or more certificates.
-func loadCertificates(path string) (list []*x509.Certificate, err error) {
-	text, err := keyfiles.Read(path, maxFileBytes)
-	if err != nil {
-		return nil, err
-	}
-	for len(text) > 0 {
-		var block *pem.Block
-		if block, text = pem.Decode(text); block == nil {
-			break
-		}
-		c, err := x509.ParseCertificate(block.Bytes)
-		if err != nil {
-			return nil, fmt.Errorf("%s: %w", path, err)
-		}
-		list = append(list, c)
-	}
-	if len(list) == 0 {
-		return nil, fmt.Errorf("%s: contains no certificate", path)
-	}
-	return list, nil
-}
-
-// loadCRL reads a certificate revocation list (RFC 5280, section 5) in PEM or DER. One of the certificate authorities
-// must have signed it.
-func (m *Material) loadCRL(path string, authorities []*x509.Certificate) error {
-	der, err := keyfiles.Read(path, maxFileBytes)
-	if err != nil {
-		return err
-	}
-	if block, _ := pem.Decode(der); block != nil {
-		der = block.Bytes
-	}
-	list, err := x509.ParseRevocationList(der)
-	if err != nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	var signer *x509.Certificate
-	err = errors.New("the issuer is not among the client certificate authorities")
-	for _, c := range authorities {
-		if string(c.RawSubject) == string(list.RawIssuer) {
-			if err = list.CheckSignatureFrom(c); err == nil {
-				signer = c
-				break
-			}
-		}
-	}
-	if signer == nil {
-		return fmt.Errorf("%s: %w", path, err)
-	}
-	issuer := issuerKey(signer.SubjectKeyId, signer.RawSubject)
-	for _, entry := range list.RevokedCertificateEntries {
-		m.Revocations.Serials[issuer+"\x00"+entry.SerialNumber.String()] = true
-	}
-	if !list.NextUpdate.IsZero() {
-		m.Revocations.NextUpdates[issuer] = list.NextUpdate
-		m.Expiry = append(m.Expiry, Expiry{path, list.NextUpdate})
-	}
-	return nil
-}
-
 // IdentityCertificate returns the properties of a verified certificate by which package identity authenticates its
 // holder.
 func IdentityCertificate(c *x509.Certificate) *identity.Certificate {
--- a/internal/keyfiles/watch.go
+++ b/internal/keyfiles/watch.go
@@ -44,10 +44,13 @@
 	return v
 }
 
-// LoadAll loads all files. It stops at the first that can't be loaded and returns its error.
+// LoadAll loads all files. It stops at the first that can't be loaded and returns its error. The versions of all are
+// taken before any is read, as one file's Load may read others too.
 func LoadAll(files []*File) error {
 	for _, f := range files {
 		f.last = statVersion(f.Path)
+	}
+	for _, f := range files {
 		if err := f.Load(f.Path); err != nil {
 			return err
 		}
--- a/internal/server/client_conn.go
+++ b/internal/server/client_conn.go
@@ -55,9 +55,10 @@
 	discardedBytes  int             // since no more messages are accepted
 
 	handshakeRequested bool
-	holdsHandshakeSlot bool // its handshake counts towards the limits of the handshake limiter
-	peerCertificate    *x509.Certificate
-	callerCertificate  *identity.Certificate // the identity of peerCertificate; nil without a certificate
+	holdsHandshakeSlot bool                  // its handshake counts towards the limits of the handshake limiter
+	verifiedChains     [][]*x509.Certificate // from the client's certificate to a trusted one
+	callerCertificate  *identity.Certificate // the client's certificate; nil without one
+	revocationLogged   bool                  // that the certificate is revoked
 }
 
 // counters returns the counters of the server.
--- a/internal/server/client_requests.go
+++ b/internal/server/client_requests.go
@@ -52,8 +52,11 @@
 		return
 	}
 	call.ClientTimeout -= c.turnTime() - receivedAt
-	call.Credentials = c.credentials(message.Fields[thrift.FieldToken])
 	response := &responder{client: c, sequence: message.Seq}
+	if c.denyRevoked(response) {
+		return
+	}
+	call.Credentials = c.credentials(message.Fields[thrift.FieldToken])
 	request, err := c.listener.server.core.Submit(c.turnTime(), call, response)
 	var denied *identity.Denied
 	if errors.As(err, &denied) {
--- a/internal/server/client_tls.go
+++ b/internal/server/client_tls.go
@@ -71,8 +71,8 @@
 		c.counters().ResumedHandshakes++
 	}
 	if len(state.PeerCertificates) > 0 {
-		c.peerCertificate = state.PeerCertificates[0]
-		c.callerCertificate = certs.IdentityCertificate(c.peerCertificate)
+		c.verifiedChains = state.VerifiedChains
+		c.callerCertificate = certs.IdentityCertificate(state.PeerCertificates[0])
 	}
 	c.queueMessages()
 }
@@ -84,11 +84,27 @@
 		return nil
 	}
 	tls := &c.listener.server.tls
-	c.callerCertificate.Revoked = tls.material == nil ||
-		tls.material.Revocations.IsRevoked(c.peerCertificate, time.UnixMicro(wallTime), tls.files.RejectStaleCRLs)
+	c.callerCertificate.Revoked = tls.material == nil || tls.isRevoked(c.verifiedChains, time.UnixMicro(wallTime))
 	return c.callerCertificate
 }
 
+// denyRevoked denies a request if callers are not identified and the client's certificate is revoked. Where callers are
+// identified, the core denies it.
+func (c *clientConn) denyRevoked(response *responder) (denied bool) {
+	server := c.listener.server
+	if server.core.Guard() != nil || c.callerCertificate == nil || server.tls.material == nil ||
+		!server.tls.isRevoked(c.verifiedChains, time.Now()) {
+		return false
+	}
+	if !c.revocationLogged {
+		c.revocationLogged = true
+		slog.Warn("requests denied: the client certificate is revoked",
+			slog.String("subject", c.callerCertificate.Subject))
+	}
+	response.deny(&identity.Denied{Reason: identity.NotValidNow, Detail: "certificate"})
+	return true
+}
+
 // credentials returns the credentials of a request: its token, the client's address and the client's certificate.
 func (c *clientConn) credentials(token string) gateway.Credentials {
 	credentials := gateway.Credentials{Token: token, ClientAddress: c.address}
--- a/internal/server/tls.go
+++ b/internal/server/tls.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"crypto/x509"
 	"log/slog"
 	"time"
 
@@ -31,10 +32,9 @@
 	receiveBuffer    []byte          // scratch buffer that all connections share
 }
 
-// prepareTLS reads the files of a configuration's TLS section. It returns the files, to be watched, and a function that
-// applies the section to new connections. Before *started is true, the watched files are not read again. Afterwards a
-// change of one file reads them all, and the function postIfCurrent gets the task that applies them. If prepareTLS
-// returns an error, nothing has changed.
+// prepareTLS returns the files of a configuration's TLS section, to be loaded and watched, and a function that applies
+// the section to new connections once they are loaded. The first one that is loaded reads them all. After *started is
+// true, a change of one reads them all again, and the function postIfCurrent gets the task that applies them.
 func (s *Server) prepareTLS(cfg *config.Config, postIfCurrent runOnLoop, started *bool) (files []*keyfiles.File,
 	apply func(), err error) {
 	section := cfg.TLS()
@@ -45,17 +45,18 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	material, err := certs.Load(set)
-	if err != nil {
-		return nil, nil, err
-	}
+	var initial *certs.Material
 	load := func(string) error {
-		if !*started { // all files were read together above
+		if !*started && initial != nil { // all files were read together for the first one
 			return nil
 		}
-		changed, err := certs.Load(set)
-		if err == nil {
-			postIfCurrent(func() { s.setTLSMaterial(changed) })
+		material, err := certs.Load(set)
+		switch {
+		case err != nil:
+		case *started:
+			postIfCurrent(func() { s.setTLSMaterial(material) })
+		default:
+			initial = material
 		}
 		return err
 	}
@@ -65,7 +66,7 @@
 	return files, func() {
 		s.openTLS(section)
 		s.tls.files, s.tls.warnAhead = set, section.ExpiryWarning()
-		s.setTLSMaterial(material)
+		s.setTLSMaterial(initial)
 	}, nil
 }
 
@@ -88,6 +89,11 @@
 	s.tls.nextWarningAt = 0
 }
 
+// isRevoked reports whether the certificate of a client with these verified chains is revoked at a wall-clock time.
+func (t *tlsState) isRevoked(chains [][]*x509.Certificate, now time.Time) bool {
+	return t.material.Revocations.IsRevoked(chains, now, t.files.RejectStaleCRLs)
+}
+
 // warnOfExpiry logs the files whose content expires soon, at most once per expiryWarningInterval.
 func (t *tlsState) warnOfExpiry(now monotime.Micros) {
 	if t.material == nil || now < t.nextWarningAt {
