Apply new side effects to cached statements and to open requests

After SIGHUP has added a function to those with side effects, a statement that calls it is sent again after it has run, if its shape was seen before.

Cause: the reader decided whether a shape writes when it parsed it, and cached that over reloads. The scheduler kept an open request's effect as it was on arrival.

Change: what depends on the options in a cached shape is updated at its next use. With new options the core looks at the open requests again and tells the scheduler of those that have become non-idempotent. An attempt in flight goes on; none follows one that may have run.

--- a/gateway/statements.go
+++ b/gateway/statements.go
@@ -42,9 +42,31 @@
 		return err
 	}
 	c.statements.completesRequests = o != nil
+	if o != nil {
+		c.updateEffects()
+	}
 	return nil
 }
 
+// updateEffects makes the open requests non-idempotent whose statements are so under new options. An attempt in flight
+// goes on; whether another one follows is decided anew.
+func (c *Core) updateEffects() {
+	for _, r := range c.inOrderOfArrival() {
+		if r.finished || r.completion == nil || r.completion.NonIdempotent ||
+			!c.statements.reader.IsNonIdempotent(r.completion, r.IdempotencyKey != "") {
+			continue
+		}
+		r.completion.NonIdempotent, r.keepConnection = true, true
+		if r.registration != nil {
+			r.registration.event.NonIdempotent = true
+		}
+		if r.waitingEvent != nil {
+			r.waitingEvent.NonIdempotent = true
+		}
+		c.addEvent(scheduler.RequestNonIdempotent{ID: r.schedulerID})
+	}
+}
+
 // StatementCounts returns the counters of the statement reader.
 func (c *Core) StatementCounts() statement.Counts { return c.statements.reader.Counts() }
 
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -114,6 +114,11 @@
 	MeasureLatency bool            // emit a LatencyMeasurement when the query is served
 }
 
+// RequestNonIdempotent reports that Request.NonIdempotent holds from now on for a request that arrived without it.
+type RequestNonIdempotent struct {
+	ID uint64 // Request.ID
+}
+
 // Started reports that a streamed response began.
 type Started struct {
 	ID      uint64 // Request.ID
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -114,6 +114,10 @@
 		s.updateEndpoints(event)
 	case Request:
 		s.handleRequest(event)
+	case RequestNonIdempotent:
+		if q := s.queries[event.ID]; q != nil {
+			q.NonIdempotent = true
+		}
 	case Outcome:
 		s.handleOutcome(event)
 	case Started:
--- a/statement/cache.go
+++ b/statement/cache.go
@@ -17,8 +17,9 @@
 	cost   *estimate.Model // nil until a cost was measured
 	memory *estimate.Model // nil until memory was measured
 
-	matchingRules   []uint16 // indexes of the rules that match the shape
-	rulesGeneration int      // the Reader's rulesGeneration when matchingRules was updated
+	parsedWrites      bool     // facts.Writes as parsed, without Options.SideEffectFunctions
+	matchingRules     []uint16 // indexes of the rules that match the shape
+	optionsGeneration int      // the Reader's optionsGeneration when facts and matchingRules were updated
 }
 
 // cacheEntryOverhead is the memory, in bytes, that the cache itself uses for an entry, plus what the allocator adds by
--- a/statement/complete.go
+++ b/statement/complete.go
@@ -71,9 +71,7 @@
 			return Completion{}, ErrNoRule
 		}
 	}
-	if !facts.Idempotent() {
-		completion.NonIdempotent = !r.recognizesRepeats(call, completion.Class)
-	}
+	completion.NonIdempotent = !facts.Idempotent() && !r.recognizesRepeats(call, completion.Class)
 	if call.CostMS == 0 {
 		completion.setCost(r.Cost(&reading, completion.Class))
 	}
@@ -83,6 +81,16 @@
 	return completion, nil
 }
 
+// IsNonIdempotent reports whether a completion would be NonIdempotent under the present options, which may have been
+// replaced since. Once a completion is, it stays so. keyed is Call.Keyed of its call.
+func (r *Reader) IsNonIdempotent(c *Completion, keyed bool) bool {
+	if c.NonIdempotent || c.reading.entry == nil {
+		return c.NonIdempotent
+	}
+	r.applyOptions(c.reading.entry)
+	return !c.Facts().Idempotent() && !r.recognizesRepeats(Call{Keyed: keyed}, c.Class)
+}
+
 // completion returns a completion with the values that the client has reported and the given table group.
 func (c *Call) completion(group int) Completion {
 	return Completion{
--- a/statement/estimates.go
+++ b/statement/estimates.go
@@ -7,7 +7,7 @@
 
 // Classify returns the index of the class that the rules assign to a statement. ok is false if no rule applies.
 func (r *Reader) Classify(reading *Reading) (class int, ok bool) {
-	r.updateMatchingRules(reading.entry)
+	r.applyOptions(reading.entry)
 	cost := func(class int) estimate.Estimate { return r.Cost(reading, class) }
 	return r.rules.Classify(reading.entry.matchingRules, cost)
 }
--- a/statement/reader.go
+++ b/statement/reader.go
@@ -21,16 +21,16 @@
 
 // Reader reads statements and learns their cost and memory. It is created by New.
 type Reader struct {
-	options         Options
-	unparsedClass   int // index of Options.UnparsedClass; -1 without one
-	rules           *classify.Rules
-	rulesGeneration int // number of times that the rules were replaced
-	cache           shapeCache
-	normalizer      shape.Normalizer
-	parser          syntax.Parser
-	costByClass     []estimate.Mean
-	memoryByClass   []estimate.Mean
-	counts          Counts
+	options           Options
+	unparsedClass     int // index of Options.UnparsedClass; -1 without one
+	rules             *classify.Rules
+	optionsGeneration int // number of times that the options were replaced
+	cache             shapeCache
+	normalizer        shape.Normalizer
+	parser            syntax.Parser
+	costByClass       []estimate.Mean
+	memoryByClass     []estimate.Mean
+	counts            Counts
 }
 
 // Counts are the counters of a reader.
@@ -69,7 +69,7 @@
 		r.resetMeans(o.Classes)
 	}
 	r.options, r.unparsedClass, r.rules = o, unparsedClass, rules
-	r.rulesGeneration++
+	r.optionsGeneration++
 	r.parser.MaxDepth = o.MaxDepth
 	return nil
 }
@@ -118,6 +118,7 @@
 	reading.entry = r.cache.get(reading.fingerprint, r.normalizer.Shape)
 	if reading.entry != nil {
 		r.counts.Hits++
+		r.applyOptions(reading.entry)
 	} else {
 		entry, err := r.parse(s)
 		if err != nil {
@@ -144,20 +145,27 @@
 		// The text is valid, but its shape is not. So the positions of its values among those of the shape are unknown.
 		facts.Predicates, facts.LimitValue, facts.OffsetValue = nil, -1, -1
 	}
-	for _, name := range facts.Functions {
-		facts.Writes = facts.Writes || slices.Contains(r.options.SideEffectFunctions, name)
-	}
 	plan := estimate.NewFeaturePlan(facts, len(r.normalizer.Values))
-	entry := &cacheEntry{shape: canonical, facts: facts, plan: plan}
-	r.updateMatchingRules(entry)
+	entry := &cacheEntry{shape: canonical, facts: facts, parsedWrites: facts.Writes, plan: plan}
+	r.applyOptions(entry)
 	return entry, nil
 }
 
-// updateMatchingRules updates the cached list of the rules that match a shape if the rules have been replaced.
-func (r *Reader) updateMatchingRules(entry *cacheEntry) {
-	if entry.rulesGeneration != r.rulesGeneration {
-		entry.matchingRules, entry.rulesGeneration = r.rules.Matching(entry.facts), r.rulesGeneration
+// applyOptions updates what depends on the options in the cached result for a shape, if they have been replaced:
+// whether it writes, and the rules that match it. Facts that were handed out stay as they are.
+func (r *Reader) applyOptions(entry *cacheEntry) {
+	if entry.optionsGeneration == r.optionsGeneration {
+		return
 	}
+	facts := *entry.facts
+	facts.Writes = entry.parsedWrites || slices.ContainsFunc(facts.Functions, r.hasSideEffect)
+	entry.facts = &facts
+	entry.matchingRules, entry.optionsGeneration = r.rules.Matching(entry.facts), r.optionsGeneration
+}
+
+// hasSideEffect reports whether a call of the function changes something.
+func (r *Reader) hasSideEffect(function string) bool {
+	return slices.Contains(r.options.SideEffectFunctions, function)
 }
 
 // TableGroup returns the table group of a statement, or 0 if it has none. A statement that cannot be parsed is scanned
