--- a/internal/testharness/discovery.go
+++ b/internal/testharness/discovery.go
@@ -8,6 +8,8 @@
 	"net"
 
 	"github.com/stretchr/testify/require"
+
+	"chutechute/scheduler"
 )
 
 // discoveryFrameHeader is the length, in bytes, of a discovery frame's sequence number and kind.
@@ -25,13 +27,25 @@
 // DiscoveryRecord returns the engine's discovery record with the given state. The engine's name must have the form
 // s-%x.
 func (e *StubEngine) DiscoveryRecord(state byte) []byte {
+	return discoveryRecord(e.Name, e.Addr, state)
+}
+
+func discoveryRecord(name string, address *net.TCPAddr, state byte) []byte {
 	var number uint32
-	fmt.Sscanf(e.Name, "s-%x", &number)
-	record := append(binary.BigEndian.AppendUint32(nil, number), e.Addr.IP.To4()...)
-	record = append(binary.BigEndian.AppendUint16(record, uint16(e.Addr.Port)), state, 0, 0, 0, 0, 0, 0, 3, 232)
+	fmt.Sscanf(name, "s-%x", &number)
+	record := append(binary.BigEndian.AppendUint32(nil, number), address.IP.To4()...)
+	record = append(binary.BigEndian.AppendUint16(record, uint16(address.Port)), state, 0, 0, 0, 0, 0, 0, 3, 232)
 	return append(record, make([]byte, 8)...)
 }
 
+// PublishState reports a new state of an engine to all front ends.
+func (f *Fleet) PublishState(engine *RecordingEngine, state scheduler.EngineState) {
+	const changes = 2 // kind of a frame that lists changes
+	f.LogStep("engine %s: state %d", engine.Name, state)
+	f.lastEvent++
+	f.discovery.Publish(DiscoveryFrame(f.lastEvent, changes, discoveryRecord(engine.Name, engine.Addr, byte(state))))
+}
+
 // ListenDiscovery closes the listener of the stub discovery service and opens a new one at addr. It returns an error if
 // it can't listen there.
 func (h *Harness) ListenDiscovery(addr string) (err error) {
--- a/internal/testharness/fleet.go
+++ b/internal/testharness/fleet.go
@@ -34,6 +34,7 @@
 	observe       func(frame []byte)
 	proxies       map[path]*FaultProxy
 	discovery     *site.StubDiscovery
+	lastEvent     uint64           // number of the discovery service's last event
 	lastRequestID atomic.Int64     // number of the last request id that was assigned
 	steps         *strings.Builder // what the test did to the fleet, see LogStep
 	startedAt     time.Time
@@ -63,6 +64,7 @@
 		Seed:          fleetSeed,
 		Dir:           t.TempDir(),
 		FleetSettings: map[string]any{},
+		lastEvent:     site.KnownPosition,
 		proxies:       map[path]*FaultProxy{},
 		steps:         &strings.Builder{},
 		startedAt:     time.Now(),
--- a/internal/testharness/site/discovery.go
+++ b/internal/testharness/site/discovery.go
@@ -3,11 +3,19 @@
 import (
 	"fmt"
 	"net"
+	"slices"
+	"sync"
 	"time"
 )
 
-// StubDiscovery is a stub discovery service that sends heartbeats, but never an event.
-type StubDiscovery struct{ listener net.Listener }
+// StubDiscovery is a stub discovery service that sends heartbeats, and the events that it is given.
+type StubDiscovery struct {
+	listener net.Listener
+
+	mu    sync.Mutex
+	sent  []byte     // the frames of all events so far
+	conns []net.Conn // all that were accepted
+}
 
 // heartbeatFrame is a frame of the discovery service without an event: length 9, sequence number 0 and kind 0.
 var heartbeatFrame = []byte{0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 0, 0}
@@ -20,7 +28,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("site: discovery: %w", err)
 	}
-	d := &StubDiscovery{listener}
+	d := &StubDiscovery{listener: listener}
 	go d.serve()
 	return d, nil
 }
@@ -31,6 +39,16 @@
 // Close stops accepting connections. Open connections receive heartbeats until the front end closes them.
 func (d *StubDiscovery) Close() error { return d.listener.Close() }
 
+// Publish sends an event's frame on all connections, and on later ones after the frames before it.
+func (d *StubDiscovery) Publish(frame []byte) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sent = slices.Concat(d.sent, frame)
+	for _, conn := range d.conns {
+		_, _ = conn.Write(frame) // the connection of a front end that has ended fails
+	}
+}
+
 // serve accepts connections until the listener is closed.
 func (d *StubDiscovery) serve() {
 	for {
@@ -38,6 +56,10 @@
 		if err != nil {
 			return
 		}
+		d.mu.Lock()
+		_, _ = conn.Write(d.sent)
+		d.conns = append(d.conns, conn)
+		d.mu.Unlock()
 		go sendHeartbeats(conn)
 	}
 }
--- a/internal/testharness/site/site.go
+++ b/internal/testharness/site/site.go
@@ -43,9 +43,9 @@
 	DefaultSocketLimit = 1024
 )
 
-// knownPosition is the position in the discovery service's sequence of events that the endpoint list in the
+// KnownPosition is the position in the discovery service's sequence of events that the endpoint list in the
 // configuration corresponds to.
-const knownPosition = 41
+const KnownPosition = 41
 
 // Write writes the front end's two files into a folder, each atomically, and returns their paths.
 func (f *FrontEndFiles) Write(dir string) (config, installation string, err error) {
@@ -80,7 +80,7 @@
 }
 
 // KnownEndpoints returns the "known" section of a configuration: an endpoint list with the given engines, all in
-// service, at knownPosition.
+// service, at KnownPosition.
 func KnownEndpoints(engines []Engine) map[string]any {
 	targets := make([]any, 0, len(engines))
 	for _, engine := range engines {
@@ -88,8 +88,8 @@
 			"pod_group": 0, "state": "in_service", "capacity_hint": 1, "boot_ms": 0})
 	}
 	hosts := map[string]any{"rev": 1, "all": true, "targets": targets}
-	entry := map[string]any{"pos": knownPosition, "hosts": hosts}
-	return map[string]any{"pos": knownPosition, "entries": []any{entry}}
+	entry := map[string]any{"pos": KnownPosition, "hosts": hosts}
+	return map[string]any{"pos": KnownPosition, "entries": []any{entry}}
 }
 
 // replaceFile atomically replaces a file by the JSON encoding of the content.
