Take a registration without an index as none

A response that has no record, to a conflict or a full registry, has the index 0. It was noted as a first index of 0, which had no effect but moved the record behind the others of its key until it was closed just after. No caller saw it. The digests of the histories are unchanged.

--- a/fleet/idempotency/idempotencyclient/order.go
+++ b/fleet/idempotency/idempotencyclient/order.go
@@ -27,9 +27,9 @@
 	c.byOrderKey[t.orderKey] = slices.Insert(slices.Clone(records), i, t)
 }
 
-// setFirstIndex records the index of a record's first registration.
+// setFirstIndex records the index of a record's first registration; 0 means that there was none.
 func (c *Client) setFirstIndex(t *trackedRecord, index uint64) {
-	if t.firstIndex != 0 || t.orderKey == "" || t.closed {
+	if index == 0 || t.firstIndex != 0 || t.orderKey == "" || t.closed {
 		return
 	}
 	t.firstIndex = index
