--- a/gateway/keyorder.go
+++ b/gateway/keyorder.go
@@ -44,7 +44,8 @@
 	switch {
 	case c.register(now, r, event):
 	case mustWait:
-		r.waitingEvent = &event
+		waiting := event // a copy, so that the event of other requests stays on the stack
+		r.waitingEvent = &waiting
 	default:
 		c.addEvent(event)
 	}
