--- a/fleet/idempotency/idempotencyclient/order.go
+++ b/fleet/idempotency/idempotencyclient/order.go
@@ -128,13 +128,7 @@
 	t.registered = false
 	t.loseOwnership()
 	t.nextWithdrawal = c.now + c.config.PollInterval
-	command := &idempotency.Command{
-		Op:             idempotency.Complete,
-		IdempotencyKey: t.idempotencyKey,
-		Epoch:          t.epoch,
-		Outcome:        idempotency.Unregistered,
-	}
-	t.registerProposal = c.propose(command, func(idempotency.Response, bool) {
+	t.registerProposal = c.propose(unregister(t.idempotencyKey, t.epoch), func(idempotency.Response, bool) {
 		t.registerProposal = 0
 		if len(t.registrations) == 0 { // all were released meanwhile
 			c.close(t)
--- a/fleet/idempotency/idempotencyclient/takeover.go
+++ b/fleet/idempotency/idempotencyclient/takeover.go
@@ -60,13 +60,17 @@
 
 // removeUntracked removes the record of a request that is no longer tracked here and never ran.
 func (c *Client) removeUntracked(idempotencyKey string, epoch uint64) {
-	command := &idempotency.Command{
+	c.propose(unregister(idempotencyKey, epoch), ignoreResponse)
+}
+
+// unregister returns the command that removes the record of a request that never ran.
+func unregister(idempotencyKey string, epoch uint64) *idempotency.Command {
+	return &idempotency.Command{
 		Op:             idempotency.Complete,
 		IdempotencyKey: idempotencyKey,
 		Epoch:          epoch,
 		Outcome:        idempotency.Unregistered,
 	}
-	c.propose(command, ignoreResponse)
 }
 
 // takeOver has the gateway poll for an attempt that another front end started, after the registry has made this front
--- a/internal/certs/pemfile.go
+++ b/internal/certs/pemfile.go
@@ -35,8 +35,9 @@
 )
 
 // decodePEM returns all blocks of a PEM text, none if it has no block. Text outside the blocks is a comment. A block
-// that can't be read is an error: pem.Decode would pass over it.
-func decodePEM(text []byte) (blocks []*pem.Block, err error) {
+// that can't be read is an error, as pem.Decode would pass over it, and so is one of a type for which isAllowed returns
+// false, as its content would not be used.
+func decodePEM(text []byte, isAllowed func(blockType string) bool) (blocks []*pem.Block, err error) {
 	begins, ends := bytes.Count(text, beginMarker), bytes.Count(text, endMarker)
 	for len(text) > 0 {
 		var block *pem.Block
@@ -48,17 +49,12 @@
 	if begins != len(blocks) || ends != len(blocks) {
 		return nil, errDamagedPEM
 	}
-	return blocks, nil
-}
-
-// requireTypes returns an error if a block has a type for which isAllowed returns false: its content would not be used.
-func requireTypes(blocks []*pem.Block, isAllowed func(blockType string) bool) error {
 	for i, block := range blocks {
 		if !isAllowed(block.Type) {
-			return fmt.Errorf("PEM block %d is a %q, which does not belong here", i+1, block.Type)
+			return nil, fmt.Errorf("PEM block %d is a %q, which does not belong here", i+1, block.Type)
 		}
 	}
-	return nil
+	return blocks, nil
 }
 
 func isCertificate(blockType string) bool {
@@ -81,10 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	blocks, err := decodePEM(text)
-	if err == nil {
-		err = requireTypes(blocks, isCertificate)
-	}
+	blocks, err := decodePEM(text, isCertificate)
 	if err == nil {
 		list, err = parseCertificates(blocks)
 	}
@@ -116,24 +109,18 @@
 // key, contains anything that would not be used. Both may be in one file.
 func checkPair(p PairFiles, certificate, key []byte) error {
 	isCombined := p.Certificate == p.Key
-	blocks, err := decodePEM(certificate)
-	if err == nil {
-		err = requireTypes(blocks, func(blockType string) bool {
-			return blockType == certificateBlock || isCombined && isKeyFileBlock(blockType)
-		})
-	}
+	blocks, err := decodePEM(certificate, func(blockType string) bool {
+		return blockType == certificateBlock || isCombined && isKeyFileBlock(blockType)
+	})
 	if err == nil {
 		_, err = parseCertificates(blocks) // the whole chain: tls.X509KeyPair parses the first certificate only
 	}
 	if err != nil {
 		return fmt.Errorf("%s: %w", p.Certificate, err)
 	}
-	blocks, err = decodePEM(key)
-	if err == nil {
-		err = requireTypes(blocks, func(blockType string) bool {
-			return isKeyFileBlock(blockType) || isCombined && blockType == certificateBlock
-		})
-	}
+	blocks, err = decodePEM(key, func(blockType string) bool {
+		return isKeyFileBlock(blockType) || isCombined && blockType == certificateBlock
+	})
 	if err == nil {
 		blocks = slices.DeleteFunc(blocks, func(block *pem.Block) bool { return !isPrivateKey(block.Type) })
 		if len(blocks) != 1 {
--- a/internal/certs/revocations.go
+++ b/internal/certs/revocations.go
@@ -90,13 +90,10 @@
 	if err != nil {
 		return nil, err
 	}
-	blocks, err := decodePEM(text)
+	blocks, err := decodePEM(text, isCRL)
 	if err != nil {
 		return nil, err
 	}
-	if err := requireTypes(blocks, isCRL); err != nil {
-		return nil, err
-	}
 	if len(blocks) == 0 {
 		return parseCRLs(text)
 	}
--- a/internal/keyfiles/files.go
+++ b/internal/keyfiles/files.go
@@ -76,9 +76,10 @@
 	if err != nil {
 		return out, fmt.Errorf("%s: %w", path, err)
 	}
+	byName := map[string]map[string]bool{"jti": out.IDs, "sub": out.Subjects}
 	for issuer, lists := range file {
 		for name, values := range lists {
-			revoked, known := map[string]map[string]bool{"jti": out.IDs, "sub": out.Subjects}[name]
+			revoked, known := byName[name]
 			if !known {
 				return out, fmt.Errorf("%s: %q of issuer %q is neither jti nor sub", path, name, issuer)
 			}
--- a/scheduler/dispatch.go
+++ b/scheduler/dispatch.go
@@ -54,10 +54,15 @@
 // mayStartOn reports whether the rules that depend on the engine allow an attempt of the query: the engine's state, the
 // zones and kinds of the class, the query's effect, the engine's warm-up and the budgets.
 func (s *Scheduler) mayStartOn(q *query, e *engine) bool {
-	return e.serving() && !q.hasAttemptOn(e) && allows(q.class.Zones, e.Zone) && allows(q.class.Kinds, e.Kind) &&
+	return e.serving() && !q.hasAttemptOn(e) && q.class.allowsEngine(e) &&
 		q.isSafeOn(e, s.now) && s.hasWarmUpCapacity(q, e) && s.budgets.affords(s.now, q, e)
 }
 
+// allowsEngine reports whether the engine is in a zone and of a kind that the class allows.
+func (c *class) allowsEngine(e *engine) bool {
+	return allows(c.Zones, e.Zone) && allows(c.Kinds, e.Kind)
+}
+
 // allows reports whether the list contains the name; an empty list allows all names.
 func allows(list []string, name string) bool { return len(list) == 0 || slices.Contains(list, name) }
 
@@ -96,7 +101,7 @@
 		return false
 	}
 	e := a.engine
-	return e.ready() && e.Started == a.engineStarted && allows(q.class.Zones, e.Zone) && allows(q.class.Kinds, e.Kind)
+	return e.ready() && e.Started == a.engineStarted && q.class.allowsEngine(e)
 }
 
 // attemptTimeout returns the timeout of an attempt, 0 if it has none. Only idempotent queries whose attempts can be
--- a/statement/reader.go
+++ b/statement/reader.go
@@ -157,9 +157,12 @@
 	if entry.optionsGeneration == r.optionsGeneration {
 		return
 	}
-	facts := *entry.facts
-	facts.Writes = entry.parsedWrites || slices.ContainsFunc(facts.Functions, r.hasSideEffect)
-	entry.facts = &facts
+	writes := entry.parsedWrites || slices.ContainsFunc(entry.facts.Functions, r.hasSideEffect)
+	if writes != entry.facts.Writes {
+		facts := *entry.facts
+		facts.Writes = writes
+		entry.facts = &facts
+	}
 	entry.matchingRules, entry.optionsGeneration = r.rules.Matching(entry.facts), r.optionsGeneration
 }
 
